Rename the storage ports' library for what it holds

platform/ at the root will translate the users' platform; the library holds the ports of a table and an object store and what resolves lost answers.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON ?= python3.11
 BIN := .venv/bin
-LIBS := base schema model http platform membership distribution traffic \
+LIBS := base schema model http storage membership distribution traffic \
 	operators node commands standins
 DEPLOYMENT ?= tuttipullo
 SCHEMA := libs/schema/auburnjunction/schema
--- a/libs/commands/auburnjunction/commands/tests/test_controls.py
+++ b/libs/commands/auburnjunction/commands/tests/test_controls.py
@@ -15,7 +15,7 @@
     Administration,
     make_snapshot,
 )
-from auburnjunction.platform.tables import UnknownOutcomeError
+from auburnjunction.storage.tables import UnknownOutcomeError
 
 
 def run_steps(steps, administration=None):
--- a/libs/distribution/auburnjunction/distribution/commit_attempts.py
+++ b/libs/distribution/auburnjunction/distribution/commit_attempts.py
@@ -23,9 +23,9 @@
     operation_key,
     revision_key,
 )
-from auburnjunction.platform.objects import ObjectStore
-from auburnjunction.platform.resolvers import insert_once
-from auburnjunction.platform.tables import (
+from auburnjunction.storage.objects import ObjectStore
+from auburnjunction.storage.resolvers import insert_once
+from auburnjunction.storage.tables import (
     PlatformError,
     Table,
     UnavailableError,
--- a/libs/distribution/auburnjunction/distribution/commit_readers.py
+++ b/libs/distribution/auburnjunction/distribution/commit_readers.py
@@ -18,8 +18,8 @@
     operation_key,
     revision_key,
 )
-from auburnjunction.platform.objects import ObjectStore
-from auburnjunction.platform.tables import PlatformError, Table
+from auburnjunction.storage.objects import ObjectStore
+from auburnjunction.storage.tables import PlatformError, Table
 
 CALL_TIMEOUT_S = 2.0
 MAX_HISTORY = 500
--- a/libs/distribution/auburnjunction/distribution/commits.py
+++ b/libs/distribution/auburnjunction/distribution/commits.py
@@ -17,8 +17,8 @@
 from auburnjunction.model.codecs import digest_content, dump_snapshot
 from auburnjunction.model.snapshots import Snapshot
 from auburnjunction.model.validators import validate_snapshot
-from auburnjunction.platform.objects import ObjectStore
-from auburnjunction.platform.tables import Table
+from auburnjunction.storage.objects import ObjectStore
+from auburnjunction.storage.tables import Table
 
 # Below the body limit of a node's listener.
 MAX_CONTENT_BYTES = 3 * 1024 * 1024
--- a/libs/distribution/auburnjunction/distribution/contents.py
+++ b/libs/distribution/auburnjunction/distribution/contents.py
@@ -10,7 +10,7 @@
     RevisedSnapshot,
     RevisionMark,
 )
-from auburnjunction.platform.objects import ObjectStore
+from auburnjunction.storage.objects import ObjectStore
 
 
 def parse_content(mark: RevisionMark, content: bytes) -> RevisedSnapshot:
--- a/libs/distribution/auburnjunction/distribution/distributors.py
+++ b/libs/distribution/auburnjunction/distribution/distributors.py
@@ -45,9 +45,9 @@
 from auburnjunction.http.clients import Address, PoolRegistry
 from auburnjunction.http.messages import HttpRequest, HttpResponse
 from auburnjunction.model.snapshots import RevisedSnapshot, RevisionMark
-from auburnjunction.platform.objects import ObjectStore
-from auburnjunction.platform.tables import Table
 from auburnjunction.schema import control_pb2 as pb
+from auburnjunction.storage.objects import ObjectStore
+from auburnjunction.storage.tables import Table
 
 WINDOW_S = 1.0
 
--- a/libs/distribution/auburnjunction/distribution/head_readers.py
+++ b/libs/distribution/auburnjunction/distribution/head_readers.py
@@ -15,8 +15,8 @@
 from auburnjunction.distribution.holders import SnapshotHolder
 from auburnjunction.distribution.statistics import DistributionStats
 from auburnjunction.model.snapshots import NO_REVISION, RevisionMark
-from auburnjunction.platform.objects import ObjectStore
-from auburnjunction.platform.tables import PlatformError
+from auburnjunction.storage.objects import ObjectStore
+from auburnjunction.storage.tables import PlatformError
 
 
 class HeadReader:
--- a/libs/distribution/auburnjunction/distribution/tests/stepped.py
+++ b/libs/distribution/auburnjunction/distribution/tests/stepped.py
@@ -6,8 +6,8 @@
 
 from auburnjunction.base.clocks import ManualClock
 from auburnjunction.distribution.records import HEAD_KEY, Commit, load_commit
-from auburnjunction.platform.fakes import MemoryTable
-from auburnjunction.platform.tables import (
+from auburnjunction.storage.fakes import MemoryTable
+from auburnjunction.storage.tables import (
     PlatformError,
     UnavailableError,
     UnknownOutcomeError,
--- a/libs/distribution/auburnjunction/distribution/tests/support.py
+++ b/libs/distribution/auburnjunction/distribution/tests/support.py
@@ -25,9 +25,9 @@
     Snapshot,
     sort_snapshot,
 )
-from auburnjunction.platform.fakes import MemoryObjectStore, MemoryTable
-from auburnjunction.platform.tables import UnavailableError
 from auburnjunction.schema import control_pb2 as pb
+from auburnjunction.storage.fakes import MemoryObjectStore, MemoryTable
+from auburnjunction.storage.tables import UnavailableError
 
 GOSSIP_S = 0.1
 FAST = DistributionSettings(
--- a/libs/distribution/auburnjunction/distribution/tests/test_commit_races.py
+++ b/libs/distribution/auburnjunction/distribution/tests/test_commit_races.py
@@ -19,7 +19,7 @@
     run_whole,
 )
 from auburnjunction.distribution.tests.support import make_snapshot
-from auburnjunction.platform.fakes import MemoryObjectStore
+from auburnjunction.storage.fakes import MemoryObjectStore
 
 OPERATIONS = 4
 TIMEOUT_S = 2.0
--- a/libs/distribution/auburnjunction/distribution/tests/test_commits.py
+++ b/libs/distribution/auburnjunction/distribution/tests/test_commits.py
@@ -19,7 +19,7 @@
 from auburnjunction.model.routes import Route
 from auburnjunction.model.services import Service
 from auburnjunction.model.snapshots import Snapshot
-from auburnjunction.platform.fakes import MemoryObjectStore, MemoryTable
+from auburnjunction.storage.fakes import MemoryObjectStore, MemoryTable
 
 
 @pytest.fixture
--- a/libs/membership/auburnjunction/membership/joins.py
+++ b/libs/membership/auburnjunction/membership/joins.py
@@ -8,7 +8,7 @@
 from auburnjunction.membership.rosters import Roster
 from auburnjunction.membership.seeds import MAX_SEEDS, SeedTable
 from auburnjunction.membership.senders import GossipSender
-from auburnjunction.platform.tables import PlatformError, Table
+from auburnjunction.storage.tables import PlatformError, Table
 
 # Nodes of a data centre that read the table in one refresh interval.
 READERS_PER_REFRESH = 2
--- a/libs/membership/auburnjunction/membership/members.py
+++ b/libs/membership/auburnjunction/membership/members.py
@@ -35,7 +35,7 @@
 from auburnjunction.membership.suspicions import SuspicionTimers
 from auburnjunction.model.services import Instance
 from auburnjunction.model.snapshots import RevisionMark
-from auburnjunction.platform.tables import Table
+from auburnjunction.storage.tables import Table
 
 
 class Membership:
--- a/libs/membership/auburnjunction/membership/seeds.py
+++ b/libs/membership/auburnjunction/membership/seeds.py
@@ -5,11 +5,11 @@
 from auburnjunction.base.logs import log_event
 from auburnjunction.http.clients import Address
 from auburnjunction.membership.rosters import Roster
-from auburnjunction.platform.tables import (
+from auburnjunction.schema import control_pb2 as pb
+from auburnjunction.storage.tables import (
     Row,
     Table,
 )
-from auburnjunction.schema import control_pb2 as pb
 
 ROW_PREFIX = "nodes/"
 # Sorts behind every key of a data centre's rows.
--- a/libs/membership/auburnjunction/membership/tests/test_seeds.py
+++ b/libs/membership/auburnjunction/membership/tests/test_seeds.py
@@ -20,8 +20,8 @@
     run_cluster,
     wait_until,
 )
-from auburnjunction.platform.fakes import MemoryTable
-from auburnjunction.platform.tables import PlatformError
+from auburnjunction.storage.fakes import MemoryTable
+from auburnjunction.storage.tables import PlatformError
 
 FLEET = 3000
 # What the platform bears, less two reads for each head reading that the
--- a/libs/node/auburnjunction/node/checks.py
+++ b/libs/node/auburnjunction/node/checks.py
@@ -5,7 +5,7 @@
 from auburnjunction.http.errors import AddressInUseError
 from auburnjunction.node.parts import connect_platform
 from auburnjunction.node.settings import PORT_FIELDS, NodeSettings
-from auburnjunction.platform.tables import PlatformError
+from auburnjunction.storage.tables import PlatformError
 
 CHECK_TIMEOUT_S = 3.0
 CHECKED_KEY = "config/head"
--- a/libs/node/auburnjunction/node/parts.py
+++ b/libs/node/auburnjunction/node/parts.py
@@ -19,9 +19,9 @@
 from auburnjunction.node.currencies import NodeCurrency
 from auburnjunction.node.meters import ControlMeter
 from auburnjunction.node.settings import NodeSettings
-from auburnjunction.platform.clients import HttpObjectStore, HttpTable
-from auburnjunction.platform.objects import ObjectStore
-from auburnjunction.platform.tables import Table
+from auburnjunction.storage.clients import HttpObjectStore, HttpTable
+from auburnjunction.storage.objects import ObjectStore
+from auburnjunction.storage.tables import Table
 from auburnjunction.traffic.balancers import Place
 from auburnjunction.traffic.claims import ClaimStore
 from auburnjunction.traffic.entries import EntryHandler, make_entry_handler
--- a/libs/node/auburnjunction/node/tests/support.py
+++ b/libs/node/auburnjunction/node/tests/support.py
@@ -19,7 +19,7 @@
 from auburnjunction.node.nodes import open_node
 from auburnjunction.node.parts import PlatformPorts
 from auburnjunction.node.settings import configure_node_settings
-from auburnjunction.platform.fakes import MemoryObjectStore, MemoryTable
+from auburnjunction.storage.fakes import MemoryObjectStore, MemoryTable
 from auburnjunction.traffic.calls import Call
 from auburnjunction.traffic.headers import CALL_HEADER, format_call
 
--- a/libs/operators/auburnjunction/operators/tests/support.py
+++ b/libs/operators/auburnjunction/operators/tests/support.py
@@ -14,8 +14,8 @@
 from auburnjunction.model.snapshots import Snapshot
 from auburnjunction.operators.backends import NodeAdministration
 from auburnjunction.operators.servers import open_operators_server
-from auburnjunction.platform.fakes import MemoryObjectStore, MemoryTable
 from auburnjunction.schema import control_pb2 as pb
+from auburnjunction.storage.fakes import MemoryObjectStore, MemoryTable
 
 
 def make_snapshot(timeout_ms: int = 500) -> Snapshot:
--- a/libs/platform/auburnjunction/platform/tests/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of auburnjunction.platform."""
--- a/libs/standins/auburnjunction/standins/platforms.py
+++ b/libs/standins/auburnjunction/standins/platforms.py
@@ -17,17 +17,6 @@
 from auburnjunction.http.messages import HttpRequest, HttpResponse
 from auburnjunction.http.servers import PeerGoneError, open_server
 from auburnjunction.model.codecs import digest_content
-from auburnjunction.platform.clients import (
-    IF_VERSION_HEADER,
-    NOT_APPLIED,
-    OBJECTS_PATH,
-    OUTCOME_HEADER,
-    ROW_VERSION_HEADER,
-    ROWS_PATH,
-    dump_rows,
-)
-from auburnjunction.platform.fakes import MemoryObjectStore, MemoryTable
-from auburnjunction.platform.tables import Row, VersionConflictError
 from auburnjunction.standins.arguments import make_port_option
 from auburnjunction.standins.faults import PlatformFaults
 from auburnjunction.standins.rates import RateMeter
@@ -37,6 +26,17 @@
     parse_body,
     read_query,
 )
+from auburnjunction.storage.clients import (
+    IF_VERSION_HEADER,
+    NOT_APPLIED,
+    OBJECTS_PATH,
+    OUTCOME_HEADER,
+    ROW_VERSION_HEADER,
+    ROWS_PATH,
+    dump_rows,
+)
+from auburnjunction.storage.fakes import MemoryObjectStore, MemoryTable
+from auburnjunction.storage.tables import Row, VersionConflictError
 
 MAX_SCAN_ROWS = 1000
 MEMORY_TIMEOUT_S = 1.0
--- a/libs/standins/auburnjunction/standins/tests/support.py
+++ b/libs/standins/auburnjunction/standins/tests/support.py
@@ -10,9 +10,9 @@
 from auburnjunction.http.clients import Address, PoolRegistry
 from auburnjunction.http.messages import HttpRequest, HttpResponse
 from auburnjunction.http.servers import open_server
-from auburnjunction.platform.clients import HttpObjectStore, HttpTable
 from auburnjunction.standins.faults import PlatformFaults
 from auburnjunction.standins.platforms import PlatformServer
+from auburnjunction.storage.clients import HttpObjectStore, HttpTable
 
 HOST = "127.0.0.1"
 TIMEOUT_S = 5.0
--- a/libs/standins/auburnjunction/standins/tests/test_platforms.py
+++ b/libs/standins/auburnjunction/standins/tests/test_platforms.py
@@ -6,13 +6,13 @@
 import pytest
 
 from auburnjunction.base.clocks import SystemClock
-from auburnjunction.platform.resolvers import insert_once
-from auburnjunction.platform.tables import (
+from auburnjunction.standins.tests.support import TIMEOUT_S, open_platform
+from auburnjunction.storage.resolvers import insert_once
+from auburnjunction.storage.tables import (
     UnavailableError,
     UnknownOutcomeError,
     VersionConflictError,
 )
-from auburnjunction.standins.tests.support import TIMEOUT_S, open_platform
 
 
 @pytest.mark.parametrize(
--- a/libs/platform/auburnjunction/platform/clients.py
+++ b/libs/storage/auburnjunction/storage/clients.py
@@ -15,7 +15,7 @@
     NotSentError,
 )
 from auburnjunction.http.messages import HttpRequest, HttpResponse
-from auburnjunction.platform.tables import (
+from auburnjunction.storage.tables import (
     PlatformError,
     Row,
     UnavailableError,
--- a/libs/platform/auburnjunction/platform/fakes.py
+++ b/libs/storage/auburnjunction/storage/fakes.py
@@ -2,7 +2,7 @@
 
 from sortedcontainers import SortedDict
 
-from auburnjunction.platform.tables import (
+from auburnjunction.storage.tables import (
     Row,
     UnavailableError,
     UnknownOutcomeError,
--- a/libs/platform/auburnjunction/platform/resolvers.py
+++ b/libs/storage/auburnjunction/storage/resolvers.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable
 
 from auburnjunction.base.clocks import Clock
-from auburnjunction.platform.tables import (
+from auburnjunction.storage.tables import (
     Row,
     Table,
     UnavailableError,
--- a/libs/platform/auburnjunction/platform/tests/support.py
+++ b/libs/storage/auburnjunction/storage/tests/support.py
@@ -1,7 +1,7 @@
 """A table whose faults follow a script, for tests."""
 
-from auburnjunction.platform.fakes import MemoryTable
-from auburnjunction.platform.tables import (
+from auburnjunction.storage.fakes import MemoryTable
+from auburnjunction.storage.tables import (
     Row,
     UnavailableError,
     UnknownOutcomeError,
--- a/libs/platform/auburnjunction/platform/tests/test_clients.py
+++ b/libs/storage/auburnjunction/storage/tests/test_clients.py
@@ -8,8 +8,8 @@
 from auburnjunction.base.clocks import SystemClock
 from auburnjunction.http.clients import Address, PoolRegistry
 from auburnjunction.http.servers import bind_socket
-from auburnjunction.platform.clients import HttpObjectStore, HttpTable
-from auburnjunction.platform.tables import (
+from auburnjunction.storage.clients import HttpObjectStore, HttpTable
+from auburnjunction.storage.tables import (
     UnavailableError,
     UnknownOutcomeError,
     VersionConflictError,
--- a/libs/platform/auburnjunction/platform/tests/test_resolvers.py
+++ b/libs/storage/auburnjunction/storage/tests/test_resolvers.py
@@ -6,14 +6,14 @@
 from hypothesis import strategies as st
 
 from auburnjunction.base.clocks import ManualClock
-from auburnjunction.platform.resolvers import insert_once, put_once
-from auburnjunction.platform.tables import (
+from auburnjunction.storage.resolvers import insert_once, put_once
+from auburnjunction.storage.tables import (
     PlatformError,
     UnavailableError,
     UnknownOutcomeError,
     VersionConflictError,
 )
-from auburnjunction.platform.tests.support import ScriptedTable
+from auburnjunction.storage.tests.support import ScriptedTable
 
 FAULTS = st.lists(st.sampled_from(["ok", "down", "lost", "late"]), max_size=8)
 
--- a/libs/traffic/auburnjunction/traffic/breakers.py
+++ b/libs/traffic/auburnjunction/traffic/breakers.py
@@ -3,7 +3,7 @@
 import curio
 
 from auburnjunction.base.clocks import Clock
-from auburnjunction.platform.tables import (
+from auburnjunction.storage.tables import (
     Row,
     Table,
     UnavailableError,
--- a/libs/traffic/auburnjunction/traffic/claims.py
+++ b/libs/traffic/auburnjunction/traffic/claims.py
@@ -14,7 +14,8 @@
 from auburnjunction.base.logs import log_event
 from auburnjunction.http.messages import HttpResponse
 from auburnjunction.model.priorities import ClaimMode
-from auburnjunction.platform.tables import (
+from auburnjunction.schema import claims_pb2 as pb
+from auburnjunction.storage.tables import (
     PlatformError,
     Row,
     Table,
@@ -22,7 +23,6 @@
     UnknownOutcomeError,
     VersionConflictError,
 )
-from auburnjunction.schema import claims_pb2 as pb
 from auburnjunction.traffic.admissions import ClaimSettings
 from auburnjunction.traffic.breakers import GuardedTable
 from auburnjunction.traffic.calls import Call, NotRunError, UnknownRunError
--- a/libs/traffic/auburnjunction/traffic/tests/claim_support.py
+++ b/libs/traffic/auburnjunction/traffic/tests/claim_support.py
@@ -5,8 +5,8 @@
 import curio
 
 from auburnjunction.model.priorities import ClaimMode
-from auburnjunction.platform.fakes import MemoryTable
-from auburnjunction.platform.tables import (
+from auburnjunction.storage.fakes import MemoryTable
+from auburnjunction.storage.tables import (
     UnavailableError,
     UnknownOutcomeError,
 )
--- a/libs/traffic/auburnjunction/traffic/tests/test_claim_outages.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_claim_outages.py
@@ -3,8 +3,8 @@
 import curio
 import pytest
 
-from auburnjunction.platform.fakes import MemoryTable
-from auburnjunction.platform.tables import (
+from auburnjunction.storage.fakes import MemoryTable
+from auburnjunction.storage.tables import (
     UnknownOutcomeError,
 )
 from auburnjunction.traffic.breakers import GuardedTable
--- a/libs/traffic/auburnjunction/traffic/tests/test_claims.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_claims.py
@@ -13,8 +13,8 @@
 from auburnjunction.http.messages import HttpResponse
 from auburnjunction.model.priorities import ClaimMode
 from auburnjunction.model.services import Service
-from auburnjunction.platform.fakes import MemoryTable
-from auburnjunction.platform.tables import (
+from auburnjunction.storage.fakes import MemoryTable
+from auburnjunction.storage.tables import (
     UnknownOutcomeError,
 )
 from auburnjunction.traffic.calls import (
--- a/tools/distribution_nodes.py
+++ b/tools/distribution_nodes.py
@@ -38,9 +38,9 @@
 from auburnjunction.model.snapshots import (
     RevisedSnapshot,
 )
-from auburnjunction.platform.clients import HttpObjectStore, HttpTable
 from auburnjunction.standins.faults import PlatformFaults
 from auburnjunction.standins.platforms import PlatformServer
+from auburnjunction.storage.clients import HttpObjectStore, HttpTable
 
 
 class Traffic:
