Let routes name hosts, splits, attempts and objectives; read the head through a source

The users' platform matches by host and longest prefix, splits routes by weight and limits callers in the configuration; the model, its schema and deltas carry that now. Prefixes are looked up by length, so a lookup does not grow with the number of routes.

--- a/libs/distribution/auburnjunction/distribution/distributors.py
+++ b/libs/distribution/auburnjunction/distribution/distributors.py
@@ -13,7 +13,6 @@
     BackgroundTasks,
     open_background,
 )
-from auburnjunction.distribution.commit_readers import CommitReader
 from auburnjunction.distribution.errors import (
     BadContentError,
 )
@@ -40,14 +39,13 @@
     read_content,
 )
 from auburnjunction.distribution.settings import DistributionSettings
+from auburnjunction.distribution.sources import HeadSource
 from auburnjunction.distribution.start_ups import StartUp
 from auburnjunction.distribution.statistics import DistributionStats
 from auburnjunction.http.clients import Address, PoolRegistry
 from auburnjunction.http.messages import HttpRequest, HttpResponse
 from auburnjunction.model.snapshots import RevisedSnapshot, RevisionMark
 from auburnjunction.schema import control_pb2 as pb
-from auburnjunction.storage.objects import ObjectStore
-from auburnjunction.storage.tables import Table
 
 WINDOW_S = 1.0
 
@@ -60,8 +58,7 @@
         cfg: DistributionSettings,
         view: PeerView,
         holder: SnapshotHolder,
-        table: Table,
-        objects: ObjectStore,
+        source: HeadSource,
         clock: Clock,
         pools: PoolRegistry,
         random: Random,
@@ -98,13 +95,7 @@
             self._puller.offer,
         )
         self._reader = HeadReader(
-            CommitReader(table, objects),
-            objects,
-            holder,
-            self._freshness,
-            self.stats,
-            clock,
-            cfg.platform_timeout_s,
+            cfg, source, holder, self._freshness, self.stats, clock
         )
         self._duty = ReaderDuty(
             cfg,
@@ -250,8 +241,7 @@
     data_centre: str,
     holder: SnapshotHolder,
     peers: PeerDirectory,
-    table: Table,
-    objects: ObjectStore,
+    source: HeadSource,
     clock: Clock,
     pools: PoolRegistry,
     random: Random,
@@ -263,8 +253,7 @@
             cfg,
             view,
             holder,
-            table,
-            objects,
+            source,
             clock,
             pools,
             random,
--- a/libs/distribution/auburnjunction/distribution/reader_duties.py
+++ b/libs/distribution/auburnjunction/distribution/reader_duties.py
@@ -79,10 +79,12 @@
         readers = min(self._cfg.readers, known)
         parts = self._cfg.fleet_size / known
         spread_s = parts * readers / self._cfg.fleet_reads_per_s
-        return max(self._cfg.read_interval_s, spread_s)
+        return max(
+            self._cfg.read_interval_s, spread_s, self._reader.failure_wait_s
+        )
 
     async def _read(self, rank: int) -> None:
-        adopted = await self._reader.try_read()
+        adopted = await self._reader.try_read(self._cfg.read_wait_s)
         if adopted is None:
             await self._ask_remote()
         elif adopted:
--- a/libs/distribution/auburnjunction/distribution/settings.py
+++ b/libs/distribution/auburnjunction/distribution/settings.py
@@ -22,6 +22,9 @@
     read_interval_s: float = attrs.field(
         default=1.0, validator=check_range(0.01, 60)
     )
+    # Time for which a reading waits for a change, where the source tells
+    # of changes.
+    read_wait_s: float = attrs.field(default=0.0, validator=check_range(0, 25))
     # Nodes that one node pushes a revision to.
     fan_out: int = attrs.field(default=4, validator=check_range(1, 64))
     # Nodes of each other data centre that a committer pushes to.
--- a/libs/distribution/auburnjunction/distribution/tests/support.py
+++ b/libs/distribution/auburnjunction/distribution/tests/support.py
@@ -11,6 +11,7 @@
 from auburnjunction.distribution.distributors import open_distribution
 from auburnjunction.distribution.holders import SnapshotHolder
 from auburnjunction.distribution.settings import DistributionSettings
+from auburnjunction.distribution.sources import CommittedHead
 from auburnjunction.http.clients import Address
 from auburnjunction.http.errors import (
     ExchangeError,
@@ -246,8 +247,7 @@
             name[:3],
             holder,
             self.directory,
-            LocalTable(self, name),
-            self.objects,
+            CommittedHead(LocalTable(self, name), self.objects),
             self.clock,
             pools,
             Random(index),
--- a/libs/model/auburnjunction/model/codecs.py
+++ b/libs/model/auburnjunction/model/codecs.py
@@ -10,9 +10,13 @@
 from auburnjunction.base.errors import AuburnError, ErrorCode
 from auburnjunction.base.settings import SettingsError, configure_settings
 from auburnjunction.model.priorities import ClaimMode, Priority
-from auburnjunction.model.routes import Route
+from auburnjunction.model.routes import Route, SplitPart
 from auburnjunction.model.services import Service
-from auburnjunction.model.snapshots import Snapshot, sort_snapshot
+from auburnjunction.model.snapshots import (
+    CallerLimits,
+    Snapshot,
+    sort_snapshot,
+)
 from auburnjunction.schema import configuration_pb2 as pb
 
 
@@ -55,6 +59,13 @@
         claims=route.claims,
         timeout_ms=route.timeout_ms,
         spill=route.spill,
+        host=route.host,
+        split=[
+            pb.SplitPart(service=part.service, weight=part.weight)
+            for part in route.split
+        ],
+        max_attempts=route.max_attempts,
+        target_latency_ms=route.target_latency_ms,
     )
 
 
@@ -79,6 +90,29 @@
         claims=claims,
         timeout_ms=message.timeout_ms,
         spill=message.spill,
+        host=message.host,
+        split=tuple(
+            SplitPart(part.service, part.weight) for part in message.split
+        ),
+        max_attempts=message.max_attempts,
+        target_latency_ms=message.target_latency_ms,
+    )
+
+
+def encode_limits(limits: CallerLimits) -> pb.CallerLimits | None:
+    """Return the message of the callers' limits; None when none is set."""
+    if limits == CallerLimits():
+        return None
+    return pb.CallerLimits(**attrs.asdict(limits))
+
+
+def decode_limits(message: pb.CallerLimits) -> CallerLimits:
+    """Return the callers' limits of a message."""
+    return CallerLimits(
+        head_bytes=message.head_bytes,
+        body_bytes=message.body_bytes,
+        head_timeout_ms=message.head_timeout_ms,
+        idle_timeout_ms=message.idle_timeout_ms,
     )
 
 
@@ -88,6 +122,7 @@
     return pb.Snapshot(
         services=[encode_service(s) for s in ordered.services],
         routes=[encode_route(r) for r in ordered.routes],
+        limits=encode_limits(ordered.limits),
     )
 
 
@@ -97,6 +132,7 @@
         Snapshot(
             services=tuple(decode_service(s) for s in message.services),
             routes=tuple(decode_route(r) for r in message.routes),
+            limits=decode_limits(message.limits),
         )
     )
 
@@ -131,6 +167,7 @@
     values = {
         "services": [attrs.asdict(s) for s in ordered.services],
         "routes": [_route_values(r) for r in ordered.routes],
+        "limits": attrs.asdict(ordered.limits),
     }
     return orjson.dumps(values, option=orjson.OPT_INDENT_2)
 
--- a/libs/model/auburnjunction/model/deltas.py
+++ b/libs/model/auburnjunction/model/deltas.py
@@ -6,9 +6,11 @@
 from auburnjunction.base.errors import AuburnError, ErrorCode
 from auburnjunction.model.codecs import (
     CodecError,
+    decode_limits,
     decode_route,
     decode_service,
     digest_snapshot,
+    encode_limits,
     encode_route,
     encode_service,
 )
@@ -50,6 +52,7 @@
         removed_services=removed_services,
         set_routes=[encode_route(route) for route in set_routes],
         removed_routes=removed_routes,
+        limits=encode_limits(after.limits),
     )
 
 
@@ -88,7 +91,8 @@
         )
     except CodecError as exc:
         raise DeltaError(exc.message) from exc
-    return sort_snapshot(Snapshot(services, routes))
+    limits = decode_limits(delta.limits)
+    return sort_snapshot(Snapshot(services, routes, limits))
 
 
 def _compare(
--- a/libs/model/auburnjunction/model/routes.py
+++ b/libs/model/auburnjunction/model/routes.py
@@ -5,9 +5,23 @@
 from auburnjunction.model.priorities import ClaimMode, Priority
 
 
+@attrs.frozen(slots=True)
+class SplitPart:
+    """A service's part in a route whose requests several share."""
+
+    service: str
+    weight: int
+
+
 @attrs.frozen(slots=True)
 class Route:
-    """Sends matching requests to a service, with their priority."""
+    """Sends matching requests to a service, with their priority.
+
+    An empty host means every host. A route with a split names no
+    service; its requests go to the parts in proportion to their weights.
+    Zero max_attempts leaves the number of instances to the node, and
+    zero target_latency_ms means that no latency objective is set.
+    """
 
     name: str
     path_prefix: str
@@ -19,6 +33,17 @@
     claims: ClaimMode = ClaimMode.NONE
     timeout_ms: int = 2000
     spill: bool = True
+    host: str = ""
+    split: tuple[SplitPart, ...] = ()
+    max_attempts: int = 0
+    target_latency_ms: int = 0
+
+    @property
+    def services(self) -> tuple[str, ...]:
+        """Services that a request of this route may go to."""
+        if self.split:
+            return tuple(part.service for part in self.split)
+        return (self.service,)
 
     def matches(self, method: str, path: str) -> bool:
         """Tell whether a request of this method and path is meant."""
--- a/libs/model/auburnjunction/model/snapshots.py
+++ b/libs/model/auburnjunction/model/snapshots.py
@@ -19,12 +19,26 @@
 NO_REVISION = RevisionMark(0, b"")
 
 
+@attrs.frozen(slots=True)
+class CallerLimits:
+    """Sizes in bytes and times that a caller's request may take.
+
+    Zero leaves the limit to the settings of each node.
+    """
+
+    head_bytes: int = 0
+    body_bytes: int = 0
+    head_timeout_ms: int = 0
+    idle_timeout_ms: int = 0
+
+
 @attrs.frozen(slots=False)
 class Snapshot:
     """All services and routes of one configuration, sorted by name."""
 
     services: tuple[Service, ...] = ()
     routes: tuple[Route, ...] = ()
+    limits: CallerLimits = CallerLimits()
 
     @cached_property
     def services_by_name(self) -> dict[str, Service]:
@@ -32,17 +46,48 @@
         return {service.name: service for service in self.services}
 
     @cached_property
-    def _routes_by_length(self) -> list[Route]:
-        return sorted(
-            self.routes,
-            key=lambda route: (-len(route.path_prefix), not route.methods),
-        )
+    def _routes_by_host(self) -> dict[str, "PrefixIndex"]:
+        by_host: dict[str, list[Route]] = {}
+        for route in self.routes:
+            by_host.setdefault(route.host.lower(), []).append(route)
+        return {host: PrefixIndex(group) for host, group in by_host.items()}
+
+    def find_route(
+        self, method: str, path: str, host: str = ""
+    ) -> Route | None:
+        """Return the route with the longest matching prefix, if any.
+
+        A host's own routes go before those of every host.
+        """
+        name = host.lower()
+        for key in (name, name.partition(":")[0], ""):
+            index = self._routes_by_host.get(key)
+            route = index.find(method, path) if index else None
+            if route is not None:
+                return route
+        return None
+
+
+class PrefixIndex:
+    """Routes of one host by their prefix.
 
-    def find_route(self, method: str, path: str) -> Route | None:
+    A lookup tries each length of prefix that occurs, longest first, so
+    its cost does not grow with the number of routes.
+    """
+
+    def __init__(self, routes: list[Route]):
+        self._by_prefix: dict[str, list[Route]] = {}
+        for route in sorted(routes, key=lambda route: not route.methods):
+            self._by_prefix.setdefault(route.path_prefix, []).append(route)
+        lengths = {len(prefix) for prefix in self._by_prefix}
+        self._lengths = sorted(lengths, reverse=True)
+
+    def find(self, method: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix, if any."""
-        for route in self._routes_by_length:
-            if route.matches(method, path):
-                return route
+        for length in self._lengths:
+            for route in self._by_prefix.get(path[:length], ()):
+                if route.matches(method, path):
+                    return route
         return None
 
 
@@ -59,4 +104,5 @@
     return Snapshot(
         services=tuple(sorted(snapshot.services, key=lambda s: s.name)),
         routes=tuple(sorted(snapshot.routes, key=lambda r: r.name)),
+        limits=snapshot.limits,
     )
--- a/libs/model/auburnjunction/model/validators.py
+++ b/libs/model/auburnjunction/model/validators.py
@@ -97,14 +97,13 @@
     route: Route, services: dict[str, Service]
 ) -> Iterator[Problem]:
     where = f"routes.{route.name}"
+    yield from _check_targets(where, route, services)
     service = services.get(route.service)
-    if service is None:
-        yield Problem(
-            f"{where}.service",
-            f"{route.service!r} is not a service of this configuration",
-            "add the service or name another",
-        )
-    elif route.resource and route.resource not in service.resources:
+    if (
+        service is not None
+        and route.resource
+        and route.resource not in (service.resources)
+    ):
         yield Problem(
             f"{where}.resource",
             f"{route.resource!r} is not a resource of {service.name}",
@@ -130,11 +129,37 @@
         )
 
 
+def _check_targets(
+    where: str, route: Route, services: dict[str, Service]
+) -> Iterator[Problem]:
+    if route.split and route.service:
+        yield Problem(
+            f"{where}.split",
+            f"stands beside the service {route.service!r}",
+            "name a service or a split, not both",
+        )
+    field = "split" if route.split else "service"
+    for name in route.services:
+        if name not in services:
+            yield Problem(
+                f"{where}.{field}",
+                f"{name!r} is not a service of this configuration",
+                "add the service or name another",
+            )
+    weights = [part.weight for part in route.split]
+    if route.split and (min(weights) < 0 or not sum(weights)):
+        yield Problem(
+            f"{where}.split",
+            f"has the weights {weights}",
+            "use weights of 0 or more, with one above 0",
+        )
+
+
 def _check_overlaps(routes: tuple[Route, ...]) -> Iterator[Problem]:
-    seen: dict[tuple[str, str], str] = {}
+    seen: dict[tuple[str, str, str], str] = {}
     for route in routes:
         for method in route.methods or ("*",):
-            key = (route.path_prefix, method)
+            key = (route.host.lower(), route.path_prefix, method)
             if key in seen:
                 yield Problem(
                     f"routes.{route.name}.path_prefix",
--- a/libs/node/auburnjunction/node/parts.py
+++ b/libs/node/auburnjunction/node/parts.py
@@ -13,6 +13,7 @@
     open_distribution,
 )
 from auburnjunction.distribution.holders import SnapshotHolder
+from auburnjunction.distribution.sources import CommittedHead, HeadSource
 from auburnjunction.http.clients import Address, PoolRegistry, parse_address
 from auburnjunction.membership.members import Membership, open_membership
 from auburnjunction.model.services import Service
@@ -38,6 +39,8 @@
 
     table: Table
     objects: ObjectStore
+    # Where the configuration is read; None means the table's commits.
+    head: HeadSource | None = None
 
 
 @attrs.frozen
@@ -113,8 +116,7 @@
             cfg.data_centre,
             holder,
             membership,
-            platform.table,
-            platform.objects,
+            platform.head or CommittedHead(platform.table, platform.objects),
             clock,
             control_pools,
             random,
--- a/tools/distribution_nodes.py
+++ b/tools/distribution_nodes.py
@@ -22,13 +22,14 @@
 )
 
 from auburnjunction.base.clocks import SystemClock
-from auburnjunction.distribution.commit_readers import CommitReader
 from auburnjunction.distribution.commits import CommitLog
 from auburnjunction.distribution.distributors import open_distribution
 from auburnjunction.distribution.exchanges import measure_exchange
 from auburnjunction.distribution.freshness import ReadFreshness
 from auburnjunction.distribution.head_readers import HeadReader
 from auburnjunction.distribution.holders import SnapshotHolder
+from auburnjunction.distribution.settings import DistributionSettings
+from auburnjunction.distribution.sources import CommittedHead
 from auburnjunction.distribution.statistics import DistributionStats
 from auburnjunction.http.clients import Address, PoolRegistry
 from auburnjunction.http.messages import HttpResponse
@@ -165,13 +166,12 @@
     @asynccontextmanager
     async def _open_polling(self, table, objects, clock):
         reader = HeadReader(
-            CommitReader(table, objects),
-            objects,
+            DistributionSettings(),
+            CommittedHead(table, objects),
             self.holder,
             ReadFreshness(clock),
             DistributionStats(),
             clock,
-            2.0,
         )
         random = Random(self.number)
 
@@ -212,8 +212,7 @@
                 self.data_centre,
                 self.holder,
                 self.membership,
-                table,
-                objects,
+                CommittedHead(table, objects),
                 clock,
                 pools,
                 random,
