--- a/Makefile
+++ b/Makefile
@@ -11,11 +11,12 @@
 
 venv: .venv/stamp
 
-.venv/stamp: requirements.txt requirements-dev.txt libs/*/pyproject.toml
+.venv/stamp: requirements.txt requirements-dev.txt libs/*/pyproject.toml \
+		platform/pyproject.toml
 	$(PYTHON) -m venv .venv
 	$(BIN)/pip install --quiet -r requirements-dev.txt
 	$(BIN)/pip install --quiet --no-deps --no-build-isolation \
-		$(foreach lib,$(LIBS),-e libs/$(lib))
+		$(foreach lib,$(LIBS),-e libs/$(lib)) -e platform
 	touch $@
 
 demo: venv
--- a/libs/base/auburnjunction/base/errors.py
+++ b/libs/base/auburnjunction/base/errors.py
@@ -13,6 +13,10 @@
     UNKNOWN = "unknown"
     TIMEOUT = "timeout"
     OVERLOADED = "overloaded"
+    # Refused by the backend server itself.
+    SHED = "shed"
+    # The instance is not where the request went.
+    MISPLACED = "misplaced"
     DRAINING = "draining"
     UNRESPONSIVE = "unresponsive"
     TOO_LARGE = "too-large"
--- a/libs/base/auburnjunction/base/settings.py
+++ b/libs/base/auburnjunction/base/settings.py
@@ -96,6 +96,23 @@
         raise _explain(exc, values, settings_class) from exc
 
 
+def keep_known(values: object, settings_class: type) -> object:
+    """Return plain values without the fields that the class lacks.
+
+    For settings of another program, which may hold more than is used.
+    """
+    if not isinstance(values, dict):
+        return values
+    known = {}
+    for field in attrs.fields(settings_class):
+        if field.name not in values:
+            continue
+        value = values[field.name]
+        nested = attrs.has(field.type)
+        known[field.name] = keep_known(value, field.type) if nested else value
+    return known
+
+
 def dump_settings(settings: object) -> bytes:
     """Return settings as indented JSON."""
     values = _make_converter().unstructure(settings)
--- a/libs/base/auburnjunction/base/signals.py
+++ b/libs/base/auburnjunction/base/signals.py
@@ -2,27 +2,44 @@
 
 import signal
 import socket
+from collections.abc import Callable
 from contextlib import contextmanager
 
 import curio
 
+RELOAD_SIGNAL = signal.SIGHUP
+RELOAD_BYTE = bytes([RELOAD_SIGNAL])
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
+def ignore_reload() -> None:
+    """Do nothing about changed settings."""
+
+
 class StopSignal:
     """Lets a curio task wait until the process is asked to stop."""
 
     def __init__(self, sock):
         self._sock = sock
 
-    async def wait(self) -> None:
-        """Return when a stop signal has arrived."""
-        await self._sock.recv(1)
+    async def wait(
+        self, on_reload: Callable[[], None] = ignore_reload
+    ) -> None:
+        """Return when a stop signal has arrived.
+
+        Call on_reload at each signal that settings have changed.
+        """
+        while await self._sock.recv(1) == RELOAD_BYTE:
+            on_reload()
 
 
 @contextmanager
 def catch_stop_signals():
-    """Yield a StopSignal for SIGTERM and SIGINT; main thread only."""
+    """Yield a StopSignal; main thread only.
+
+    It stands for SIGTERM and SIGINT, and for SIGHUP as the signal that
+    settings have changed.
+    """
     reader, writer = socket.socketpair()
     writer.setblocking(False)
     previous_fd = signal.set_wakeup_fd(
@@ -30,7 +47,7 @@
     )
     previous = {
         signum: signal.signal(signum, lambda *_: None)
-        for signum in STOP_SIGNALS
+        for signum in (*STOP_SIGNALS, RELOAD_SIGNAL)
     }
     try:
         yield StopSignal(curio.io.Socket(reader))
--- a/libs/http/auburnjunction/http/clients.py
+++ b/libs/http/auburnjunction/http/clients.py
@@ -1,18 +1,22 @@
 """HTTP/1.1 clients: connections, pools and one-off requests."""
 
+import re
 import socket
 from collections import deque
+from collections.abc import Callable
 from contextlib import asynccontextmanager
 
 import attrs
 import curio
 import h11
+from absl import logging
 
 from auburnjunction.base.clocks import Clock
 from auburnjunction.http.errors import (
     ExchangeError,
     ExchangeTimeoutError,
     NotSentError,
+    StrayResponseError,
 )
 from auburnjunction.http.messages import (
     HttpRequest,
@@ -41,6 +45,25 @@
     return Address(host, int(port))
 
 
+KEEP_ALIVE_PATTERN = re.compile(rb"timeout=(\d{1,6})")
+# The peer counts whole seconds from the end of its answer, earlier than
+# this side does.
+KEEP_ALIVE_MARGIN_S = 0.5
+# A peer may answer before it has read a longer body, and one that does
+# not read on would block the writer: a socket buffers at least this.
+EAGER_BODY_BYTES = 4096
+# Late answers to earlier requests that are passed over on a connection.
+MAX_STRAY_RESPONSES = 4
+STRAY_MESSAGE = "the response is of another request"
+
+ResponseTest = Callable[[HttpResponse], bool]
+
+
+def accept_any(_response: HttpResponse) -> bool:
+    """Take every response as the answer to the request."""
+    return True
+
+
 class ClientConnection:
     """A connection that carries one exchange at a time."""
 
@@ -48,33 +71,81 @@
         self._wire = wire
         self._clock = clock
         self._broken = False
+        self._is_cut = False
+        self._strays = 0
         self.used_s = clock.monotonic()
+        # Idle time in seconds for which the peer keeps the connection.
+        self.keep_alive_s = float("inf")
         self.exchanges = 0
 
     async def exchange(
-        self, request: HttpRequest, timeout_s: float
+        self,
+        request: HttpRequest,
+        timeout_s: float,
+        belongs: ResponseTest = accept_any,
     ) -> HttpResponse:
         """Send a request and return its whole response.
 
-        Raise NotSentError when no byte left, else ExchangeError or
-        BadMessageError. A connection whose exchange failed or was
-        cancelled is broken.
+        A response for which belongs is false answers an earlier request
+        and is passed over. Raise NotSentError when no byte left, else
+        ExchangeError or BadMessageError. A connection whose exchange
+        failed or was cancelled is broken.
         """
         self._broken = True
         try:
             async with curio.timeout_after(timeout_s):
-                await self._wire.write_request(request)
-                response = await self._wire.read_response()
+                response = await self._run_exchange(request, belongs)
         except curio.TaskTimeout as exc:
+            if self._strays:
+                raise StrayResponseError(STRAY_MESSAGE) from exc
             raise ExchangeTimeoutError(
                 f"no whole response within {timeout_s:.3f} s"
             ) from exc
         except OSError as exc:
             raise ExchangeError(f"connection failed: {exc}") from exc
-        self._broken = not self._wire.start_next_cycle()
+        self._note_end(response)
+        return response
+
+    async def _run_exchange(
+        self, request: HttpRequest, belongs: ResponseTest
+    ) -> HttpResponse:
+        if len(request.body) <= EAGER_BODY_BYTES:
+            await self._wire.write_request(request)
+            return await self._read_own(belongs)
+        writer = await curio.spawn(self._write_long, request, daemon=True)
+        try:
+            return await self._read_own(belongs)
+        finally:
+            if not writer.terminated:
+                # The rest of the body would be taken for a request.
+                self._is_cut = True
+                await writer.cancel()
+
+    async def _write_long(self, request: HttpRequest) -> None:
+        try:
+            await self._wire.write_request(request)
+        except OSError as exc:
+            # The answer may have come before the peer closed.
+            logging.debug("request body not sent: %s", exc)
+
+    async def _read_own(self, belongs: ResponseTest) -> HttpResponse:
+        self._strays = 0
+        while self._strays < MAX_STRAY_RESPONSES:
+            response = await self._wire.read_response()
+            if belongs(response):
+                return response
+            self._strays += 1
+            if not self._wire.expect_another_response():
+                break
+        raise StrayResponseError(STRAY_MESSAGE)
+
+    def _note_end(self, response: HttpResponse) -> None:
+        is_whole = self._wire.start_next_cycle()
+        surplus = self._wire.has_surplus
+        self._broken = not is_whole or surplus or self._is_cut
         self.used_s = self._clock.monotonic()
         self.exchanges += 1
-        return response
+        self.keep_alive_s = _read_keep_alive(response)
 
     @property
     def reusable(self) -> bool:
@@ -102,6 +173,15 @@
         await self._wire.close()
 
 
+def _read_keep_alive(response: HttpResponse) -> float:
+    """Return the idle time in seconds that Keep-Alive announces."""
+    value = response.header(b"keep-alive")
+    match = KEEP_ALIVE_PATTERN.search(value) if value else None
+    if match is None:
+        return float("inf")
+    return max(0.0, int(match[1]) - KEEP_ALIVE_MARGIN_S)
+
+
 async def connect(
     address: Address,
     clock: Clock,
@@ -182,10 +262,11 @@
         request: HttpRequest,
         timeout_s: float,
         max_idle_s: float | None = None,
+        belongs: ResponseTest = accept_any,
     ) -> HttpResponse:
         """Send a request on a pooled connection; see ClientConnection."""
         async with self.lease(max_idle_s, timeout_s) as conn:
-            return await conn.exchange(request, timeout_s)
+            return await conn.exchange(request, timeout_s, belongs)
 
     @property
     def is_unused(self) -> bool:
@@ -194,12 +275,11 @@
 
     async def sweep(self) -> None:
         """Close connections that were idle for too long or have ended."""
-        oldest_s = self._clock.monotonic() - self._idle_limit_s
         kept: deque[ClientConnection] = deque()
         ended = []
         while self._idle:
             conn = self._idle.popleft()
-            is_good = conn.used_s >= oldest_s and conn.reusable
+            is_good = self._is_usable(conn, self._idle_limit_s)
             (kept if is_good else ended).append(conn)
         self._idle = kept
         for conn in ended:
@@ -226,10 +306,9 @@
         self, max_idle_s: float | None, timeout_s: float | None
     ) -> ClientConnection:
         limit_s = self._idle_limit_s if max_idle_s is None else max_idle_s
-        oldest_s = self._clock.monotonic() - limit_s
         while self._idle:
             conn = self._idle.pop()
-            if conn.used_s >= oldest_s and conn.reusable:
+            if self._is_usable(conn, limit_s):
                 return conn
             await conn.close()
         connect_s = self._connect_timeout_s
@@ -239,6 +318,10 @@
             self.address, self._clock, connect_s, self._limits
         )
 
+    def _is_usable(self, conn: ClientConnection, limit_s: float) -> bool:
+        idle_s = self._clock.monotonic() - conn.used_s
+        return idle_s <= min(limit_s, conn.keep_alive_s) and conn.reusable
+
     async def _give_back(self, conn: ClientConnection) -> None:
         if conn.reusable:
             self._idle.append(conn)
--- a/libs/http/auburnjunction/http/errors.py
+++ b/libs/http/auburnjunction/http/errors.py
@@ -35,6 +35,12 @@
     """The response ended before its announced length."""
 
 
+class StrayResponseError(ExchangeError):
+    """What came answers another request; the own answer did not come."""
+
+    code = ErrorCode.PROTOCOL
+
+
 class ExchangeTimeoutError(ExchangeError):
     """No whole response arrived in time."""
 
--- a/libs/http/auburnjunction/http/servers.py
+++ b/libs/http/auburnjunction/http/servers.py
@@ -37,6 +37,7 @@
 
     IDLE = auto()
     READING = auto()
+    READING_BODY = auto()
     HANDLING = auto()
     WRITING = auto()
 
@@ -68,9 +69,11 @@
         self._sock = sock
         self._handler = handler
         self._clock = clock
-        self._limits = limits
+        # In force for connections accepted from now on; times for all.
+        self.limits = limits
         self._connections: set[ServerConnection] = set()
         self._closing = False
+        self._reusable = True
         self.port: int = sock.getsockname()[1]
 
     @property
@@ -101,7 +104,7 @@
                 await self._clock.sleep(SWEEP_INTERVAL_S)
                 continue
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            wire = Wire(sock, h11.SERVER, self._limits)
+            wire = Wire(sock, h11.SERVER, self.limits)
             conn = ServerConnection(wire, since_s=self._clock.monotonic())
             self._connections.add(conn)
             # The group forgets daemon tasks when they end.
@@ -109,6 +112,13 @@
                 self._serve_connection, conn, daemon=True
             )
 
+    def end_reuse(self) -> None:
+        """Have callers open a new connection after each answer.
+
+        Idle connections stay, as a request may be on its way on them.
+        """
+        self._reusable = False
+
     def start_closing(self) -> None:
         """Answer what is in flight and close connections after it."""
         self._closing = True
@@ -145,12 +155,12 @@
                 return PeerGoneError
             return None
         if conn.phase is ConnectionPhase.IDLE:
-            if self._closing or age_s > self._limits.idle_timeout_s:
+            if self._closing or age_s > self.limits.idle_timeout_s:
                 return PeerGoneError
             return None
-        limit_s = self._limits.body_timeout_s
+        limit_s = self.limits.body_timeout_s
         if conn.phase is ConnectionPhase.READING:
-            limit_s = self._limits.head_timeout_s
+            limit_s = self.limits.head_timeout_s
         return PeerSlowError if age_s > limit_s else None
 
     def _enter(self, conn: ServerConnection, phase: ConnectionPhase) -> None:
@@ -178,13 +188,15 @@
         self._enter(conn, ConnectionPhase.IDLE)
         await wire.wait_for_message()
         self._enter(conn, ConnectionPhase.READING)
-        request = await wire.read_request()
+        request = await wire.read_request_head()
         if request is None:
             return False
+        self._enter(conn, ConnectionPhase.READING_BODY)
+        await wire.read_request_body(request)
         self._enter(conn, ConnectionPhase.HANDLING)
         response = await self._handler(request)
         self._enter(conn, ConnectionPhase.WRITING)
-        if self._closing:
+        if self._closing or not self._reusable:
             response.headers = [*response.headers, (b"connection", b"close")]
         await wire.write_response(response, request.method == b"HEAD")
         return wire.start_next_cycle()
--- a/libs/http/auburnjunction/http/tests/test_exchanges.py
+++ b/libs/http/auburnjunction/http/tests/test_exchanges.py
@@ -98,7 +98,10 @@
 )
 def test_bad_request_is_refused(data, status):
     limits = MessageLimits(
-        head_bytes=2048, body_bytes=1024, head_timeout_s=0.2
+        head_bytes=2048,
+        body_bytes=1024,
+        head_timeout_s=0.2,
+        body_timeout_s=0.2,
     )
 
     async def main():
--- a/libs/http/auburnjunction/http/wires.py
+++ b/libs/http/auburnjunction/http/wires.py
@@ -55,8 +55,20 @@
         if not self._conn.trailing_data[0]:
             await self._receive()
 
+    @property
+    def has_surplus(self) -> bool:
+        """Whether bytes came that belong to no exchange."""
+        return bool(self._conn.trailing_data[0])
+
     async def read_request(self) -> HttpRequest | None:
         """Return the next request, or None when the peer has closed."""
+        request = await self.read_request_head()
+        if request is not None:
+            await self.read_request_body(request)
+        return request
+
+    async def read_request_head(self) -> HttpRequest | None:
+        """Return the next request's head, or None at the peer's close."""
         event = await self._next_event()
         if isinstance(event, h11.ConnectionClosed):
             return None
@@ -66,12 +78,15 @@
         self._reject_long_head(request)
         _reject_ambiguous_length(request)
         self._reject_announced_length(request)
+        return request
+
+    async def read_request_body(self, request: HttpRequest) -> None:
+        """Read the body that belongs to the head read last."""
         if self._conn.they_are_waiting_for_100_continue:
             await self._send(
                 h11.InformationalResponse(status_code=100, headers=[])
             )
         request.body = await self._read_body()
-        return request
 
     async def write_response(
         self, response: HttpResponse, bodiless: bool = False
@@ -123,6 +138,24 @@
             return True
         return False
 
+    def expect_another_response(self) -> bool:
+        """Make ready to read the response behind the one just read.
+
+        For a peer that sent the answer to an earlier request late; tell
+        whether the connection is still open for it.
+        """
+        if not self.start_next_cycle():
+            return False
+        # The request that was sent stands; h11 needs one to await its
+        # answer.
+        method = "HEAD" if self._sent_head else "GET"
+        request = h11.Request(
+            method=method, target="/", headers=[("host", "-")]
+        )
+        self._conn.send(request)
+        self._conn.send(h11.EndOfMessage())
+        return True
+
     async def _read_body(self) -> bytes:
         chunks = []
         size = 0
--- a/libs/membership/auburnjunction/membership/announcements.py
+++ b/libs/membership/auburnjunction/membership/announcements.py
@@ -31,6 +31,18 @@
     )
     load_percent: int = attrs.field(default=0, validator=check_range(0, 100))
     resources: tuple[str, ...] = ()
+    # Milliseconds since the epoch at which this life of the instance
+    # began, and the place of the announcement among those of this life;
+    # 0 where the backend server does not tell.
+    born_ms: int = attrs.field(default=0, validator=check_range(0, 2**63))
+    sequence: int = attrs.field(default=0, validator=check_range(0, 2**63))
+    # Time for which a backend server that has started is still slow.
+    cold_s: float = attrs.field(default=0.0, validator=check_range(0, 600))
     lease_s: float = attrs.field(
         default=10.0, validator=check_range(0.5, MAX_LEASE_S)
     )
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Key by which the later of two announcements is told."""
+        return (self.born_ms, self.sequence)
--- a/libs/membership/auburnjunction/membership/joins.py
+++ b/libs/membership/auburnjunction/membership/joins.py
@@ -107,8 +107,15 @@
 
     async def start(self) -> None:
         """Join, then write the own row for the first time."""
+        cfg = self._roster.cfg
+        if cfg.first_write_spread_s:
+            # The others find this node in the table when they read it.
+            await self._wait(cfg.first_write_spread_s)
+            await self.check_table()
+            await self.join()
+            return
         await self.join()
-        await self._wait(self._roster.cfg.table_refresh_s * FIRST_WRITE_SHARE)
+        await self._wait(cfg.table_refresh_s * FIRST_WRITE_SHARE)
         await self.check_table()
 
     async def check_table(self) -> bool:
--- a/libs/membership/auburnjunction/membership/leases.py
+++ b/libs/membership/auburnjunction/membership/leases.py
@@ -22,6 +22,8 @@
     state: InstanceState
     end_s: float
     draining: bool = False
+    # Whether it went for want of announcements, not by its own word.
+    has_lapsed: bool = False
 
     @property
     def shown_state(self) -> InstanceState:
@@ -43,7 +45,8 @@
         """Take an announcement in.
 
         A late "ready" does not bring back a backend server that is
-        leaving; it starts anew with "starting".
+        leaving or gone; it starts anew with "starting" or in a later
+        life. An announcement older than one taken in changes nothing.
         """
         state = InstanceState[announcement.state.upper()]
         lease = self._leases.get(announcement.instance)
@@ -51,12 +54,13 @@
         if lease is None:
             lease = Lease(announcement, state, 0.0)
             self._leases[announcement.instance] = lease
-        elif lease.state is InstanceState.LEAVING and (
-            state not in _AFTER_LEAVING
-        ):
-            state = InstanceState.LEAVING
+        elif announcement.order < lease.announcement.order:
+            return lease
+        elif announcement.born_ms == lease.announcement.born_ms:
+            state = _keep_leaving(lease, state)
         lease.announcement = announcement
         lease.state = state
+        lease.has_lapsed = False
         lease.end_s = now_s + announcement.lease_s
         if state is InstanceState.GONE:
             lease.end_s = now_s + GONE_KEEP_S
@@ -90,12 +94,25 @@
             if lease.state is InstanceState.GONE:
                 del self._leases[instance]
                 continue
+            lease.has_lapsed = lease.state is not InstanceState.LEAVING
             lease.state = InstanceState.GONE
             lease.end_s = now_s + GONE_KEEP_S
             lapsed.append(lease)
         return lapsed
 
 
+def _keep_leaving(lease: Lease, state: InstanceState) -> InstanceState:
+    """Return the state that an announcement of the same life leads to."""
+    has_left = lease.state in (InstanceState.LEAVING, InstanceState.GONE)
+    if not has_left or state in _AFTER_LEAVING or lease.has_lapsed:
+        return state
+    # Without its time of birth this may be a new life.
+    is_gone = lease.state is InstanceState.GONE
+    if is_gone and not lease.announcement.born_ms:
+        return state
+    return lease.state
+
+
 def round_load(load_percent: int) -> int:
     """Return the load in coarse steps, so that few changes spread."""
     steps = round(load_percent / LOAD_STEP_PERCENT)
--- a/libs/membership/auburnjunction/membership/settings.py
+++ b/libs/membership/auburnjunction/membership/settings.py
@@ -71,6 +71,11 @@
     table_spread_s: float = attrs.field(
         default=10.0, validator=check_range(0, 600)
     )
+    # Time over which starting nodes spread the first write of their row;
+    # 0 takes a part of the refresh interval.
+    first_write_spread_s: float = attrs.field(
+        default=0.0, validator=check_range(0, 600)
+    )
     table_timeout_s: float = attrs.field(
         default=2.0, validator=check_range(0.05, 60)
     )
--- a/libs/model/auburnjunction/model/codecs.py
+++ b/libs/model/auburnjunction/model/codecs.py
@@ -19,6 +19,9 @@
 )
 from auburnjunction.schema import configuration_pb2 as pb
 
+# That of snapshots written before services named one.
+DEFAULT_HEALTH_PATH = "/health"
+
 
 class CodecError(AuburnError):
     """Content that is not a snapshot."""
@@ -33,6 +36,7 @@
         resources=service.resources,
         queue_limit=service.queue_limit,
         attempt_timeout_ms=service.attempt_timeout_ms,
+        health_path=service.health_path,
     )
 
 
@@ -43,6 +47,7 @@
         resources=tuple(message.resources),
         queue_limit=message.queue_limit,
         attempt_timeout_ms=message.attempt_timeout_ms,
+        health_path=message.health_path or DEFAULT_HEALTH_PATH,
     )
 
 
--- a/libs/model/auburnjunction/model/services.py
+++ b/libs/model/auburnjunction/model/services.py
@@ -13,6 +13,8 @@
     resources: tuple[str, ...] = ()
     queue_limit: int = 64
     attempt_timeout_ms: int = 2000
+    # Path on which a backend server tells whether it is well.
+    health_path: str = "/health"
 
 
 class InstanceState(IntEnum):
--- a/libs/node/auburnjunction/node/endpoints.py
+++ b/libs/node/auburnjunction/node/endpoints.py
@@ -10,6 +10,8 @@
 
 METRICS_CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
 
+READY_PATHS = ("/ready", "/readyz")
+
 AnnounceHandler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
 
@@ -46,7 +48,7 @@
             return make_text_response(405, "use GET")
         if path == "/live":
             return make_text_response(200, "live")
-        if path == "/ready":
+        if path in READY_PATHS:
             return self._answer_ready()
         if path == "/metrics":
             headers = [(b"content-type", METRICS_CONTENT_TYPE)]
--- a/libs/node/auburnjunction/node/instances.py
+++ b/libs/node/auburnjunction/node/instances.py
@@ -3,7 +3,7 @@
 import attrs
 
 from auburnjunction.base.logs import log_event
-from auburnjunction.base.settings import SettingsError, parse_settings
+from auburnjunction.base.settings import parse_settings
 from auburnjunction.http.messages import HttpRequest, HttpResponse
 from auburnjunction.membership.announcements import Announcement
 from auburnjunction.membership.members import Membership
@@ -29,9 +29,27 @@
         """Answer POST /announce of a backend server of this host."""
         response = await self._membership.handle_announce(request)
         if response.status == 200:
-            self._remember(request.body)
+            self._remember(parse_settings(request.body, Announcement))
         return response
 
+    def announce(self, announcement: Announcement) -> InstanceState:
+        """Take in what a backend server of this host says of itself.
+
+        Return the state in which it is shown from now on. No call is
+        sent to one that is leaving, or not later than the limit of the
+        admission settings.
+        """
+        lease = self._membership.announce(announcement)
+        if lease.announcement is announcement:
+            self._remember(announcement)
+        return lease.shown_state
+
+    def withdraw(self, instance: str) -> None:
+        """Take in that a backend server is gone or about to go."""
+        known = self._announced.get(instance)
+        if known is not None:
+            self.announce(attrs.evolve(known, state="gone"))
+
     def update_owners(self) -> None:
         """Bring every owner to the state that membership shows."""
         for name, announcement in list(self._announced.items()):
@@ -40,13 +58,10 @@
             if self._shown.get(name) is not state:
                 self._show(announcement, state)
 
-    def _remember(self, body: bytes) -> None:
-        try:
-            announcement = parse_settings(body, Announcement)
-        except SettingsError:
-            return
-        if self._announced.get(announcement.instance) != announcement:
-            self._announced[announcement.instance] = announcement
+    def _remember(self, announcement: Announcement) -> None:
+        known = self._announced.get(announcement.instance)
+        self._announced[announcement.instance] = announcement
+        if known is None or not _says_same(known, announcement):
             self._shown.pop(announcement.instance, None)
         self.update_owners()
 
@@ -64,3 +79,10 @@
             service=announcement.service,
             state=shown.state,
         )
+
+
+def _says_same(known: Announcement, later: Announcement) -> bool:
+    """Tell whether the later one of a life says nothing new."""
+    return known == attrs.evolve(
+        later, sequence=known.sequence, cold_s=known.cold_s
+    )
--- a/libs/node/auburnjunction/node/listeners.py
+++ b/libs/node/auburnjunction/node/listeners.py
@@ -1,12 +1,16 @@
 """The listeners of a node and what answers on them."""
 
-from contextlib import asynccontextmanager
+from collections.abc import Sequence
+from contextlib import AsyncExitStack, asynccontextmanager
 
 import attrs
 
 from auburnjunction.base.clocks import Clock
+from auburnjunction.distribution.holders import SnapshotHolder
+from auburnjunction.http.messages import MessageLimits
 from auburnjunction.http.servers import HttpServer, open_server
 from auburnjunction.model.services import InstanceState
+from auburnjunction.model.snapshots import CallerLimits, RevisedSnapshot
 from auburnjunction.node.administrations import MeshDirectory, MeshDrainer
 from auburnjunction.node.endpoints import (
     AdminHandler,
@@ -14,16 +18,16 @@
     Readiness,
 )
 from auburnjunction.node.instances import LocalInstanceKeeper
-from auburnjunction.node.parts import NodeParts
+from auburnjunction.node.parts import HostListener, NodeParts
 from auburnjunction.node.settings import NodeSettings
-from auburnjunction.operators.backends import NodeAdministration
-from auburnjunction.operators.servers import open_operators_server
 from auburnjunction.traffic.peers import (
     PeerHandler,
     make_peer_limits,
     make_pools,
 )
 
+MILLISECONDS = 1000
+
 
 @attrs.frozen
 class NodeServers:
@@ -67,7 +71,12 @@
 
 
 @asynccontextmanager
-async def open_servers(cfg: NodeSettings, clock: Clock, parts: NodeParts):
+async def open_servers(
+    cfg: NodeSettings,
+    clock: Clock,
+    parts: NodeParts,
+    extra: Sequence[HostListener] = (),
+):
     """Yield the listeners of a node.
 
     Raise AddressInUseError when a listening address is taken.
@@ -78,12 +87,6 @@
         make_pools(cfg.routing, clock, cfg.translations),
         cfg.node,
     )
-    backend = NodeAdministration(
-        parts.commits,
-        parts.distributor,
-        MeshDirectory(parts.membership),
-        drainer,
-    )
     dispatcher = make_peer_dispatcher(parts, drainer, clock)
     admin_handler = make_admin_handler(parts, keeper)
     entry = parts.entry
@@ -105,6 +108,58 @@
         open_server(
             cfg.host, cfg.caller_port, entry.handle, clock, cfg.limits
         ) as callers,
-        open_operators_server(cfg.host, cfg.operators_port, backend),
+        AsyncExitStack() as stack,
     ):
+        for listener in extra:
+            handler = listener.make_handler(parts, keeper)
+            await stack.enter_async_context(
+                open_server(
+                    cfg.host, listener.port, handler, clock, cfg.limits
+                )
+            )
+        if cfg.operators_port:
+            await stack.enter_async_context(
+                _open_operators(cfg, parts, drainer)
+            )
+        follow_limits(parts.holder, callers, cfg.limits)
         yield NodeServers(callers, peers, admin)
+
+
+def _open_operators(cfg: NodeSettings, parts: NodeParts, drainer: MeshDrainer):
+    # gRPC and asyncio take memory that a node without operators saves.
+    from auburnjunction.operators.backends import NodeAdministration
+    from auburnjunction.operators.servers import open_operators_server
+
+    backend = NodeAdministration(
+        parts.commits,
+        parts.distributor,
+        MeshDirectory(parts.membership),
+        drainer,
+    )
+    return open_operators_server(cfg.host, cfg.operators_port, backend)
+
+
+def follow_limits(
+    holder: SnapshotHolder, server: HttpServer, default: MessageLimits
+) -> None:
+    """Keep a server's limits as the configuration in force says."""
+
+    def update(revised: RevisedSnapshot) -> None:
+        server.limits = merge_limits(revised.snapshot.limits, default)
+
+    holder.subscribe(update)
+    if holder.current is not None:
+        update(holder.current)
+
+
+def merge_limits(limits: CallerLimits, default: MessageLimits):
+    """Return the limits, those that are 0 taken from the default."""
+    return attrs.evolve(
+        default,
+        head_bytes=limits.head_bytes or default.head_bytes,
+        body_bytes=limits.body_bytes or default.body_bytes,
+        head_timeout_s=limits.head_timeout_ms / MILLISECONDS
+        or default.head_timeout_s,
+        idle_timeout_s=limits.idle_timeout_ms / MILLISECONDS
+        or default.idle_timeout_s,
+    )
--- a/libs/node/auburnjunction/node/nodes.py
+++ b/libs/node/auburnjunction/node/nodes.py
@@ -1,5 +1,6 @@
 """One node: its parts, its listeners and its planned stop."""
 
+from collections.abc import Callable
 from contextlib import asynccontextmanager
 from random import Random
 
@@ -7,7 +8,7 @@
 
 from auburnjunction.base.clocks import Clock
 from auburnjunction.base.logs import log_event
-from auburnjunction.base.signals import catch_stop_signals
+from auburnjunction.base.signals import catch_stop_signals, ignore_reload
 from auburnjunction.base.tasks import open_task_group, run_forever
 from auburnjunction.node.listeners import NodeServers, open_servers
 from auburnjunction.node.parts import (
@@ -20,9 +21,6 @@
 
 OWNER_SWEEP_INTERVAL_S = 0.1
 OWNER_PROBE_INTERVAL_S = 0.2
-# Time for other nodes to hear that this one is leaving; until then calls
-# they still send are refused as not run and go elsewhere.
-LEAVING_NOTICE_S = 1.0
 
 
 class Node:
@@ -48,24 +46,28 @@
         log_event("node leaving")
         self._parts.currency.leaving = True
         self._parts.membership.set_leaving()
-        await self._clock.sleep(LEAVING_NOTICE_S)
+        self._servers.callers.end_reuse()
+        end_s = self._clock.monotonic() + self._cfg.leaving_notice_s
+        await self._clock.sleep(self._cfg.leaving_notice_s)
+        end_s += self._cfg.drain_limit_s
+        # Calls of this host's backend servers are served until these have
+        # answered what needs them.
+        remaining = await self._parts.owners.drain(self._left(end_s))
         self._parts.entry.start_draining()
-        remaining = await self._drain_calls()
+        remaining += await self._drain_servers(end_s)
         log_event("node drained", remaining=remaining)
         return remaining
 
-    async def _drain_calls(self) -> int:
-        # All at once: while one waits, the others must take nothing new.
-        drains = (
-            self._servers.callers.drain,
-            self._parts.owners.drain,
-            self._servers.peers.drain,
-        )
+    async def _drain_servers(self, end_s: float) -> int:
+        # Both at once: while one waits, the other must take nothing new.
         async with curio.TaskGroup() as group:
-            for drain in drains:
-                await group.spawn(drain, self._cfg.drain_limit_s)
+            for server in (self._servers.callers, self._servers.peers):
+                await group.spawn(server.drain, self._left(end_s))
         return sum(group.results)
 
+    def _left(self, end_s: float) -> float:
+        return max(0.0, end_s - self._clock.monotonic())
+
 
 @asynccontextmanager
 async def open_node(
@@ -81,7 +83,7 @@
     platform = platform or connect_platform(cfg, clock)
     async with (
         open_parts(cfg, clock, platform, random or Random()) as parts,
-        open_servers(cfg, clock, parts) as servers,
+        open_servers(cfg, clock, parts, platform.listeners) as servers,
         open_task_group() as group,
     ):
         await group.spawn(
@@ -95,9 +97,17 @@
         yield Node(cfg, clock, parts, servers)
 
 
-async def run_node(cfg: NodeSettings, clock: Clock) -> int:
-    """Run a node until SIGTERM or SIGINT; return calls cut off."""
+async def run_node(
+    cfg: NodeSettings,
+    clock: Clock,
+    platform: PlatformPorts | None = None,
+    on_reload: Callable[[], None] = ignore_reload,
+) -> int:
+    """Run a node until SIGTERM or SIGINT; return calls cut off.
+
+    Call on_reload at SIGHUP.
+    """
     with catch_stop_signals() as stop:
-        async with open_node(cfg, clock) as node:
-            await stop.wait()
+        async with open_node(cfg, clock, platform) as node:
+            await stop.wait(on_reload)
             return await node.drain()
--- a/libs/node/auburnjunction/node/parts.py
+++ b/libs/node/auburnjunction/node/parts.py
@@ -1,5 +1,6 @@
 """The parts of a node, put together from its settings."""
 
+from collections.abc import Callable
 from contextlib import asynccontextmanager
 from random import Random
 
@@ -15,9 +16,11 @@
 from auburnjunction.distribution.holders import SnapshotHolder
 from auburnjunction.distribution.sources import CommittedHead, HeadSource
 from auburnjunction.http.clients import Address, PoolRegistry, parse_address
+from auburnjunction.http.servers import Handler
 from auburnjunction.membership.members import Membership, open_membership
 from auburnjunction.model.services import Service
 from auburnjunction.node.currencies import NodeCurrency
+from auburnjunction.node.instances import LocalInstanceKeeper
 from auburnjunction.node.meters import ControlMeter
 from auburnjunction.node.settings import NodeSettings
 from auburnjunction.storage.clients import HttpObjectStore, HttpTable
@@ -26,21 +29,39 @@
 from auburnjunction.traffic.balancers import Place
 from auburnjunction.traffic.claims import ClaimStore
 from auburnjunction.traffic.entries import EntryHandler, make_entry_handler
+from auburnjunction.traffic.headers import OWN_NAMES, HeaderNames
 from auburnjunction.traffic.meters import OwnerMetrics
 from auburnjunction.traffic.owners import OwnerRegistry
-from auburnjunction.traffic.peers import (
-    open_pools,
-)
+from auburnjunction.traffic.peers import open_pools
+from auburnjunction.traffic.routers import ServiceSource, no_service
+
+
+@attrs.frozen
+class HostListener:
+    """A listener for what runs on the same host.
+
+    Its handler is made of the node's parts and the keeper of the host's
+    backend servers.
+    """
+
+    port: int
+    make_handler: Callable[["NodeParts", LocalInstanceKeeper], Handler]
 
 
 @attrs.frozen
 class PlatformPorts:
-    """The platform's services, as a node uses them."""
+    """What a node finds where it runs: storage, names and listeners."""
 
     table: Table
     objects: ObjectStore
     # Where the configuration is read; None means the table's commits.
     head: HeadSource | None = None
+    # How callers and backend servers name a call's data.
+    names: HeaderNames = OWN_NAMES
+    # Service whose calls begin at this node.
+    own_service: ServiceSource = no_service
+    # Listeners beside those that every node has.
+    listeners: tuple[HostListener, ...] = ()
 
 
 @attrs.frozen
@@ -95,6 +116,7 @@
         owner_metrics,
         ClaimStore(cfg.admission.claims, platform.table, clock, owner_metrics),
         make_service_finder(holder),
+        platform.names,
     )
     pool_options = (cfg.routing, clock, cfg.translations)
     async with (
@@ -136,6 +158,8 @@
             call_pools,
             metrics,
             random,
+            platform.names,
+            platform.own_service,
         )
         ControlMeter(metrics, membership.stats, distributor.stats)
         commits = CommitLog(platform.table, platform.objects, clock)
--- a/libs/node/auburnjunction/node/settings.py
+++ b/libs/node/auburnjunction/node/settings.py
@@ -26,6 +26,7 @@
     "peer_port": 7401,
     "admin_port": 7402,
     "operators_port": 7403,
+    "leaving_notice_s": 1.0,
     "drain_limit_s": 30.0,
     "log_level": "info",
     "address_translations": {},
@@ -62,7 +63,11 @@
     caller_port: int = attrs.field(validator=check_port)
     peer_port: int = attrs.field(validator=check_port)
     admin_port: int = attrs.field(validator=check_port)
-    operators_port: int = attrs.field(validator=check_port)
+    # 0 means no listener for operators.
+    operators_port: int = attrs.field(validator=check_range(0, 65535))
+    # Time for other nodes and callers to hear that this node is leaving;
+    # calls that still come meanwhile are served.
+    leaving_notice_s: float = attrs.field(validator=check_range(0, 60))
     drain_limit_s: float = attrs.field(
         validator=check_range(0, MAX_DRAIN_LIMIT_S)
     )
@@ -105,7 +110,7 @@
     seen: dict[int, str] = {}
     for field in PORT_FIELDS:
         port = getattr(settings, field)
-        if port in seen:
+        if port and port in seen:
             raise SettingsError(
                 field,
                 f"{port} is also {seen[port]}",
--- a/libs/storage/auburnjunction/storage/clients.py
+++ b/libs/storage/auburnjunction/storage/clients.py
@@ -48,14 +48,18 @@
         # Set while answers take more than the first read's share.
         self._slow = False
 
-    async def read(self, target: str, timeout_s: float) -> HttpResponse:
+    async def read(
+        self, target: str, timeout_s: float, first_s: float | None = None
+    ) -> HttpResponse:
         """Return the response to a GET, on a second connection if needed.
 
-        A slow platform is asked once, with all the time. Raise
+        The first connection gets first_s seconds, by default a share of
+        the time. A slow platform is asked once, with all the time. Raise
         UnavailableError when there was no whole response.
         """
         start_s = self._clock.monotonic()
-        first_s = timeout_s * FIRST_READ_SHARE
+        if first_s is None:
+            first_s = timeout_s * FIRST_READ_SHARE
         request = self._make_request(b"GET", target)
         try:
             response = await self._read_fast(request, first_s)
@@ -89,13 +93,14 @@
         body: bytes,
         timeout_s: float,
         headers: list[tuple[bytes, bytes]],
+        method: bytes = b"PUT",
     ) -> HttpResponse:
-        """Return the response to a PUT, which is sent once.
+        """Return the response to a write, which is sent once.
 
         Raise UnavailableError when no byte was sent, else
         UnknownOutcomeError.
         """
-        request = self._make_request(b"PUT", target, body, headers)
+        request = self._make_request(method, target, body, headers)
         try:
             return await self._exchange(request, timeout_s, MAX_WRITE_IDLE_S)
         except NotSentError as exc:
--- a/libs/traffic/auburnjunction/traffic/backends.py
+++ b/libs/traffic/auburnjunction/traffic/backends.py
@@ -12,21 +12,32 @@
 from auburnjunction.traffic.admissions import AdmissionSettings
 from auburnjunction.traffic.calls import Call, NotRunError, UnknownRunError
 from auburnjunction.traffic.headers import (
-    DEADLINE_HEADER,
-    REQUEST_ID_HEADER,
-    SHED_HEADER,
+    OWN_NAMES,
+    PROMISE_STATUSES,
+    HeaderNames,
+    drop_headers,
     strip_headers,
 )
 
-PROBE_TARGET = b"/health"
-SHED_STATUS = 503
+# Statuses with which a backend server may say that it ran nothing.
+SHED_STATUSES = frozenset({400, 429, 503})
 SHED_VALUE = b"1"
+MISDIRECTED_STATUS = 421
+FIRST_SUCCESS = 200
+FIRST_REDIRECT = 300
+PROTOCOL = ErrorCode.PROTOCOL
 
 
 class ShedError(NotRunError):
     """The backend server refused the call and ran nothing of it."""
 
-    code = ErrorCode.OVERLOADED
+    code = ErrorCode.SHED
+
+
+class MisplacedError(NotRunError):
+    """Another instance has the address; it ran nothing of the call."""
+
+    code = ErrorCode.MISPLACED
 
 
 class BackendClient:
@@ -43,8 +54,13 @@
         address: Address,
         connections: int,
         clock: Clock,
+        instance: str = "",
+        names: HeaderNames = OWN_NAMES,
     ):
         self.address = address
+        self.health_target = b"/health"
+        self._instance = instance.encode()
+        self._names = names
         self._cfg = cfg
         self._clock = clock
         self._pool = ConnectionPool(
@@ -78,12 +94,26 @@
             timeout_s = min(timeout_s, call.deadline_s - now_s)
         if timeout_s <= 0:
             raise NotRunError("the deadline has passed", ErrorCode.TIMEOUT)
-        request = make_backend_request(call, now_s)
+        request = self._make_request(call, now_s)
         response = await self._exchange(call, request, timeout_s)
-        check_response(call, response)
+        check_response(response, self._names)
         response.headers = strip_headers(response.headers)
         return response
 
+    def _make_request(self, call: Call, now_s: float) -> HttpRequest:
+        """Return the caller's request as the backend server gets it."""
+        names = self._names
+        remaining_ms = max(0, int((call.deadline_s - now_s) * 1000))
+        headers = strip_headers(call.request.headers)
+        own = frozenset({names.request_id, names.deadline, names.instance})
+        headers = drop_headers(headers, own)
+        headers.append((names.deadline, b"%d" % remaining_ms))
+        headers.append((names.request_id, call.request_id.encode("latin-1")))
+        if names.instance:
+            headers.append((names.instance, self._instance))
+        req = call.request
+        return HttpRequest(req.method, req.target, headers, req.body)
+
     async def probe(self) -> None:
         """Ask a suspect backend server for a sign of life.
 
@@ -100,7 +130,7 @@
 
     async def _probe(self) -> bool:
         host = (b"host", str(self.address).encode())
-        request = HttpRequest(b"GET", PROBE_TARGET, [host])
+        request = HttpRequest(b"GET", self.health_target, [host])
         try:
             await self._pool.exchange(
                 request, self._cfg.probe_timeout_s, max_idle_s=0.0
@@ -127,7 +157,10 @@
     ) -> HttpResponse:
         try:
             return await self._pool.exchange(
-                request, timeout_s, self._find_idle_limit(call)
+                request,
+                timeout_s,
+                self._find_idle_limit(call),
+                lambda response: belongs(response, call, self._names),
             )
         except NotSentError as exc:
             await self._pool.close()
@@ -152,24 +185,34 @@
         await self._pool.close()
 
 
-def make_backend_request(call: Call, now_s: float) -> HttpRequest:
-    """Return the caller's request as the backend server gets it."""
-    remaining_ms = max(0, int((call.deadline_s - now_s) * 1000))
-    headers = strip_headers(call.request.headers)
-    headers.append((DEADLINE_HEADER, b"%d" % remaining_ms))
-    headers.append((REQUEST_ID_HEADER, call.request_id.encode("latin-1")))
-    request = call.request
-    return HttpRequest(request.method, request.target, headers, request.body)
+def belongs(response: HttpResponse, call: Call, names: HeaderNames) -> bool:
+    """Tell whether the response may be the answer to the call."""
+    request_id = response.header(names.request_id)
+    return request_id in (None, call.request_id.encode("latin-1"))
 
 
-def check_response(call: Call, response: HttpResponse) -> None:
-    """Raise an error unless the response is the answer to the call."""
-    request_id = response.header(REQUEST_ID_HEADER)
-    if request_id not in (None, call.request_id.encode("latin-1")):
+def check_response(response: HttpResponse, names: HeaderNames) -> None:
+    """Raise an error unless the response is an answer to pass on."""
+    if names.instance and response.status == MISDIRECTED_STATUS:
+        raise MisplacedError("another instance has the address")
+    is_shed = response.header(names.not_run) == SHED_VALUE
+    if is_shed and response.status in SHED_STATUSES:
+        raise ShedError("the backend server sheds load")
+    if names.statuses_promise and response.status in PROMISE_STATUSES:
         raise UnknownRunError(
-            "the backend server answered another request",
+            f"the backend server answered {response.status} without saying "
+            "that nothing ran",
             ErrorCode.PROTOCOL,
         )
-    is_shed = response.header(SHED_HEADER) == SHED_VALUE
-    if response.status == SHED_STATUS and is_shed:
-        raise ShedError("the backend server sheds load")
+    if names.signature:
+        _check_success(response, names)
+
+
+def _check_success(response: HttpResponse, names: HeaderNames) -> None:
+    """Raise an error for a success that is not the backend server's."""
+    if not FIRST_SUCCESS <= response.status < FIRST_REDIRECT:
+        return
+    if response.header(names.signature) is None:
+        raise UnknownRunError("a success without signature", PROTOCOL)
+    if response.header(b"content-encoding") is not None:
+        raise UnknownRunError("a success with another encoding", PROTOCOL)
--- a/libs/traffic/auburnjunction/traffic/calls.py
+++ b/libs/traffic/auburnjunction/traffic/calls.py
@@ -19,11 +19,24 @@
 
 
 class TrafficError(AuburnError):
-    """A call that did not end with a backend server's answer."""
+    """A call that did not end with a backend server's answer.
+
+    The caller does best to come back after retry_after_s seconds; 0
+    leaves that to it.
+    """
 
     code = ErrorCode.UNAVAILABLE
     outcome = Outcome.UNKNOWN
 
+    def __init__(
+        self,
+        message: str,
+        code: ErrorCode | None = None,
+        retry_after_s: float = 0.0,
+    ):
+        super().__init__(message, code)
+        self.retry_after_s = retry_after_s
+
 
 class NotRunError(TrafficError):
     """The call certainly did not run; a retry cannot double it."""
--- a/libs/traffic/auburnjunction/traffic/entries.py
+++ b/libs/traffic/auburnjunction/traffic/entries.py
@@ -23,7 +23,9 @@
 from auburnjunction.traffic.ejections import OutlierTracker
 from auburnjunction.traffic.headers import (
     OUTCOME_HEADER,
+    OWN_NAMES,
     REQUEST_ID_HEADER,
+    HeaderNames,
     make_error_response,
     strip_headers,
 )
@@ -33,7 +35,9 @@
     CurrencySource,
     RequestIdSource,
     Router,
+    ServiceSource,
     SnapshotSource,
+    no_service,
 )
 from auburnjunction.traffic.routing_settings import RoutingSettings
 from auburnjunction.traffic.senders import CallSender, CallTrace
@@ -50,7 +54,9 @@
         sender: CallSender,
         reporter: CallReporter,
         clock: Clock,
+        names: HeaderNames = OWN_NAMES,
     ):
+        self._names = names
         self._router = router
         self._sender = sender
         self._reporter = reporter
@@ -64,7 +70,8 @@
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Return the answer of the request, or what is known of it."""
-        trace = CallTrace(self._ids.make_id(), self._clock.monotonic())
+        request_id = self._find_id(request)
+        trace = CallTrace(request_id, self._clock.monotonic())
         try:
             response = await self._handle(request, trace)
         except TrafficError as exc:
@@ -88,11 +95,28 @@
         trace.priority = int(routed.call.priority)
         trace.revision = routed.call.revision
         answer = await self._sender.send_call(routed, trace)
-        return _make_response(answer, trace.request_id)
+        return self._make_response(answer, trace.request_id)
+
+    def _find_id(self, request: HttpRequest) -> str:
+        if self._names.keeps_request_id:
+            value = request.header(self._names.request_id)
+            if value:
+                return value.decode("latin-1")
+        return self._ids.make_id()
+
+    def _make_response(self, answer: Answer, request_id: str) -> HttpResponse:
+        response = answer.response
+        headers = strip_headers(response.headers)
+        if not self._names.keeps_request_id:
+            headers += [
+                (OUTCOME_HEADER, OK_VALUE),
+                (REQUEST_ID_HEADER, request_id.encode()),
+            ]
+        return attrs.evolve(response, headers=headers)
 
     def _refuse(self, error: TrafficError, trace: CallTrace) -> HttpResponse:
         self._report(trace, error.outcome, error.code)
-        return make_error_response(error, trace.request_id)
+        return make_error_response(error, trace.request_id, self._names)
 
     def _report(self, trace: CallTrace, outcome: Outcome, code) -> None:
         duration_s = self._clock.monotonic() - trace.started_s
@@ -110,6 +134,8 @@
     pools: PoolRegistry,
     metrics: MetricRegistry,
     rng: random.Random | None = None,
+    names: HeaderNames = OWN_NAMES,
+    own_service: ServiceSource = no_service,
 ) -> EntryHandler:
     """Return the entry of a node, put together from its parts."""
     rng = rng or random.Random()
@@ -121,14 +147,5 @@
         place, balancer, observer, local, peers, clock, settings, rng
     )
     reporter = CallReporter(metrics, tracker, settings)
-    return EntryHandler(Router(snapshots, currency), sender, reporter, clock)
-
-
-def _make_response(answer: Answer, request_id: str) -> HttpResponse:
-    response = answer.response
-    headers = [
-        *strip_headers(response.headers),
-        (OUTCOME_HEADER, OK_VALUE),
-        (REQUEST_ID_HEADER, request_id.encode()),
-    ]
-    return attrs.evolve(response, headers=headers)
+    router = Router(snapshots, currency, names, own_service)
+    return EntryHandler(router, sender, reporter, clock, names)
--- a/libs/traffic/auburnjunction/traffic/headers.py
+++ b/libs/traffic/auburnjunction/traffic/headers.py
@@ -6,8 +6,11 @@
 servers' responses.
 """
 
+from collections.abc import Set
 from urllib.parse import quote, unquote
 
+import attrs
+
 from auburnjunction.base.errors import ErrorCode
 from auburnjunction.http.errors import BadMessageError
 from auburnjunction.http.messages import (
@@ -18,7 +21,7 @@
     find_header,
 )
 from auburnjunction.model.priorities import ClaimMode, Priority
-from auburnjunction.traffic.calls import Call, TrafficError
+from auburnjunction.traffic.calls import Call, Outcome, TrafficError
 
 INTERNAL_PREFIX = b"auburn-"
 CALL_HEADER = b"auburn-call"
@@ -32,11 +35,58 @@
 # A backend server sets this on a refusal to say that nothing ran.
 SHED_HEADER = b"auburn-shed"
 
+# Time in seconds after which a refused call had best be tried again.
+RETRY_AFTER_HEADER = b"retry-after"
+
 FIELD_COUNT = 9
 # Values of the Connection header that name no other header.
 PLAIN_CONNECTIONS = frozenset({b"keep-alive", b"close"})
 
 
+# Statuses that tell a caller that its request did not and will not run.
+PROMISE_STATUSES = frozenset({408, 421, 429, 503})
+REFUSED_STATUS = 503
+
+
+@attrs.frozen
+class HeaderNames:
+    """Names under which callers and backend servers know a call's data.
+
+    All are in lower case; what has an empty name is not sent.
+    """
+
+    request_id: bytes = REQUEST_ID_HEADER
+    # Milliseconds that are left for the answer.
+    deadline: bytes = DEADLINE_HEADER
+    # Marks a backend server's response to a request that it did not run.
+    not_run: bytes = SHED_HEADER
+    # Instance that a request is meant for; others answer 421.
+    instance: bytes = b""
+    # Service on whose host the call began.
+    caller_service: bytes = b""
+    # Mark that every success of a backend server bears.
+    signature: bytes = b""
+    # Whether callers name their requests, and answers bear that name.
+    keeps_request_id: bool = False
+    # Whether the statuses of PROMISE_STATUSES alone tell callers that
+    # nothing ran, so that no other failure may have one of them.
+    statuses_promise: bool = False
+
+    @property
+    def set_by_nodes(self) -> frozenset[bytes]:
+        """Headers that nodes set, whatever the caller sent."""
+        names = {self.deadline, self.instance, self.caller_service}
+        return frozenset(names - {b""})
+
+
+OWN_NAMES = HeaderNames()
+
+
+def drop_headers(headers: Headers, names: Set[bytes]) -> Headers:
+    """Return the headers without those of these names."""
+    return [(name, value) for name, value in headers if name not in names]
+
+
 def strip_headers(headers: Headers) -> Headers:
     """Return the headers that may pass on to the next hop."""
     kept = [
@@ -65,7 +115,7 @@
     """Return the value of the call header for a forwarded request."""
     remaining_ms = max(0, int((call.deadline_s - now_s) * 1000))
     fields = (
-        call.request_id,
+        quote(call.request_id, safe=""),
         quote(call.route, safe=""),
         quote(call.service, safe=""),
         quote(instance, safe=""),
@@ -92,7 +142,7 @@
     try:
         key = request.header(IDEMPOTENCY_KEY_HEADER) or b""
         call = Call(
-            request_id=fields[0],
+            request_id=unquote(fields[0]),
             route=unquote(fields[1]),
             service=unquote(fields[2]),
             priority=Priority(int(fields[4])),
@@ -114,6 +164,8 @@
     ErrorCode.CONFLICT: 409,
     ErrorCode.TOO_LARGE: 413,
     ErrorCode.OVERLOADED: 503,
+    ErrorCode.SHED: 503,
+    ErrorCode.MISPLACED: 503,
     ErrorCode.DRAINING: 503,
     ErrorCode.UNRESPONSIVE: 503,
     ErrorCode.UNAVAILABLE: 503,
@@ -124,13 +176,27 @@
 }
 
 
-def make_error_response(error: TrafficError, request_id: str) -> HttpResponse:
+def make_error_response(
+    error: TrafficError, request_id: str, names: HeaderNames = OWN_NAMES
+) -> HttpResponse:
     """Return the response that tells a caller how its call ended."""
     headers = [
         (OUTCOME_HEADER, error.outcome.value.encode()),
         (ERROR_HEADER, error.code.value.encode()),
-        (REQUEST_ID_HEADER, request_id.encode("latin-1")),
+        (names.request_id, request_id.encode("latin-1")),
         (b"content-type", b"text/plain; charset=utf-8"),
     ]
+    if error.retry_after_s:
+        value = f"{error.retry_after_s:.3f}".encode()
+        headers.append((RETRY_AFTER_HEADER, value))
     status = STATUS_BY_CODE.get(error.code, 500)
+    if names.statuses_promise:
+        status = _keep_promise(status, error.outcome)
     return HttpResponse(status, headers, f"{error.message}\n".encode())
+
+
+def _keep_promise(status: int, outcome: Outcome) -> int:
+    """Return a status that says no less and no more than the outcome."""
+    if outcome is Outcome.NOT_RUN:
+        return min(status, REFUSED_STATUS)
+    return 502 if status in PROMISE_STATUSES else status
--- a/libs/traffic/auburnjunction/traffic/instances.py
+++ b/libs/traffic/auburnjunction/traffic/instances.py
@@ -5,7 +5,11 @@
 from auburnjunction.http.messages import HttpResponse
 from auburnjunction.model.services import Service
 from auburnjunction.traffic.admissions import AdmissionSettings
-from auburnjunction.traffic.backends import BackendClient, ShedError
+from auburnjunction.traffic.backends import (
+    BackendClient,
+    MisplacedError,
+    ShedError,
+)
 from auburnjunction.traffic.calls import (
     Answer,
     Call,
@@ -14,6 +18,7 @@
     UnknownRunError,
 )
 from auburnjunction.traffic.claims import ClaimStore, wants_claim
+from auburnjunction.traffic.headers import OWN_NAMES, HeaderNames
 from auburnjunction.traffic.limits import SlotLimit
 from auburnjunction.traffic.meters import OwnerMetrics
 from auburnjunction.traffic.slots import SlotGate
@@ -36,6 +41,7 @@
         metrics: OwnerMetrics,
         claims: ClaimStore | None = None,
         cold: bool = False,
+        names: HeaderNames = OWN_NAMES,
     ):
         self.instance = instance
         self.service = service
@@ -45,7 +51,11 @@
         self._claims = claims
         self._limit = SlotLimit(cfg, slots, connections, clock, cold)
         self._gate = SlotGate(cfg, self._limit, service.queue_limit, clock)
-        self._backend = BackendClient(cfg, address, connections, clock)
+        self._backend = BackendClient(
+            cfg, address, connections, clock, instance, names
+        )
+        self._backend.health_target = service.health_path.encode()
+        self._is_misplaced = False
 
     @property
     def load(self) -> float:
@@ -77,8 +87,14 @@
         """Whether the path to the backend server is in doubt."""
         return self._backend.suspect
 
+    def note_announced(self) -> None:
+        """Note that the backend server has shown itself just now."""
+        self._is_misplaced = False
+
     async def run_call(self, call: Call) -> Answer:
         """Return the answer; raise NotRunError or UnknownRunError."""
+        if self._is_misplaced:
+            raise MisplacedError("another instance has the address")
         try:
             if self._claims is not None and wants_claim(call):
                 response = await self._run_claimed(call, self._claims)
@@ -98,6 +114,7 @@
     def set_service(self, service: Service) -> None:
         """Take over the limits of a new configuration."""
         self.service = service
+        self._backend.health_target = service.health_path.encode()
         self._gate.set_queue_limit(service.queue_limit)
 
     def restart_ramp(self) -> None:
@@ -154,7 +171,12 @@
         try:
             response = await self._backend.send(call, timeout_s)
         except ShedError:
-            self._limit.add_shed()
+            # One that sheds below its slots does not do so for load.
+            if self.running >= self.limit:
+                self._limit.add_shed()
+            raise
+        except MisplacedError:
+            self._is_misplaced = True
             raise
         except UnknownRunError:
             self._add_sample(call, start_s)
--- a/libs/traffic/auburnjunction/traffic/observations.py
+++ b/libs/traffic/auburnjunction/traffic/observations.py
@@ -20,7 +20,9 @@
     {ErrorCode.CONFLICT, ErrorCode.INVALID, ErrorCode.TOO_LARGE}
 )
 # Codes after which every other call would be refused as well.
-HOLDING_CODES = frozenset({ErrorCode.DRAINING, ErrorCode.UNRESPONSIVE})
+HOLDING_CODES = frozenset(
+    {ErrorCode.DRAINING, ErrorCode.UNRESPONSIVE, ErrorCode.MISPLACED}
+)
 SERVER_ERROR = 500
 # Costs closer than this are taken as equal, or else a difference of no
 # meaning would send every call to one instance.
--- a/libs/traffic/auburnjunction/traffic/owners.py
+++ b/libs/traffic/auburnjunction/traffic/owners.py
@@ -10,6 +10,7 @@
 from auburnjunction.traffic.admissions import AdmissionSettings
 from auburnjunction.traffic.calls import Answer, Call, NotRunError
 from auburnjunction.traffic.claims import ClaimStore
+from auburnjunction.traffic.headers import OWN_NAMES, HeaderNames
 from auburnjunction.traffic.instances import DRAIN_POLL_S, InstanceOwner
 from auburnjunction.traffic.meters import OwnerMetrics
 
@@ -28,7 +29,9 @@
         metrics: OwnerMetrics,
         claims: ClaimStore | None = None,
         find_service: ServiceFinder = lambda name: None,
+        names: HeaderNames = OWN_NAMES,
     ):
+        self._names = names
         self._cfg = cfg
         self._clock = clock
         self._metrics = metrics
@@ -53,6 +56,7 @@
             self.remove(announcement.instance)
             return
         owner = self._find_owner(announcement)
+        owner.note_announced()
         owner.set_capacity(announcement.slots, announcement.connections)
         if announcement.state == "starting":
             owner.restart_ramp()
@@ -75,7 +79,7 @@
             raise NotRunError(
                 f"instance {instance} of service {call.service} is not "
                 "of this node",
-                ErrorCode.NOT_FOUND,
+                ErrorCode.MISPLACED,
             )
         service = self._find_service(call.service)
         if service is not None and service is not owner.service:
@@ -161,6 +165,7 @@
             self._metrics,
             self._claims,
             cold,
+            self._names,
         )
 
 
--- a/libs/traffic/auburnjunction/traffic/peers.py
+++ b/libs/traffic/auburnjunction/traffic/peers.py
@@ -42,6 +42,7 @@
     LOAD_HEADER,
     OUTCOME_HEADER,
     REQUEST_ID_HEADER,
+    RETRY_AFTER_HEADER,
     format_call,
     make_error_response,
     parse_call,
@@ -162,7 +163,7 @@
     message = response.body.decode(errors="replace").strip()
     code = _read_code(response)
     if outcome == NOT_RUN_VALUE:
-        raise NotRunError(message, code)
+        raise NotRunError(message, code, _read_retry_after(response))
     raise UnknownRunError(message, code)
 
 
@@ -173,6 +174,13 @@
         return 0.0
 
 
+def _read_retry_after(response: HttpResponse) -> float:
+    try:
+        return float(response.header(RETRY_AFTER_HEADER) or 0)
+    except ValueError:
+        return 0.0
+
+
 def _read_code(response: HttpResponse) -> ErrorCode:
     value = response.header(ERROR_HEADER) or b""
     try:
--- a/libs/traffic/auburnjunction/traffic/routers.py
+++ b/libs/traffic/auburnjunction/traffic/routers.py
@@ -3,21 +3,25 @@
 import itertools
 import os
 import re
+from collections.abc import Callable
 from typing import Protocol
 
 import attrs
 
 from auburnjunction.base.errors import ErrorCode
-from auburnjunction.http.messages import HttpRequest
+from auburnjunction.http.messages import Headers, HttpRequest
 from auburnjunction.model.routes import Route
 from auburnjunction.model.services import Service
 from auburnjunction.model.snapshots import RevisedSnapshot
 from auburnjunction.traffic.calls import Call, NotRunError
 from auburnjunction.traffic.headers import (
-    DEADLINE_HEADER,
     IDEMPOTENCY_KEY_HEADER,
+    OWN_NAMES,
+    HeaderNames,
+    drop_headers,
     strip_headers,
 )
+from auburnjunction.traffic.splits import TrafficSplitter
 
 MAX_KEY_LENGTH = 255
 PREFIX_BYTES = 4
@@ -28,6 +32,14 @@
 AMBIGUOUS_PATH = re.compile(r"/\.{1,2}(/|$)|//|\\|%2[ef]|%5c|%00|#", re.I)
 
 
+ServiceSource = Callable[[], str]
+
+
+def no_service() -> str:
+    """Return the service of a node without a backend server."""
+    return ""
+
+
 class SnapshotSource(Protocol):
     """Holder of the configuration in force."""
 
@@ -74,9 +86,18 @@
 class Router:
     """Turns callers' requests into calls."""
 
-    def __init__(self, snapshots: SnapshotSource, currency: CurrencySource):
+    def __init__(
+        self,
+        snapshots: SnapshotSource,
+        currency: CurrencySource,
+        names: HeaderNames = OWN_NAMES,
+        own_service: ServiceSource = no_service,
+    ):
         self._snapshots = snapshots
         self._currency = currency
+        self._names = names
+        self._own_service = own_service
+        self._splitter = TrafficSplitter()
 
     def route_request(
         self, request: HttpRequest, request_id: str, now_s: float
@@ -86,8 +107,9 @@
         if request.header(b"host") is None:
             raise NotRunError("no Host header", ErrorCode.INVALID)
         route = _find_route(revised, request)
-        service = revised.snapshot.services_by_name[route.service]
-        timeout_ms = _read_timeout(request, route)
+        name = self._splitter.choose_service(route)
+        service = revised.snapshot.services_by_name[name]
+        timeout_ms = _read_timeout(request, route, self._names.deadline)
         call = Call(
             request_id=request_id,
             route=route.name,
@@ -100,13 +122,22 @@
             request=HttpRequest(
                 request.method,
                 request.target,
-                strip_headers(request.headers),
+                self._make_headers(request),
                 request.body,
             ),
             idempotency_key=_read_key(request),
         )
         return RoutedCall(call, route, service)
 
+    def _make_headers(self, request: HttpRequest) -> Headers:
+        names = self._names
+        headers = strip_headers(request.headers)
+        headers = drop_headers(headers, names.set_by_nodes)
+        if names.caller_service:
+            service = self._own_service().encode()
+            headers.append((names.caller_service, service))
+        return headers
+
     def _require_snapshot(self) -> RevisedSnapshot:
         if not self._currency.is_current:
             raise NotRunError("this node is catching up after a pause")
@@ -120,19 +151,21 @@
     path = request.path
     if not path.startswith("/") or AMBIGUOUS_PATH.search(path):
         raise NotRunError("the path is ambiguous", ErrorCode.INVALID)
-    route = revised.snapshot.find_route(request.method.decode(), path)
+    host = (request.header(b"host") or b"").decode("latin-1")
+    method = request.method.decode()
+    route = revised.snapshot.find_route(method, path, host)
     if route is None:
         raise NotRunError("no route matches", ErrorCode.NOT_FOUND)
     return route
 
 
-def _read_timeout(request: HttpRequest, route: Route) -> int:
-    value = _read_single(request, DEADLINE_HEADER)
+def _read_timeout(request: HttpRequest, route: Route, name: bytes) -> int:
+    value = _read_single(request, name)
     if value is None:
         return route.timeout_ms
     if not DEADLINE_PATTERN.match(value):
         raise NotRunError(
-            "auburn-deadline-ms is not a number of milliseconds",
+            f"{name.decode()} is not a number of milliseconds",
             ErrorCode.INVALID,
         )
     return min(int(value), route.timeout_ms)
--- a/libs/traffic/auburnjunction/traffic/routing_settings.py
+++ b/libs/traffic/auburnjunction/traffic/routing_settings.py
@@ -15,6 +15,10 @@
     retry_share: float = attrs.field(
         default=0.1, validator=check_range(0.0, 1.0)
     )
+    # The same after refusals by nodes, of which no backend server knows.
+    refused_retry_share: float = attrs.field(
+        default=0.1, validator=check_range(0.0, 2.0)
+    )
     # Retries that a service with few calls may always make.
     retry_floor_per_s: float = attrs.field(
         default=0.1, validator=check_range(0.0, 100.0)
--- a/libs/traffic/auburnjunction/traffic/senders.py
+++ b/libs/traffic/auburnjunction/traffic/senders.py
@@ -22,6 +22,7 @@
 from auburnjunction.traffic.routers import RoutedCall
 from auburnjunction.traffic.routing_settings import RoutingSettings
 
+FIRST_SERVER_ERROR = 500
 # Refusals that another instance may not give.
 RETRIED_REFUSALS = frozenset(
     {
@@ -29,7 +30,8 @@
         ErrorCode.DRAINING,
         ErrorCode.UNRESPONSIVE,
         ErrorCode.UNAVAILABLE,
-        ErrorCode.NOT_FOUND,
+        ErrorCode.SHED,
+        ErrorCode.MISPLACED,
         ErrorCode.TIMEOUT,
     }
 )
@@ -49,6 +51,40 @@
     spills: int = 0
 
 
+@attrs.define(slots=True)
+class Attempts:
+    """What the attempts of one call have come to."""
+
+    # Instances that may be sent the call.
+    limit: int
+    # Budget of attempts after refusals by nodes.
+    refusals: RetryBudget
+    tried: set[str] = attrs.field(factory=set)
+    # Instances that were sent the call.
+    reached: int = 0
+    worst: TrafficError | None = None
+    answer: Answer | None = None
+
+    def add_error(self, error: TrafficError) -> None:
+        """Note an attempt without an answer."""
+        is_unsent = isinstance(error, NotRunError)
+        self.reached += not is_unsent or error.code is ErrorCode.SHED
+        self.worst = _find_worst(self.worst, error)
+
+    def add_answer(self, answer: Answer) -> None:
+        """Note an answer of a backend server."""
+        self.reached += 1
+        self.answer = answer
+
+    def conclude(self, call: Call) -> Answer:
+        """Return the best answer; raise what is true of all attempts."""
+        if self.answer is not None:
+            return self.answer
+        raise self.worst or NotRunError(
+            f"no instance of {call.service} can take the call"
+        )
+
+
 class CallSender:
     """Sends calls to instances; the only layer that retries."""
 
@@ -70,6 +106,10 @@
         self._peers = peers
         self._clock = clock
         self._budgets = RetryBudgets(settings)
+        share = settings.refused_retry_share
+        self._refusals = RetryBudgets(
+            attrs.evolve(settings, retry_share=share)
+        )
         self._max_attempts = settings.max_attempts
         self._backoff_s = settings.retry_backoff_ms / 1000
         self._random = rng.random
@@ -83,37 +123,44 @@
         now_s = self._clock.monotonic()
         budget = self._budgets.get(call.service, call.priority, now_s)
         budget.record_first_try()
-        tried: set[str] = set()
-        worst: TrafficError | None = None
+        refusals = self._refusals.get(call.service, call.priority, now_s)
+        refusals.record_first_try()
+        attempts = Attempts(self._find_limit(routed), refusals)
         while True:
             now_s = self._clock.monotonic()
-            instance = self._choose(routed, tried, now_s, worst)
+            instance = self._choose(routed, attempts, now_s)
             if instance is None:
-                raise worst or NotRunError(
-                    f"no instance of {call.service} can take the call"
-                )
-            tried.add(instance.instance)
+                return attempts.conclude(call)
+            attempts.tried.add(instance.instance)
             self._note_attempt(instance, trace)
             try:
-                return await self._attempt(routed, instance, now_s)
+                answer = await self._attempt(routed, instance, now_s)
             except TrafficError as exc:
-                worst = _find_worst(worst, exc)
-                if not self._may_retry(call, exc, budget, len(tried)):
-                    raise worst from exc
-            await self._back_off(call, len(tried))
+                attempts.add_error(exc)
+                if not self._may_retry(call, exc, budget, attempts):
+                    return attempts.conclude(call)
+            else:
+                attempts.add_answer(answer)
+                if not self._may_improve(call, answer, budget, attempts):
+                    return answer
+            await self._back_off(call, len(attempts.tried))
+
+    def _find_limit(self, routed: RoutedCall) -> int:
+        """Return how many instances may be sent the call."""
+        return routed.route.max_attempts or self._max_attempts
 
     def _choose(
         self,
         routed: RoutedCall,
-        tried: set[str],
+        attempts: Attempts,
         now_s: float,
-        worst: TrafficError | None,
     ) -> Instance | None:
         if now_s >= routed.call.deadline_s:
-            raise worst or NotRunError(
-                "the deadline has passed", ErrorCode.TIMEOUT
+            attempts.add_error(
+                NotRunError("the deadline has passed", ErrorCode.TIMEOUT)
             )
-        return self._balancer.choose(routed, tried, now_s)
+            return None
+        return self._balancer.choose(routed, attempts.tried, now_s)
 
     def _note_attempt(self, instance: Instance, trace: CallTrace) -> None:
         trace.attempts += 1
@@ -151,9 +198,11 @@
         call: Call,
         error: TrafficError,
         budget: RetryBudget,
-        attempts: int,
+        attempts: Attempts,
     ) -> bool:
-        if attempts >= self._max_attempts:
+        if len(attempts.tried) >= self._max_attempts:
+            return False
+        if attempts.reached >= attempts.limit:
             return False
         if isinstance(error, NotRunError):
             if error.code not in RETRIED_REFUSALS:
@@ -162,10 +211,31 @@
             # retries are bounded by the calls already under way.
             if error.code in HOLDING_CODES:
                 return True
+            # No backend server was sent the call, so that the retry adds
+            # nothing to what they get.
+            if error.code is not ErrorCode.SHED:
+                now_s = self._clock.monotonic()
+                return attempts.refusals.take(now_s)
         elif not call.repeatable or error.code is ErrorCode.CONFLICT:
             return False
         return budget.take(self._clock.monotonic())
 
+    def _may_improve(
+        self,
+        call: Call,
+        answer: Answer,
+        budget: RetryBudget,
+        attempts: Attempts,
+    ) -> bool:
+        """Tell whether another instance may give a better answer."""
+        if answer.response.status < FIRST_SERVER_ERROR or not call.repeatable:
+            return False
+        if len(attempts.tried) >= self._max_attempts:
+            return False
+        if attempts.reached >= attempts.limit:
+            return False
+        return budget.take(self._clock.monotonic())
+
     async def _back_off(self, call: Call, attempts: int) -> None:
         delay_s = self._backoff_s * 2 ** (attempts - 1) * self._random()
         remaining_s = call.deadline_s - self._clock.monotonic()
--- a/libs/traffic/auburnjunction/traffic/tests/test_bad_input.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_bad_input.py
@@ -15,7 +15,9 @@
 from auburnjunction.traffic.peers import PeerHandler
 from auburnjunction.traffic.tests.routing_support import HOST, open_mesh
 
-LIMITS = MessageLimits(head_bytes=2048, body_bytes=64, head_timeout_s=0.2)
+LIMITS = MessageLimits(
+    head_bytes=2048, body_bytes=64, head_timeout_s=0.2, body_timeout_s=0.2
+)
 GET = b"GET /read HTTP/1.1\r\nhost: t\r\nx-call: a\r\n"
 POST = b"POST /pay HTTP/1.1\r\nhost: t\r\nx-call: a\r\n"
 CHUNKED = b"transfer-encoding: chunked\r\n"
--- a/libs/traffic/auburnjunction/traffic/tests/test_owners.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_owners.py
@@ -195,7 +195,7 @@
 @pytest.mark.parametrize(
     ("status", "headers", "error", "code"),
     [
-        (503, [(b"auburn-shed", b"1")], NotRunError, ErrorCode.OVERLOADED),
+        (503, [(b"auburn-shed", b"1")], NotRunError, ErrorCode.SHED),
         (503, [], None, None),
         (500, [(b"auburn-shed", b"1")], None, None),
         (
@@ -260,7 +260,7 @@
             await registry.run_call(make_call(), "orders-1")
             with pytest.raises(NotRunError) as missing:
                 await registry.run_call(make_call(), "orders-2")
-            assert missing.value.code is ErrorCode.NOT_FOUND
+            assert missing.value.code is ErrorCode.MISPLACED
             registry.update(announce(backend.port, "gone"))
             with pytest.raises(NotRunError):
                 await registry.run_call(make_call(), "orders-1")
