Rank nested calls with their request; admit by objective; let estimates fade

Calls that would be late for their objective are refused at once with the time at which the queue has room.

--- a/libs/model/auburnjunction/model/codecs.py
+++ b/libs/model/auburnjunction/model/codecs.py
@@ -11,7 +11,7 @@
 from auburnjunction.base.settings import SettingsError, configure_settings
 from auburnjunction.model.priorities import ClaimMode, Priority
 from auburnjunction.model.routes import Route, SplitPart
-from auburnjunction.model.services import Service
+from auburnjunction.model.services import DEFAULT_HEALTH_PATH, Service
 from auburnjunction.model.snapshots import (
     CallerLimits,
     Snapshot,
@@ -19,9 +19,6 @@
 )
 from auburnjunction.schema import configuration_pb2 as pb
 
-# That of snapshots written before services named one.
-DEFAULT_HEALTH_PATH = "/health"
-
 
 class CodecError(AuburnError):
     """Content that is not a snapshot."""
--- a/libs/model/auburnjunction/model/services.py
+++ b/libs/model/auburnjunction/model/services.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+DEFAULT_HEALTH_PATH = "/health"
+
 
 @attrs.frozen(slots=True)
 class Service:
@@ -14,7 +16,7 @@
     queue_limit: int = 64
     attempt_timeout_ms: int = 2000
     # Path on which a backend server tells whether it is well.
-    health_path: str = "/health"
+    health_path: str = DEFAULT_HEALTH_PATH
 
 
 class InstanceState(IntEnum):
--- a/libs/node/auburnjunction/node/parts.py
+++ b/libs/node/auburnjunction/node/parts.py
@@ -160,6 +160,7 @@
             random,
             platform.names,
             platform.own_service,
+            owners.find_parent,
         )
         ControlMeter(metrics, membership.stats, distributor.stats)
         commits = CommitLog(platform.table, platform.objects, clock)
--- a/libs/traffic/auburnjunction/traffic/admissions.py
+++ b/libs/traffic/auburnjunction/traffic/admissions.py
@@ -69,6 +69,13 @@
     claims: ClaimSettings = attrs.field(factory=ClaimSettings)
     # Whether calls that cannot end in time are refused before they start.
     deadline_checks: bool = True
+    # Deviations above the mean that a call's duration is taken to have in
+    # these checks.
+    deadline_deviations: float = attrs.field(
+        default=4.0, validator=check_range(-4, 10)
+    )
+    # Whether calls that would be late for their latency objective wait.
+    late_waits: bool = True
     adaptive_limit: bool = True
     # Least limit, as a share of the slots.
     limit_floor_share: float = attrs.field(
--- a/libs/traffic/auburnjunction/traffic/backends.py
+++ b/libs/traffic/auburnjunction/traffic/backends.py
@@ -9,6 +9,7 @@
     NotSentError,
 )
 from auburnjunction.http.messages import HttpRequest, HttpResponse
+from auburnjunction.model.services import DEFAULT_HEALTH_PATH
 from auburnjunction.traffic.admissions import AdmissionSettings
 from auburnjunction.traffic.calls import Call, NotRunError, UnknownRunError
 from auburnjunction.traffic.headers import (
@@ -58,7 +59,7 @@
         names: HeaderNames = OWN_NAMES,
     ):
         self.address = address
-        self.health_target = b"/health"
+        self.health_target = DEFAULT_HEALTH_PATH.encode()
         self._instance = instance.encode()
         self._names = names
         self._cfg = cfg
--- a/libs/traffic/auburnjunction/traffic/calls.py
+++ b/libs/traffic/auburnjunction/traffic/calls.py
@@ -1,5 +1,6 @@
 """Calls on their way through nodes, and how they ended."""
 
+import math
 from enum import StrEnum
 from typing import Protocol
 
@@ -54,7 +55,9 @@
 class Call:
     """One request with what its route says of it.
 
-    The deadline is in seconds of the local monotonic clock.
+    Deadline and target are in seconds of the local monotonic clock; an
+    answer is at its best up to the target. A nested call is one that a
+    backend server makes for a request that it runs.
     """
 
     request_id: str
@@ -67,6 +70,8 @@
     revision: int
     request: HttpRequest
     idempotency_key: str = ""
+    target_s: float = math.inf
+    nested: bool = False
 
 
 @attrs.define(slots=True)
--- a/libs/traffic/auburnjunction/traffic/entries.py
+++ b/libs/traffic/auburnjunction/traffic/entries.py
@@ -33,15 +33,20 @@
 from auburnjunction.traffic.peers import InstanceSource, PeerRunner
 from auburnjunction.traffic.routers import (
     CurrencySource,
+    ParentFinder,
     RequestIdSource,
     Router,
     ServiceSource,
     SnapshotSource,
+    find_none,
     no_service,
 )
 from auburnjunction.traffic.routing_settings import RoutingSettings
 from auburnjunction.traffic.senders import CallSender, CallTrace
 
+# Least time after which a refused call is worth another try, where its
+# owner told none: that of a change spreading to every node.
+RETRY_AFTER_S = 0.1
 OK_VALUE = Outcome.OK.value.encode()
 
 
@@ -115,6 +120,8 @@
         return attrs.evolve(response, headers=headers)
 
     def _refuse(self, error: TrafficError, trace: CallTrace) -> HttpResponse:
+        if error.outcome is Outcome.NOT_RUN and not error.retry_after_s:
+            error.retry_after_s = RETRY_AFTER_S * random.uniform(1, 2)
         self._report(trace, error.outcome, error.code)
         return make_error_response(error, trace.request_id, self._names)
 
@@ -136,6 +143,7 @@
     rng: random.Random | None = None,
     names: HeaderNames = OWN_NAMES,
     own_service: ServiceSource = no_service,
+    find_parent: ParentFinder = find_none,
 ) -> EntryHandler:
     """Return the entry of a node, put together from its parts."""
     rng = rng or random.Random()
@@ -147,5 +155,5 @@
         place, balancer, observer, local, peers, clock, settings, rng
     )
     reporter = CallReporter(metrics, tracker, settings)
-    router = Router(snapshots, currency, names, own_service)
+    router = Router(snapshots, currency, names, own_service, find_parent)
     return EntryHandler(router, sender, reporter, clock, names)
--- a/libs/traffic/auburnjunction/traffic/headers.py
+++ b/libs/traffic/auburnjunction/traffic/headers.py
@@ -6,6 +6,7 @@
 servers' responses.
 """
 
+import math
 from collections.abc import Set
 from urllib.parse import quote, unquote
 
@@ -38,7 +39,7 @@
 # Time in seconds after which a refused call had best be tried again.
 RETRY_AFTER_HEADER = b"retry-after"
 
-FIELD_COUNT = 9
+FIELD_COUNT = 11
 # Values of the Connection header that name no other header.
 PLAIN_CONNECTIONS = frozenset({b"keep-alive", b"close"})
 
@@ -66,6 +67,9 @@
     caller_service: bytes = b""
     # Mark that every success of a backend server bears.
     signature: bytes = b""
+    # Stands in the id of a nested call behind the id of the request that
+    # the call is made for; empty where ids do not tell.
+    nesting_mark: str = ""
     # Whether callers name their requests, and answers bear that name.
     keeps_request_id: bool = False
     # Whether the statuses of PROMISE_STATUSES alone tell callers that
@@ -124,10 +128,18 @@
         str(int(call.claims)),
         str(remaining_ms),
         str(call.revision),
+        _format_target(call, now_s),
+        "1" if call.nested else "0",
     )
     return ";".join(fields).encode("ascii")
 
 
+def _format_target(call: Call, now_s: float) -> str:
+    if call.target_s == math.inf:
+        return ""
+    return str(int((call.target_s - now_s) * 1000))
+
+
 def parse_call(request: HttpRequest, now_s: float) -> tuple[Call, str]:
     """Return the call and instance of a forwarded request.
 
@@ -152,6 +164,8 @@
             revision=int(fields[8]),
             request=request,
             idempotency_key=key.decode("latin-1"),
+            target_s=now_s + int(fields[9]) / 1000 if fields[9] else math.inf,
+            nested=fields[10] == "1",
         )
     except (ValueError, OverflowError) as exc:
         raise BadMessageError(f"the call header is bad: {exc}") from exc
--- a/libs/traffic/auburnjunction/traffic/limits.py
+++ b/libs/traffic/auburnjunction/traffic/limits.py
@@ -10,7 +10,9 @@
 
 MEAN_WEIGHT = 0.1
 SLOW_MEAN_WEIGHT = 0.01
-DEVIATIONS = 4.0
+# Time in seconds in which an estimate without new durations halves: some
+# calls of the least frequent kind come in it.
+ESTIMATE_HALF_LIFE_S = 1.0
 # The baseline follows a falling mean at once and a rising one slowly.
 BASELINE_RISE_S = 60.0
 # Slowdown that is left at the lowest limit, as a share of the first,
@@ -63,10 +65,18 @@
             self.mean_s = duration_s
         self.mean_s += MEAN_WEIGHT * (duration_s - self.mean_s)
 
-    def estimate_high(self, priority: Priority) -> float:
-        """Return a duration in seconds that few calls exceed."""
+    def estimate(
+        self, priority: Priority, deviations: float, now_s: float
+    ) -> float:
+        """Return a duration in seconds, a number of deviations high.
+
+        Calls that are refused on an estimate bring no new durations, so
+        it fades while none come.
+        """
         times = self._times[priority]
-        return times.mean_s + DEVIATIONS * times.deviation_s
+        age_s = max(0.0, now_s - times.seen_s)
+        fading = 0.5 ** (age_s / ESTIMATE_HALF_LIFE_S)
+        return fading * (times.mean_s + deviations * times.deviation_s)
 
     def find_slowdown(self, priority: Priority) -> float:
         """Return the recent mean as a multiple of the usual one."""
--- a/libs/traffic/auburnjunction/traffic/owners.py
+++ b/libs/traffic/auburnjunction/traffic/owners.py
@@ -6,6 +6,7 @@
 from auburnjunction.base.errors import ErrorCode
 from auburnjunction.http.clients import Address, parse_address
 from auburnjunction.membership.announcements import Announcement
+from auburnjunction.model.priorities import Priority
 from auburnjunction.model.services import Service
 from auburnjunction.traffic.admissions import AdmissionSettings
 from auburnjunction.traffic.calls import Answer, Call, NotRunError
@@ -39,6 +40,8 @@
         self._find_service = find_service
         self._start_s = clock.monotonic()
         self._owners: dict[str, InstanceOwner] = {}
+        # Priorities of the calls that run or wait, by request id.
+        self._running: dict[str, Priority] = {}
         self._retired: list[InstanceOwner] = []
         self._closing = False
         metrics.watch(self)
@@ -84,7 +87,21 @@
         service = self._find_service(call.service)
         if service is not None and service is not owner.service:
             owner.set_service(service)
-        return await owner.run_call(call)
+        self._running[call.request_id] = call.priority
+        try:
+            return await owner.run_call(call)
+        finally:
+            self._running.pop(call.request_id, None)
+
+    def find_parent(self, request_id: str) -> Priority | None:
+        """Return the priority of the request that a call is made for.
+
+        None means that it is made for none that runs here.
+        """
+        mark = self._names.nesting_mark
+        if not mark:
+            return None
+        return self._running.get(request_id.rpartition(mark)[0])
 
     async def drain(self, limit_s: float) -> int:
         """Refuse new calls and wait; return how many remain in flight."""
--- a/libs/traffic/auburnjunction/traffic/queues.py
+++ b/libs/traffic/auburnjunction/traffic/queues.py
@@ -42,6 +42,8 @@
 
     priority: Priority
     latest_start_s: float = float("inf")
+    # Whether the call is made for a request that has begun already.
+    nested: bool = False
     state: TicketState = TicketState.WAITING
     error: NotRunError | None = None
     event: curio.Event = attrs.field(factory=curio.Event)
@@ -68,7 +70,7 @@
     def remove(self, ticket: Ticket) -> None:
         """Remove a waiting ticket."""
 
-    def count_ahead(self, priority: Priority) -> float:
+    def count_ahead(self, ticket: Ticket) -> float:
         """Return how many starts come before a new ticket, at best."""
 
     def count(self, priority: Priority) -> int:
@@ -104,7 +106,7 @@
         """Remove a waiting ticket."""
         del self._tickets[ticket]
 
-    def count_ahead(self, priority: Priority) -> float:
+    def count_ahead(self, ticket: Ticket) -> float:
         """Return the number of all waiting tickets."""
         return len(self._tickets)
 
@@ -113,6 +115,40 @@
         return sum(t.priority is priority for t in self._tickets)
 
 
+class Lane:
+    """Tickets of one priority; nested calls come before new work."""
+
+    def __init__(self):
+        self._nested: OrderedDict[Ticket, None] = OrderedDict()
+        self._fresh: OrderedDict[Ticket, None] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._nested) + len(self._fresh)
+
+    def push(self, ticket: Ticket) -> None:
+        """Add a ticket behind those of its kind."""
+        self._part(ticket)[ticket] = None
+
+    def pop_first(self) -> Ticket:
+        """Remove and return the next ticket."""
+        return (self._nested or self._fresh).popitem(last=False)[0]
+
+    def pop_last(self) -> Ticket:
+        """Remove and return the ticket that can best be done without."""
+        return (self._fresh or self._nested).popitem(last=True)[0]
+
+    def remove(self, ticket: Ticket) -> None:
+        """Remove a ticket."""
+        del self._part(ticket)[ticket]
+
+    def count_ahead(self, ticket: Ticket) -> int:
+        """Return how many of the lane would come before a new ticket."""
+        return len(self._nested) if ticket.nested else len(self)
+
+    def _part(self, ticket: Ticket) -> OrderedDict[Ticket, None]:
+        return self._nested if ticket.nested else self._fresh
+
+
 class PriorityQueue:
     """Tickets by priority, with a guaranteed share for each lower one.
 
@@ -123,9 +159,7 @@
     """
 
     def __init__(self, limit: int, shares: PriorityShares | None):
-        self._lanes: dict[Priority, OrderedDict[Ticket, None]] = {
-            priority: OrderedDict() for priority in Priority
-        }
+        self._lanes = {priority: Lane() for priority in Priority}
         self._shares = {
             priority: shares.of(priority) if shares else 0.0
             for priority in Priority
@@ -153,29 +187,31 @@
         evicted = None
         if self._size >= self._limit:
             evicted = self._evict_for(ticket.priority)
-        self._lanes[ticket.priority][ticket] = None
+        self._lanes[ticket.priority].push(ticket)
         self._size += 1
         return evicted
 
     def pop(self) -> Ticket:
         """Remove and return the next ticket; the queue is not empty."""
         priority = self._pick()
-        ticket = self._lanes[priority].popitem(last=False)[0]
+        ticket = self._lanes[priority].pop_first()
         self._size -= 1
         return ticket
 
     def remove(self, ticket: Ticket) -> None:
         """Remove a waiting ticket."""
-        del self._lanes[ticket.priority][ticket]
+        self._lanes[ticket.priority].remove(ticket)
         self._size -= 1
 
-    def count_ahead(self, priority: Priority) -> float:
+    def count_ahead(self, ticket: Ticket) -> float:
         """Return how many starts come before a new ticket, at best."""
+        priority = ticket.priority
         ahead = sum(
             len(lane)
             for other, lane in self._lanes.items()
-            if other <= priority
+            if other < priority
         )
+        ahead += self._lanes[priority].count_ahead(ticket)
         share = self._shares[priority]
         if not share:
             return ahead
@@ -206,7 +242,7 @@
             if other <= priority and not keeps_place:
                 break
             if other is not priority and self._size_beyond_share(other) > 0:
-                ticket = self._lanes[other].popitem(last=True)[0]
+                ticket = self._lanes[other].pop_last()
                 self._size -= 1
                 return ticket
         raise QueueFullError("the queue is full")
--- a/libs/traffic/auburnjunction/traffic/routers.py
+++ b/libs/traffic/auburnjunction/traffic/routers.py
@@ -1,6 +1,7 @@
 """Matching of callers' requests against the snapshot in force."""
 
 import itertools
+import math
 import os
 import re
 from collections.abc import Callable
@@ -10,6 +11,7 @@
 
 from auburnjunction.base.errors import ErrorCode
 from auburnjunction.http.messages import Headers, HttpRequest
+from auburnjunction.model.priorities import Priority
 from auburnjunction.model.routes import Route
 from auburnjunction.model.services import Service
 from auburnjunction.model.snapshots import RevisedSnapshot
@@ -40,6 +42,13 @@
     return ""
 
 
+ParentFinder = Callable[[str], Priority | None]
+
+
+def find_none(_request_id: str) -> None:
+    """Know of no request that a call is made for."""
+
+
 class SnapshotSource(Protocol):
     """Holder of the configuration in force."""
 
@@ -92,7 +101,9 @@
         currency: CurrencySource,
         names: HeaderNames = OWN_NAMES,
         own_service: ServiceSource = no_service,
+        find_parent: ParentFinder = find_none,
     ):
+        self._find_parent = find_parent
         self._snapshots = snapshots
         self._currency = currency
         self._names = names
@@ -110,11 +121,15 @@
         name = self._splitter.choose_service(route)
         service = revised.snapshot.services_by_name[name]
         timeout_ms = _read_timeout(request, route, self._names.deadline)
+        parent = self._find_parent(request_id)
         call = Call(
             request_id=request_id,
             route=route.name,
             service=service.name,
-            priority=route.priority,
+            # What a nested call delays is the request that it is for.
+            priority=route.priority if parent is None else parent,
+            nested=parent is not None,
+            target_s=_find_target(route, now_s),
             repeatable=route.repeatable,
             claims=route.claims,
             deadline_s=now_s + timeout_ms / 1000,
@@ -147,6 +162,12 @@
         return revised
 
 
+def _find_target(route: Route, now_s: float) -> float:
+    if not route.target_latency_ms:
+        return math.inf
+    return now_s + route.target_latency_ms / 1000
+
+
 def _find_route(revised: RevisedSnapshot, request: HttpRequest) -> Route:
     path = request.path
     if not path.startswith("/") or AMBIGUOUS_PATH.search(path):
--- a/libs/traffic/auburnjunction/traffic/slots.py
+++ b/libs/traffic/auburnjunction/traffic/slots.py
@@ -1,5 +1,6 @@
 """Slots of one backend server, and the calls that hold or await them."""
 
+import random
 from contextlib import asynccontextmanager
 
 import curio
@@ -33,6 +34,7 @@
         self._clock = clock
         self._queue: WaitQueue = make_queue(cfg, queue_limit)
         self._draining_since_s: float | None = None
+        self._random = random.Random()
 
     @property
     def waiting(self) -> int:
@@ -83,32 +85,61 @@
         if self.draining:
             raise NotRunError(*_DRAINING)
         now_s = self._clock.monotonic()
-        ticket = Ticket(call.priority, self._find_latest_start(call))
+        duration_s = self._estimate(call, now_s)
+        ticket = Ticket(
+            call.priority,
+            self._find_latest_start(call, duration_s),
+            call.nested,
+        )
         if now_s > ticket.latest_start_s:
             raise NotRunError(*_TOO_LATE)
         if not self._queue and self.running < self._limit.value:
             self.running += 1
             return
-        self._check_wait(ticket, now_s)
+        self._check_wait(call, ticket, now_s, duration_s)
         evicted = self._queue.push(ticket)
         if evicted is not None:
             await self._refuse(evicted, *_EVICTED)
         await self._dispatch()
         await self._wait(ticket, ticket.latest_start_s - now_s)
 
-    def _find_latest_start(self, call: Call) -> float:
-        if not self._cfg.deadline_checks:
-            return float("inf")
+    def _estimate(self, call: Call, now_s: float) -> float:
         if not self.running:
             # An idle backend server shows whether the estimate still holds.
-            return call.deadline_s
-        return call.deadline_s - self._limit.times.estimate_high(call.priority)
+            return 0.0
+        return self._limit.times.estimate(
+            call.priority, self._cfg.deadline_deviations, now_s
+        )
+
+    def _find_latest_start(self, call: Call, duration_s: float) -> float:
+        if not self._cfg.deadline_checks:
+            return float("inf")
+        return call.deadline_s - duration_s
+
+    def _check_wait(
+        self, call: Call, ticket: Ticket, now_s: float, duration_s: float
+    ) -> None:
+        """Refuse a call that would wait for too long.
 
-    def _check_wait(self, ticket: Ticket, now_s: float) -> None:
-        ahead = self._queue.count_ahead(ticket.priority)
+        Under lasting overload a queue that serves every call late serves
+        no more of them than one that serves fewer in time.
+        """
+        ahead = self._queue.count_ahead(ticket)
         wait_s = ahead * self._limit.times.mean_s / self._limit.value
-        if now_s + wait_s > ticket.latest_start_s:
-            raise NotRunError(*_TOO_LATE)
+        latest_s = ticket.latest_start_s
+        if not self._cfg.late_waits and not call.nested:
+            latest_s = min(latest_s, call.target_s - duration_s)
+        excess_s = now_s + wait_s - latest_s
+        if excess_s > 0:
+            raise NotRunError(*_TOO_LATE, self._find_retry_after(excess_s))
+
+    def _find_retry_after(self, excess_s: float) -> float:
+        """Return when the queue will have room, spread over callers.
+
+        A caller that comes back too early has spent its retry.
+        """
+        wait_s = excess_s + self._limit.times.mean_s
+        return wait_s * self._random.uniform(0.5, 1.5)
 
     async def _wait(self, ticket: Ticket, limit_s: float) -> None:
         try:
--- a/libs/traffic/auburnjunction/traffic/tests/owner_support.py
+++ b/libs/traffic/auburnjunction/traffic/tests/owner_support.py
@@ -11,9 +11,8 @@
 from auburnjunction.http.messages import HttpRequest, HttpResponse
 from auburnjunction.http.servers import open_server
 from auburnjunction.model.priorities import ClaimMode, Priority
-from auburnjunction.model.services import Service
+from auburnjunction.model.services import DEFAULT_HEALTH_PATH, Service
 from auburnjunction.traffic.admissions import AdmissionSettings
-from auburnjunction.traffic.backends import PROBE_TARGET
 from auburnjunction.traffic.calls import Call, TrafficError
 from auburnjunction.traffic.meters import OwnerMetrics
 from auburnjunction.traffic.owners import InstanceOwner
@@ -45,7 +44,7 @@
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Run one request; answer a probe, which runs nothing."""
-        if request.target == PROBE_TARGET:
+        if request.target == DEFAULT_HEALTH_PATH.encode():
             return HttpResponse(200)
         name = (request.header(b"auburn-request-id") or b"").decode()
         self.executed.append(name)
