--- a/libs/commands/auburnjunction/commands/nodes.py
+++ b/libs/commands/auburnjunction/commands/nodes.py
@@ -10,7 +10,7 @@
 
 from auburnjunction.base.clocks import SystemClock
 from auburnjunction.base.errors import ExitCode
-from auburnjunction.base.logs import configure_logs
+from auburnjunction.base.logs import STANDARD_OUTPUT, configure_logs
 from auburnjunction.base.programs import run_program
 from auburnjunction.base.settings import SettingsError, describe_settings
 from auburnjunction.http.errors import AddressInUseError
@@ -70,7 +70,7 @@
     if command.check or command.check_platform:
         print(f"{command.settings}: settings are valid")
         return ExitCode.OK
-    configure_logs(cfg.log_level, cfg.node, cfg.data_centre)
+    configure_logs(cfg.log_level, cfg.node, cfg.data_centre, STANDARD_OUTPUT)
     gc.freeze()
     try:
         remaining = curio.run(
--- a/libs/traffic/auburnjunction/traffic/call_reports.py
+++ b/libs/traffic/auburnjunction/traffic/call_reports.py
@@ -157,16 +157,21 @@
     weight: float,
 ) -> None:
     """Log a call; the weight is the number of calls that it stands for."""
-    log_event(
-        "call",
-        request_id=trace.request_id,
-        service=trace.service,
-        priority=trace.priority,
-        outcome=result,
-        code=str(code),
-        duration_ms=round(duration_s * 1000, 3),
-        weight=round(weight, 3),
-        revision=trace.revision,
-        instance=trace.instance,
-        attempts=trace.attempts,
-    )
+    fields = {
+        "request_id": trace.request_id,
+        "service": trace.service,
+        "route": trace.route,
+        "priority": trace.priority,
+        "nested": trace.nested,
+        "outcome": result,
+        "code": str(code),
+        "duration_ms": round(duration_s * 1000, 3),
+        "weight": round(weight, 3),
+        "revision": trace.revision,
+        "instance": trace.instance,
+        "attempts": trace.attempts,
+    }
+    if trace.reason:
+        fields["reason"] = trace.reason
+        fields["retry_after_s"] = round(trace.retry_after_s, 3)
+    log_event("call", **fields)
--- a/libs/traffic/auburnjunction/traffic/entries.py
+++ b/libs/traffic/auburnjunction/traffic/entries.py
@@ -97,6 +97,8 @@
             request, trace.request_id, trace.started_s
         )
         trace.service = routed.call.service
+        trace.route = routed.call.route
+        trace.nested = routed.call.nested
         trace.priority = int(routed.call.priority)
         trace.revision = routed.call.revision
         answer = await self._sender.send_call(routed, trace)
@@ -122,6 +124,8 @@
     def _refuse(self, error: TrafficError, trace: CallTrace) -> HttpResponse:
         if error.outcome is Outcome.NOT_RUN and not error.retry_after_s:
             error.retry_after_s = RETRY_AFTER_S * random.uniform(1, 2)
+        trace.reason = error.message
+        trace.retry_after_s = error.retry_after_s
         self._report(trace, error.outcome, error.code)
         return make_error_response(error, trace.request_id, self._names)
 
--- a/libs/traffic/auburnjunction/traffic/instances.py
+++ b/libs/traffic/auburnjunction/traffic/instances.py
@@ -186,7 +186,7 @@
 
     def _add_sample(self, call: Call, start_s: float) -> None:
         duration_s = self._clock.monotonic() - start_s
-        self._limit.add_sample(call.priority, duration_s, self.running)
+        self._limit.add_sample(call.route, duration_s, self.running)
 
     async def probe(self) -> None:
         """Ask the backend server for a sign of life if it is suspect."""
--- a/libs/traffic/auburnjunction/traffic/limits.py
+++ b/libs/traffic/auburnjunction/traffic/limits.py
@@ -1,14 +1,16 @@
 """Limits on the calls that run at one time at a backend server."""
 
 import math
+from collections import OrderedDict
 
 import attrs
 
 from auburnjunction.base.clocks import Clock
-from auburnjunction.model.priorities import Priority
 from auburnjunction.traffic.admissions import AdmissionSettings
 
 MEAN_WEIGHT = 0.1
+# Routes whose durations are kept; the oldest go first.
+MAX_ROUTES = 1024
 SLOW_MEAN_WEIGHT = 0.01
 # Time in seconds in which an estimate without new durations halves: some
 # calls of the least frequent kind come in it.
@@ -21,8 +23,8 @@
 
 
 @attrs.define(slots=True)
-class PriorityTimes:
-    """Moving averages of the time that calls of one priority take."""
+class RouteTimes:
+    """Moving averages of the time that calls of one route take."""
 
     count: int = 0
     mean_s: float = 0.0
@@ -52,35 +54,47 @@
 
 
 class ServiceTimes:
-    """Moving averages of the time that calls take, by priority."""
+    """Moving averages of the time that calls take, by route.
+
+    The routes of one service may differ in their work by a factor of
+    ten, also where they have one priority.
+    """
 
     def __init__(self):
         self.mean_s = 0.0
-        self._times = {priority: PriorityTimes() for priority in Priority}
+        self._times: OrderedDict[str, RouteTimes] = OrderedDict()
 
-    def add(self, priority: Priority, duration_s: float, now_s: float) -> None:
+    def add(self, route: str, duration_s: float, now_s: float) -> None:
         """Take in the duration of one call that ended now."""
-        self._times[priority].add(duration_s, now_s)
+        self._find(route).add(duration_s, now_s)
         if not self.mean_s:
             self.mean_s = duration_s
         self.mean_s += MEAN_WEIGHT * (duration_s - self.mean_s)
 
-    def estimate(
-        self, priority: Priority, deviations: float, now_s: float
-    ) -> float:
+    def _find(self, route: str) -> RouteTimes:
+        times = self._times.get(route)
+        if times is None:
+            if len(self._times) >= MAX_ROUTES:
+                self._times.popitem(last=False)
+            times = self._times[route] = RouteTimes()
+        return times
+
+    def estimate(self, route: str, deviations: float, now_s: float) -> float:
         """Return a duration in seconds, a number of deviations high.
 
         Calls that are refused on an estimate bring no new durations, so
         it fades while none come.
         """
-        times = self._times[priority]
+        times = self._times.get(route)
+        if times is None:
+            return 0.0
         age_s = max(0.0, now_s - times.seen_s)
         fading = 0.5 ** (age_s / ESTIMATE_HALF_LIFE_S)
         return fading * (times.mean_s + deviations * times.deviation_s)
 
-    def find_slowdown(self, priority: Priority) -> float:
+    def find_slowdown(self, route: str) -> float:
         """Return the recent mean as a multiple of the usual one."""
-        times = self._times[priority]
+        times = self._find(route)
         return times.mean_s / times.baseline_s if times.baseline_s else 1.0
 
     def accept(self) -> None:
@@ -159,13 +173,11 @@
         ramped = math.ceil(self._slots * self.ramp.share)
         return max(1, min(int(self._adaptive), ramped))
 
-    def add_sample(
-        self, priority: Priority, duration_s: float, running: int
-    ) -> None:
+    def add_sample(self, route: str, duration_s: float, running: int) -> None:
         """Take in a call that ran, and how many ran beside it."""
-        self.times.add(priority, duration_s, self._clock.monotonic())
+        self.times.add(route, duration_s, self._clock.monotonic())
         self._samples += 1
-        self._slowdowns += self.times.find_slowdown(priority)
+        self._slowdowns += self.times.find_slowdown(route)
         self._saturated |= running >= int(self._adaptive)
         if self._samples >= max(self._cfg.limit_window_calls, self._slots):
             self._end_window()
--- a/libs/traffic/auburnjunction/traffic/senders.py
+++ b/libs/traffic/auburnjunction/traffic/senders.py
@@ -49,6 +49,10 @@
     instance: str = ""
     attempts: int = 0
     spills: int = 0
+    route: str = ""
+    nested: bool = False
+    reason: str = ""
+    retry_after_s: float = 0.0
 
 
 @attrs.define(slots=True)
--- a/libs/traffic/auburnjunction/traffic/slots.py
+++ b/libs/traffic/auburnjunction/traffic/slots.py
@@ -92,7 +92,11 @@
             call.nested,
         )
         if now_s > ticket.latest_start_s:
-            raise NotRunError(*_TOO_LATE)
+            raise NotRunError(
+                f"takes about {duration_s:.3f} s, and "
+                f"{call.deadline_s - now_s:.3f} s are left",
+                ErrorCode.TIMEOUT,
+            )
         if not self._queue and self.running < self._limit.value:
             self.running += 1
             return
@@ -108,7 +112,7 @@
             # An idle backend server shows whether the estimate still holds.
             return 0.0
         return self._limit.times.estimate(
-            call.priority, self._cfg.deadline_deviations, now_s
+            call.route, self._cfg.deadline_deviations, now_s
         )
 
     def _find_latest_start(self, call: Call, duration_s: float) -> float:
@@ -131,7 +135,13 @@
             latest_s = min(latest_s, call.target_s - duration_s)
         excess_s = now_s + wait_s - latest_s
         if excess_s > 0:
-            raise NotRunError(*_TOO_LATE, self._find_retry_after(excess_s))
+            raise NotRunError(
+                f"would wait about {wait_s:.3f} s behind {ahead:.0f} of "
+                f"{len(self._queue)} calls, {excess_s:.3f} s too long; "
+                f"{self.running} of {self._limit.value} slots are held",
+                ErrorCode.TIMEOUT,
+                self._find_retry_after(excess_s),
+            )
 
     def _find_retry_after(self, excess_s: float) -> float:
         """Return when the queue will have room, spread over callers.
