--- a/libs/base/auburnjunction/base/logs.py
+++ b/libs/base/auburnjunction/base/logs.py
@@ -85,6 +85,9 @@
     def flush(self) -> None:
         """Do nothing; lines are written at once."""
 
+    def close(self) -> None:
+        """Leave the descriptor open; it belongs to the process."""
+
     def _take_token(self) -> bool:
         now_s = self._clock.monotonic()
         earned = (now_s - self._filled_s) * self._lines_per_s
--- /dev/null
+++ b/libs/base/auburnjunction/base/tests/test_logs.py
@@ -0,0 +1,38 @@
+"""Bounds of the log."""
+
+import os
+
+import orjson
+import pytest
+
+from auburnjunction.base.clocks import ManualClock
+from auburnjunction.base.logs import MAX_LINE_BYTES, BoundedStream
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+def test_lines_above_the_rate_are_counted_and_told(pipe):
+    reader, writer = pipe
+    clock = ManualClock()
+    stream = BoundedStream(writer, clock, lines_per_s=1.0, burst=2.0)
+    for index in range(5):
+        stream.write(f'{{"n": {index}}}\n')
+    clock.advance(1.0)
+    stream.write('{"n": 5}\n')
+    lines = [orjson.loads(x) for x in os.read(reader, 65536).splitlines()]
+    assert [line.get("n") for line in lines] == [0, 1, None, 5]
+    assert lines[2] == {"message": "log lines left out", "count": 3}
+
+
+def test_reader_that_does_not_read_blocks_nothing(pipe):
+    _, writer = pipe
+    stream = BoundedStream(writer, ManualClock(), 1e9, 1e9)
+    for _ in range(100):
+        stream.write("x" * (MAX_LINE_BYTES - 1) + "\n")
+    assert stream.left_out > 0
--- /dev/null
+++ b/libs/traffic/auburnjunction/traffic/tests/test_load_patterns.py
@@ -0,0 +1,148 @@
+"""Who waits and who is refused, by the pattern of load; no network.
+
+Each case names the pattern that it answers.
+"""
+
+import attrs
+import curio
+import pytest
+
+from auburnjunction.base.clocks import ManualClock
+from auburnjunction.model.priorities import Priority
+from auburnjunction.model.routes import Route, SplitPart
+from auburnjunction.traffic.admissions import AdmissionSettings
+from auburnjunction.traffic.calls import NotRunError
+from auburnjunction.traffic.limits import SlotLimit
+from auburnjunction.traffic.queues import Ticket, make_queue
+from auburnjunction.traffic.slots import SlotGate
+from auburnjunction.traffic.splits import TrafficSplitter
+from auburnjunction.traffic.tests.owner_support import make_call
+
+EAGER = AdmissionSettings(
+    adaptive_limit=False, deadline_deviations=0.0, late_waits=False
+)
+
+
+def make_gate(slots=1, cfg=EAGER):
+    clock = ManualClock()
+    limit = SlotLimit(cfg, slots, 100, clock)
+    return SlotGate(cfg, limit, 40, clock), limit, clock
+
+
+def make_timed_call(clock, left_s, target_s=None, **fields):
+    now_s = clock.monotonic()
+    call = make_call(fields.pop("name", "call"))
+    target_s = left_s if target_s is None else target_s
+    return attrs.evolve(
+        call,
+        deadline_s=now_s + left_s,
+        target_s=now_s + target_s,
+        **fields,
+    )
+
+
+def test_flood_of_low_priority_through_a_shared_service():
+    """A call of a running urgent request goes before waiting new work."""
+    queue = make_queue(AdmissionSettings(), 40)
+    for _ in range(10):
+        queue.push(Ticket(Priority.LOW))
+        queue.push(Ticket(Priority.CRITICAL))
+    nested = Ticket(Priority.CRITICAL, nested=True)
+    assert queue.count_ahead(nested) == 0
+    assert queue.count_ahead(Ticket(Priority.CRITICAL)) == 10
+    queue.push(nested)
+    assert queue.pop() is nested
+
+
+def test_full_queue_evicts_new_work_before_nested():
+    """A flood of urgent work displaces what has not begun."""
+    queue = make_queue(AdmissionSettings(), 2)
+    nested = Ticket(Priority.LOW, nested=True)
+    fresh = Ticket(Priority.LOW)
+    queue.push(nested)
+    queue.push(fresh)
+    assert queue.push(Ticket(Priority.CRITICAL)) is fresh
+
+
+@pytest.mark.parametrize(
+    ("silence_s", "is_admitted"), [(0.0, False), (10.0, True)]
+)
+def test_rare_route_after_one_slow_answer(silence_s, is_admitted):
+    """One slow answer of a rare route must not refuse it for good."""
+
+    async def main():
+        gate, limit, clock = make_gate(slots=2)
+        limit.add_sample("route", 5.0, 1)
+        async with gate.hold_slot(make_timed_call(clock, 100.0)):
+            clock.advance(silence_s)
+            try:
+                async with gate.hold_slot(make_timed_call(clock, 1.0)):
+                    return True
+            except NotRunError as exc:
+                assert "takes about 5.000 s" in exc.message
+                return False
+
+    assert curio.run(main) is is_admitted
+
+
+def test_short_calls_beside_long_ones_of_the_same_priority():
+    """A route is judged by its own durations, not by its neighbours'."""
+
+    async def main():
+        gate, limit, clock = make_gate(slots=2)
+        limit.add_sample("slow", 5.0, 1)
+        limit.add_sample("quick", 0.02, 1)
+        async with gate.hold_slot(make_timed_call(clock, 100.0)):
+            call = make_timed_call(clock, 1.0, route="quick")
+            async with gate.hold_slot(call):
+                return True
+
+    assert curio.run(main)
+
+
+@pytest.mark.parametrize(
+    ("nested", "target_s", "is_refused"),
+    [(False, 0.5, True), (False, 3.0, False), (True, 0.5, False)],
+    ids=["would be late", "in time", "nested"],
+)
+def test_lasting_overload_serves_fewer_in_time(nested, target_s, is_refused):
+    """Calls that would be late are refused at once, told when to return."""
+
+    async def main():
+        gate, limit, clock = make_gate()
+        limit.add_sample("route", 1.0, 1)
+        call = make_timed_call(clock, 50.0, target_s, nested=nested)
+        async with gate.hold_slot(make_timed_call(clock, 100.0)):
+            task = await curio.spawn(hold, gate, call)
+            await curio.sleep(0)
+            if not is_refused:
+                assert gate.waiting == 1
+        return await task.join()
+
+    outcome = curio.run(main)
+    assert isinstance(outcome, NotRunError) is is_refused
+    if is_refused:
+        # The excess over the target and the usual duration, spread.
+        assert 0.5 <= outcome.retry_after_s <= 3.0
+
+
+async def hold(gate, call):
+    try:
+        async with gate.hold_slot(call):
+            return "held"
+    except NotRunError as exc:
+        return exc
+
+
+@pytest.mark.parametrize("requests", [20, 300])
+@pytest.mark.parametrize("weights", [(90, 10), (1, 1, 2), (0, 5)])
+def test_split_keeps_its_shares_over_short_runs(weights, requests):
+    """Each part of a split gets its share, within one in twenty."""
+    splitter = TrafficSplitter()
+    names = [f"s{i}" for i in range(len(weights))]
+    split = tuple(map(SplitPart, names, weights))
+    route = Route("r", "/", "", split=split)
+    chosen = [splitter.choose_service(route) for _ in range(requests)]
+    for name, weight in zip(names, weights, strict=True):
+        share = chosen.count(name) / requests
+        assert abs(share - weight / sum(weights)) <= 0.05
