Measure a link without the work behind it; never hold every instance

The owner node tells how long it held a call; what is left is the link's. When all are held, none is.

--- a/libs/traffic/auburnjunction/traffic/balancers.py
+++ b/libs/traffic/auburnjunction/traffic/balancers.py
@@ -50,12 +50,10 @@
             probe = self._find_probe(instances, call.repeatable, now_s)
             if probe is not None:
                 return probe
-        usable = self._tracker.find_usable(instances)
+        usable = self._find_unheld(instances, now_s)
         near, far = [], []
         near_exists = False
         for instance in usable:
-            if self._observer.is_held(instance, now_s):
-                continue
             is_near = instance.data_centre == self._place.data_centre
             near_exists = near_exists or is_near
             if instance.instance not in tried:
@@ -64,6 +62,18 @@
             return self._choose_near(routed, near, far, now_s)
         return self._choose_far(routed, far, near_exists, now_s)
 
+    def _find_unheld(
+        self, instances: Sequence[Instance], now_s: float
+    ) -> Sequence[Instance]:
+        """Return the instances that did not refuse all calls just now.
+
+        Where all of them did, none is held: a refusal costs little, and
+        the first that takes calls again is found at once.
+        """
+        usable = self._tracker.find_usable(instances)
+        unheld = [i for i in usable if not self._observer.is_held(i, now_s)]
+        return unheld or usable
+
     def _find_able(self, routed: RoutedCall) -> Sequence[Instance]:
         instances = self._instances.find_instances(routed.call.service)
         resource = routed.route.resource
--- a/libs/traffic/auburnjunction/traffic/calls.py
+++ b/libs/traffic/auburnjunction/traffic/calls.py
@@ -79,11 +79,13 @@
     """A backend server's whole response to a call.
 
     The load is that of the owner node: requests running and waiting
-    as a share of the slots in force.
+    as a share of the slots in force. The owner node held the call for
+    spent_s seconds; what the call took beyond that is the link's.
     """
 
     response: HttpResponse
     load: float = 0.0
+    spent_s: float = 0.0
 
 
 class CallRunner(Protocol):
--- a/libs/traffic/auburnjunction/traffic/headers.py
+++ b/libs/traffic/auburnjunction/traffic/headers.py
@@ -29,6 +29,8 @@
 OUTCOME_HEADER = b"auburn-outcome"
 ERROR_HEADER = b"auburn-error"
 LOAD_HEADER = b"auburn-load"
+# Milliseconds for which the owner node held the call.
+SPENT_HEADER = b"auburn-spent-ms"
 REQUEST_ID_HEADER = b"auburn-request-id"
 DEADLINE_HEADER = b"auburn-deadline-ms"
 PRIORITY_HEADER = b"auburn-priority"
--- a/libs/traffic/auburnjunction/traffic/observations.py
+++ b/libs/traffic/auburnjunction/traffic/observations.py
@@ -83,7 +83,8 @@
         if 0.0 <= answer.load < float("inf"):
             record.load = min(answer.load, MAX_LOAD_REPORT)
             record.load_s = now_s
-        self._learn_link(instance.data_centre, latency_s)
+        link_s = max(0.0, latency_s - answer.spent_s)
+        self._learn_link(instance.data_centre, link_s)
 
     def record_error(self, instance: Instance, error: TrafficError) -> None:
         """Learn from a refusal or a failure."""
--- a/libs/traffic/auburnjunction/traffic/peers.py
+++ b/libs/traffic/auburnjunction/traffic/peers.py
@@ -43,6 +43,7 @@
     OUTCOME_HEADER,
     REQUEST_ID_HEADER,
     RETRY_AFTER_HEADER,
+    SPENT_HEADER,
     format_call,
     make_error_response,
     parse_call,
@@ -54,6 +55,7 @@
 )
 from auburnjunction.traffic.routing_settings import RoutingSettings
 
+MILLISECONDS = 1000
 OWN_HEADER_BYTES = 4096
 POOL_SWEEP_INTERVAL_S = 5.0
 # The caller's own Host is packed with its other headers.
@@ -159,24 +161,21 @@
 def _read_answer(response: HttpResponse) -> Answer:
     outcome = response.header(OUTCOME_HEADER)
     if outcome == OK_VALUE:
-        return Answer(response, _read_load(response))
+        load = _read_number(response, LOAD_HEADER)
+        spent_s = _read_number(response, SPENT_HEADER) / MILLISECONDS
+        return Answer(response, load, spent_s)
     message = response.body.decode(errors="replace").strip()
     code = _read_code(response)
     if outcome == NOT_RUN_VALUE:
-        raise NotRunError(message, code, _read_retry_after(response))
+        retry_after_s = _read_number(response, RETRY_AFTER_HEADER)
+        raise NotRunError(message, code, retry_after_s)
     raise UnknownRunError(message, code)
 
 
-def _read_load(response: HttpResponse) -> float:
+def _read_number(response: HttpResponse, name: bytes) -> float:
+    """Return a header's number; 0 when an older node sends none."""
     try:
-        return float(response.header(LOAD_HEADER) or 0)
-    except ValueError:
-        return 0.0
-
-
-def _read_retry_after(response: HttpResponse) -> float:
-    try:
-        return float(response.header(RETRY_AFTER_HEADER) or 0)
+        return float(response.header(name) or 0)
     except ValueError:
         return 0.0
 
@@ -241,6 +240,7 @@
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Return the answer with the outcome, load and request id."""
+        started_s = self._clock.monotonic()
         _unpack_request(request)
         try:
             call, instance = parse_call(request, self._clock.monotonic())
@@ -256,6 +256,7 @@
             logging.exception("call %s failed", call.request_id)
             error = UnknownRunError("internal error", ErrorCode.INTERNAL)
             return make_error_response(error, call.request_id)
+        answer.spent_s = self._clock.monotonic() - started_s
         return _make_response(answer, call.request_id)
 
 
@@ -271,6 +272,7 @@
     headers = [
         (OUTCOME_HEADER, OK_VALUE),
         (LOAD_HEADER, b"%.2f" % answer.load),
+        (SPENT_HEADER, b"%.1f" % (answer.spent_s * MILLISECONDS)),
         (REQUEST_ID_HEADER, request_id.encode()),
         *strip_headers(response.headers),
     ]
--- a/libs/traffic/auburnjunction/traffic/tests/test_balancers.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_balancers.py
@@ -60,8 +60,8 @@
     def count_choices(self, number=300, **fields):
         return Counter(self.choose(**fields) for _ in range(number))
 
-    def answer(self, name, load=0.1, latency_s=0.01, status=200):
-        answer = Answer(HttpResponse(status), load)
+    def answer(self, name, load=0.1, latency_s=0.01, status=200, spent_s=0.0):
+        answer = Answer(HttpResponse(status), load, spent_s)
         instance = self.instances[name]
         self.observer.record_answer(instance, answer, latency_s)
 
@@ -231,6 +231,20 @@
     assert (fixture.choose(spill=spill) is not None) == found
 
 
+def test_long_work_is_not_taken_for_a_long_link():
+    fixture = Fixture(FAR)
+    for name in ("f0", "f1"):
+        fixture.answer(name, latency_s=0.5, spent_s=0.49)
+    assert fixture.choose() in ("f0", "f1")
+
+
+def test_call_goes_out_when_every_instance_refused_just_now():
+    fixture = Fixture(make_near(2))
+    for name in ("n0", "n1"):
+        fixture.fail(name, NotRunError("silent", ErrorCode.UNRESPONSIVE))
+    assert set(fixture.count_choices()) == {"n0", "n1"}
+
+
 @pytest.mark.parametrize(
     ("code", "held_s"),
     [(ErrorCode.DRAINING, 3.0), (ErrorCode.UNRESPONSIVE, 3.0)],
