--- a/libs/base/auburnjunction/base/errors.py
+++ b/libs/base/auburnjunction/base/errors.py
@@ -13,6 +13,8 @@
     UNKNOWN = "unknown"
     TIMEOUT = "timeout"
     OVERLOADED = "overloaded"
+    # The node of the instance takes no connection.
+    UNREACHABLE = "unreachable"
     # Refused by the backend server itself.
     SHED = "shed"
     # The instance is not where the request went.
--- a/libs/traffic/auburnjunction/traffic/headers.py
+++ b/libs/traffic/auburnjunction/traffic/headers.py
@@ -181,6 +181,7 @@
     ErrorCode.TOO_LARGE: 413,
     ErrorCode.OVERLOADED: 503,
     ErrorCode.SHED: 503,
+    ErrorCode.UNREACHABLE: 503,
     ErrorCode.MISPLACED: 503,
     ErrorCode.DRAINING: 503,
     ErrorCode.UNRESPONSIVE: 503,
--- a/libs/traffic/auburnjunction/traffic/observations.py
+++ b/libs/traffic/auburnjunction/traffic/observations.py
@@ -21,7 +21,12 @@
 )
 # Codes after which every other call would be refused as well.
 HOLDING_CODES = frozenset(
-    {ErrorCode.DRAINING, ErrorCode.UNRESPONSIVE, ErrorCode.MISPLACED}
+    {
+        ErrorCode.DRAINING,
+        ErrorCode.UNRESPONSIVE,
+        ErrorCode.UNREACHABLE,
+        ErrorCode.MISPLACED,
+    }
 )
 SERVER_ERROR = 500
 # Costs closer than this are taken as equal, or else a difference of no
--- a/libs/traffic/auburnjunction/traffic/peers.py
+++ b/libs/traffic/auburnjunction/traffic/peers.py
@@ -119,7 +119,7 @@
                     conn.discard()
                     raise UnknownRunError("the answer is of another request")
         except NotSentError as exc:
-            raise NotRunError(exc.message) from exc
+            raise NotRunError(exc.message, ErrorCode.UNREACHABLE) from exc
         except SuspectPathError:
             await pool.close()
             raise
--- a/libs/traffic/auburnjunction/traffic/queues.py
+++ b/libs/traffic/auburnjunction/traffic/queues.py
@@ -125,6 +125,11 @@
     def __len__(self) -> int:
         return len(self._nested) + len(self._fresh)
 
+    @property
+    def has_fresh(self) -> bool:
+        """Whether new work waits."""
+        return bool(self._fresh)
+
     def push(self, ticket: Ticket) -> None:
         """Add a ticket behind those of its kind."""
         self._part(ticket)[ticket] = None
@@ -186,7 +191,7 @@
         """
         evicted = None
         if self._size >= self._limit:
-            evicted = self._evict_for(ticket.priority)
+            evicted = self._evict_for(ticket)
         self._lanes[ticket.priority].push(ticket)
         self._size += 1
         return evicted
@@ -236,7 +241,8 @@
         self._credits[richest] -= 1.0
         return richest
 
-    def _evict_for(self, priority: Priority) -> Ticket:
+    def _evict_for(self, ticket: Ticket) -> Ticket:
+        priority = ticket.priority
         keeps_place = self._size_beyond_share(priority) < 0
         for other in reversed(Priority):
             if other <= priority and not keeps_place:
@@ -245,6 +251,9 @@
                 ticket = self._lanes[other].pop_last()
                 self._size -= 1
                 return ticket
+        if ticket.nested and self._lanes[priority].has_fresh:
+            self._size -= 1
+            return self._lanes[priority].pop_last()
         raise QueueFullError("the queue is full")
 
     def _size_beyond_share(self, priority: Priority) -> int:
--- a/libs/traffic/auburnjunction/traffic/senders.py
+++ b/libs/traffic/auburnjunction/traffic/senders.py
@@ -29,6 +29,7 @@
         ErrorCode.OVERLOADED,
         ErrorCode.DRAINING,
         ErrorCode.UNRESPONSIVE,
+        ErrorCode.UNREACHABLE,
         ErrorCode.UNAVAILABLE,
         ErrorCode.SHED,
         ErrorCode.MISPLACED,
--- a/libs/traffic/auburnjunction/traffic/tests/test_load_patterns.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_load_patterns.py
@@ -64,6 +64,16 @@
     assert queue.push(Ticket(Priority.CRITICAL)) is fresh
 
 
+def test_nested_call_takes_the_place_of_new_work_of_its_priority():
+    """A queue full of equally urgent new work does not fail what runs."""
+    queue = make_queue(AdmissionSettings(), 2)
+    queue.push(Ticket(Priority.HIGH))
+    last = Ticket(Priority.HIGH)
+    queue.push(last)
+    assert queue.push(Ticket(Priority.HIGH, nested=True)) is last
+    assert len(queue) == 2
+
+
 @pytest.mark.parametrize(
     ("silence_s", "is_admitted"), [(0.0, False), (10.0, True)]
 )
