Check the whole path with two nodes, backend servers and the store stand-in

The overload history's backend server takes 5 ms instead of 2, so that the overload that the test is about comes on a busy machine too: it failed once with 13 refusals where more than 20 are asked for; the bound stands.

--- a/libs/traffic/auburnjunction/traffic/tests/test_histories.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_histories.py
@@ -37,7 +37,7 @@
     )
     service = Service("orders", queue_limit=20)
     tasks, cancelled, running = {}, set(), []
-    async with open_backend(service_time_s=0.002) as backend:
+    async with open_backend(service_time_s=0.005) as backend:
         owner = make_owner(backend.port, SLOTS, cfg, service)
 
         async def respond(request):
