--- a/libs/storage/auburnjunction/storage/clients.py
+++ b/libs/storage/auburnjunction/storage/clients.py
@@ -41,13 +41,17 @@
     """Exchanges with the platform, ended as the ports demand."""
 
     def __init__(self, address: Address, clock: Clock, pools: PoolRegistry):
-        self._address = address
         self._clock = clock
         self._pools = pools
-        self._host = str(address).encode()
+        self.redirect(address)
         # Set while answers take more than the first read's share.
         self._slow = False
 
+    def redirect(self, address: Address) -> None:
+        """Send what comes from now on to another address."""
+        self._address = address
+        self._host = str(address).encode()
+
     async def read(
         self, target: str, timeout_s: float, first_s: float | None = None
     ) -> HttpResponse:
