--- a/libs/traffic/auburnjunction/traffic/slots.py
+++ b/libs/traffic/auburnjunction/traffic/slots.py
@@ -11,6 +11,7 @@
 from auburnjunction.traffic.calls import Call, NotRunError, UnknownRunError
 from auburnjunction.traffic.limits import SlotLimit
 from auburnjunction.traffic.queues import (
+    QueueFullError,
     Ticket,
     TicketState,
     WaitQueue,
@@ -101,7 +102,11 @@
             self.running += 1
             return
         self._check_wait(call, ticket, now_s, duration_s)
-        evicted = self._queue.push(ticket)
+        try:
+            evicted = self._queue.push(ticket)
+        except QueueFullError as exc:
+            exc.retry_after_s = self._find_retry_after(0.0)
+            raise
         if evicted is not None:
             await self._refuse(evicted, *_EVICTED)
         await self._dispatch()
