--- a/libs/traffic/auburnjunction/traffic/balancers.py
+++ b/libs/traffic/auburnjunction/traffic/balancers.py
@@ -117,7 +117,9 @@
         near_exists: bool,
         now_s: float,
     ) -> Instance | None:
-        if near_exists and not self._may_leave_overload(routed):
+        # The near ones have refused the call, or would.
+        least = self._settings.refused_spill_priority
+        if near_exists and routed.call.priority > least:
             return None
         far = self._find_worthwhile(routed, far, now_s)
         return self._choose_of_two(far, now_s) if far else None
--- a/libs/traffic/auburnjunction/traffic/routing_settings.py
+++ b/libs/traffic/auburnjunction/traffic/routing_settings.py
@@ -65,6 +65,10 @@
     )
     # Least urgent priority that leaves an overloaded data centre.
     spill_priority: int = attrs.field(default=2, validator=check_range(0, 4))
+    # Least urgent priority that leaves a data centre which has refused it.
+    refused_spill_priority: int = attrs.field(
+        default=2, validator=check_range(0, 4)
+    )
     # Round trips to another data centre that must fit in the deadline.
     spill_round_trips: float = attrs.field(
         default=3.0, validator=check_range(1.0, 100.0)
--- a/libs/traffic/auburnjunction/traffic/tests/test_balancers.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_balancers.py
@@ -231,6 +231,14 @@
     assert (fixture.choose(spill=spill) is not None) == found
 
 
+@pytest.mark.parametrize(("least", "found"), [(2, False), (4, True)])
+def test_work_refused_near_may_go_far(least, found):
+    """A flood of the least urgent work in one data centre."""
+    fixture = Fixture(make_near(1) + FAR, refused_spill_priority=least)
+    chosen = fixture.choose(priority=Priority.LOW, tried={"n0"})
+    assert (chosen is not None) == found
+
+
 def test_long_work_is_not_taken_for_a_long_link():
     fixture = Fixture(FAR)
     for name in ("f0", "f1"):
