--- a/libs/standins/auburnjunction/standins/systems.py
+++ b/libs/standins/auburnjunction/standins/systems.py
@@ -2,12 +2,14 @@
 
 import contextlib
 import subprocess
+import time
 from datetime import datetime
 from pathlib import Path
 
 import attrs
 import orjson
 
+from auburnjunction.base.errors import ExitCode
 from auburnjunction.model.codecs import dump_snapshot_json
 from auburnjunction.standins.deployments import Deployment, open_deployment
 from auburnjunction.standins.processes import (
@@ -21,6 +23,8 @@
 CONVERGENCE_LIMIT_S = 5.0
 LEAVING_LIMIT_S = 3.0
 COMMAND_TIMEOUT_S = 30.0
+# The platform counts its rates by the second.
+REFUSED_WAIT_S = 1.0
 FIRST_TIMEOUT_MS = 2000
 NODE_OVERRIDES = {
     "routing": {"access_log_share": 1.0, "error_log_share": 1.0},
@@ -83,12 +87,21 @@
         return str(path)
 
     def change(self, host: int = 0) -> int:
-        """Commit a change; return its revision."""
+        """Commit a change; return its revision.
+
+        An operator tries again while the platform refuses writes above
+        its rate, which calls that come in a bunch may bring about.
+        """
         path = self.write_change(self.revision + 1)
-        base = str(self.revision)
-        result = self.run_auburnctl(
-            "apply", path, "--revision", base, host=host
-        )
+        arguments = ("apply", path, "--revision", str(self.revision))
+        end_s = time.monotonic() + CONVERGENCE_LIMIT_S
+        result = self.run_auburnctl(*arguments, host=host)
+        while (
+            result.exit_code == ExitCode.PLATFORM_UNAVAILABLE
+            and time.monotonic() < end_s
+        ):
+            time.sleep(REFUSED_WAIT_S)
+            result = self.run_auburnctl(*arguments, host=host)
         assert result.exit_code == 0, result.error
         self.revision = result.values["revision"]
         return self.revision
