Keep one piece of what stood twice; build sets of names once; keep the count of lost log lines

BoundedStream forgot its count when the line behind it was too long (test red first: 1 where 3 were left out). Behaviour is otherwise as before.

--- a/libs/base/auburnjunction/base/logs.py
+++ b/libs/base/auburnjunction/base/logs.py
@@ -75,12 +75,12 @@
         if self.left_out:
             notice = {"message": "log lines left out", "count": self.left_out}
             text = f"{orjson.dumps(notice).decode()}\n{text}"
-            self.left_out = 0
         content = text.encode()
         if len(content) > MAX_LINE_BYTES:
             self.left_out += 1
             return
         os.write(self._descriptor, content)
+        self.left_out = 0
 
     def flush(self) -> None:
         """Do nothing; lines are written at once."""
--- a/libs/base/auburnjunction/base/tests/test_logs.py
+++ b/libs/base/auburnjunction/base/tests/test_logs.py
@@ -36,3 +36,17 @@
     for _ in range(100):
         stream.write("x" * (MAX_LINE_BYTES - 1) + "\n")
     assert stream.left_out > 0
+
+
+def test_count_survives_a_line_that_is_too_long(pipe):
+    reader, writer = pipe
+    clock = ManualClock()
+    stream = BoundedStream(writer, clock, lines_per_s=1.0, burst=1.0)
+    for _ in range(3):
+        stream.write("{}\n")
+    clock.advance(1.0)
+    stream.write("x" * MAX_LINE_BYTES + "\n")
+    clock.advance(1.0)
+    stream.write('{"n": 1}\n')
+    lines = [orjson.loads(x) for x in os.read(reader, 65536).splitlines()]
+    assert lines[1] == {"message": "log lines left out", "count": 3}
--- a/libs/node/auburnjunction/node/parts.py
+++ b/libs/node/auburnjunction/node/parts.py
@@ -53,7 +53,8 @@
     """What a node finds where it runs: storage, names and listeners."""
 
     table: Table
-    objects: ObjectStore
+    # None where the configuration is read elsewhere.
+    objects: ObjectStore | None
     # Where the configuration is read; None means the table's commits.
     head: HeadSource | None = None
     # How callers and backend servers name a call's data.
--- a/libs/traffic/auburnjunction/traffic/backends.py
+++ b/libs/traffic/auburnjunction/traffic/backends.py
@@ -62,6 +62,9 @@
         self.health_target = DEFAULT_HEALTH_PATH.encode()
         self._instance = instance.encode()
         self._names = names
+        self._replaced = frozenset(
+            {names.request_id, names.deadline, names.instance}
+        )
         self._cfg = cfg
         self._clock = clock
         self._pool = ConnectionPool(
@@ -106,8 +109,7 @@
         names = self._names
         remaining_ms = max(0, int((call.deadline_s - now_s) * 1000))
         headers = strip_headers(call.request.headers)
-        own = frozenset({names.request_id, names.deadline, names.instance})
-        headers = drop_headers(headers, own)
+        headers = drop_headers(headers, self._replaced)
         headers.append((names.deadline, b"%d" % remaining_ms))
         headers.append((names.request_id, call.request_id.encode("latin-1")))
         if names.instance:
--- a/libs/traffic/auburnjunction/traffic/call_reports.py
+++ b/libs/traffic/auburnjunction/traffic/call_reports.py
@@ -6,7 +6,7 @@
 
 from auburnjunction.base.logs import log_event
 from auburnjunction.base.metrics import MetricRegistry
-from auburnjunction.traffic.calls import Outcome
+from auburnjunction.traffic.calls import FIRST_SERVER_ERROR, Outcome
 from auburnjunction.traffic.ejections import OutlierTracker
 from auburnjunction.traffic.routing_settings import RoutingSettings
 from auburnjunction.traffic.senders import CallTrace
@@ -18,7 +18,6 @@
 
 # Result of a call that a backend server answered with a server error.
 FAILED = "failed"
-FIRST_SERVER_ERROR = 500
 
 
 def name_result(outcome: Outcome, code: object) -> str:
--- a/libs/traffic/auburnjunction/traffic/calls.py
+++ b/libs/traffic/auburnjunction/traffic/calls.py
@@ -10,6 +10,8 @@
 from auburnjunction.http.messages import HttpRequest, HttpResponse
 from auburnjunction.model.priorities import ClaimMode, Priority
 
+FIRST_SERVER_ERROR = 500
+
 
 class Outcome(StrEnum):
     """What is known of a call when it is answered."""
--- a/libs/traffic/auburnjunction/traffic/observations.py
+++ b/libs/traffic/auburnjunction/traffic/observations.py
@@ -5,7 +5,12 @@
 from auburnjunction.base.clocks import Clock
 from auburnjunction.base.errors import ErrorCode
 from auburnjunction.model.services import Instance
-from auburnjunction.traffic.calls import Answer, NotRunError, TrafficError
+from auburnjunction.traffic.calls import (
+    FIRST_SERVER_ERROR,
+    Answer,
+    NotRunError,
+    TrafficError,
+)
 from auburnjunction.traffic.ejections import OutlierTracker
 from auburnjunction.traffic.peers import SuspectPathError
 from auburnjunction.traffic.routing_settings import RoutingSettings
@@ -28,7 +33,6 @@
         ErrorCode.MISPLACED,
     }
 )
-SERVER_ERROR = 500
 # Costs closer than this are taken as equal, or else a difference of no
 # meaning would send every call to one instance.
 COST_TOLERANCE = 1.1
@@ -75,7 +79,7 @@
         """Learn from a whole answer."""
         now_s = self._clock.monotonic()
         name = instance.instance
-        if answer.response.status >= SERVER_ERROR:
+        if answer.response.status >= FIRST_SERVER_ERROR:
             self._tracker.record_failure(name, now_s)
             return
         self._tracker.record_success(name, now_s)
--- a/libs/traffic/auburnjunction/traffic/routers.py
+++ b/libs/traffic/auburnjunction/traffic/routers.py
@@ -107,6 +107,7 @@
         self._snapshots = snapshots
         self._currency = currency
         self._names = names
+        self._set_by_nodes = names.set_by_nodes
         self._own_service = own_service
         self._splitter = TrafficSplitter()
 
@@ -147,7 +148,7 @@
     def _make_headers(self, request: HttpRequest) -> Headers:
         names = self._names
         headers = strip_headers(request.headers)
-        headers = drop_headers(headers, names.set_by_nodes)
+        headers = drop_headers(headers, self._set_by_nodes)
         if names.caller_service:
             service = self._own_service().encode()
             headers.append((names.caller_service, service))
--- a/libs/traffic/auburnjunction/traffic/senders.py
+++ b/libs/traffic/auburnjunction/traffic/senders.py
@@ -9,6 +9,7 @@
 from auburnjunction.model.services import Instance
 from auburnjunction.traffic.balancers import Balancer, Place
 from auburnjunction.traffic.calls import (
+    FIRST_SERVER_ERROR,
     Answer,
     Call,
     CallRunner,
@@ -22,7 +23,6 @@
 from auburnjunction.traffic.routers import RoutedCall
 from auburnjunction.traffic.routing_settings import RoutingSettings
 
-FIRST_SERVER_ERROR = 500
 # Refusals that another instance may not give.
 RETRIED_REFUSALS = frozenset(
     {
@@ -60,8 +60,9 @@
 class Attempts:
     """What the attempts of one call have come to."""
 
-    # Instances that may be sent the call.
+    # Instances that may be sent the call, and nodes that may be asked.
     limit: int
+    most_tried: int
     # Budget of attempts after refusals by nodes.
     refusals: RetryBudget
     tried: set[str] = attrs.field(factory=set)
@@ -70,6 +71,13 @@
     worst: TrafficError | None = None
     answer: Answer | None = None
 
+    @property
+    def is_exhausted(self) -> bool:
+        """Whether no other instance may be tried."""
+        if len(self.tried) >= self.most_tried:
+            return True
+        return self.reached >= self.limit
+
     def add_error(self, error: TrafficError) -> None:
         """Note an attempt without an answer."""
         is_unsent = isinstance(error, NotRunError)
@@ -130,7 +138,8 @@
         budget.record_first_try()
         refusals = self._refusals.get(call.service, call.priority, now_s)
         refusals.record_first_try()
-        attempts = Attempts(self._find_limit(routed), refusals)
+        limit = self._find_limit(routed)
+        attempts = Attempts(limit, self._max_attempts, refusals)
         while True:
             now_s = self._clock.monotonic()
             instance = self._choose(routed, attempts, now_s)
@@ -205,9 +214,7 @@
         budget: RetryBudget,
         attempts: Attempts,
     ) -> bool:
-        if len(attempts.tried) >= self._max_attempts:
-            return False
-        if attempts.reached >= attempts.limit:
+        if attempts.is_exhausted:
             return False
         if isinstance(error, NotRunError):
             if error.code not in RETRIED_REFUSALS:
@@ -235,9 +242,7 @@
         """Tell whether another instance may give a better answer."""
         if answer.response.status < FIRST_SERVER_ERROR or not call.repeatable:
             return False
-        if len(attempts.tried) >= self._max_attempts:
-            return False
-        if attempts.reached >= attempts.limit:
+        if attempts.is_exhausted:
             return False
         return budget.take(self._clock.monotonic())
 
