Keep acknowledged departures beyond the life of a node

Cause: a node that died after it had acknowledged a departure remembered nothing of it, so a late "ready" of the same life brought the backend server back, against the bound on calls to one that leaves. Ruled out: handing it over by gossip alone; a restarted node shows its new record before it sees the old one, and all nodes may die at once. Change: departures are named by instance and time of birth, and kept in the node's own row of the table, which a starting node reads anyway; the acknowledgement waits up to 0.2 s for it.

--- a/libs/membership/auburnjunction/membership/announcements.py
+++ b/libs/membership/auburnjunction/membership/announcements.py
@@ -3,6 +3,7 @@
 import attrs
 
 from auburnjunction.base.settings import check_not_empty, check_range
+from auburnjunction.membership.departures import Departure
 
 MAX_LEASE_S = 300.0
 
@@ -42,6 +43,11 @@
         default=10.0, validator=check_range(0.5, MAX_LEASE_S)
     )
 
+    @property
+    def life(self) -> Departure:
+        """What names this life of the backend server once it is over."""
+        return Departure(self.instance, self.born_ms)
+
     @property
     def order(self) -> tuple[int, int]:
         """Key by which the later of two announcements is told."""
--- a/libs/membership/auburnjunction/membership/instances.py
+++ b/libs/membership/auburnjunction/membership/instances.py
@@ -17,7 +17,7 @@
 
     def __init__(self, roster: Roster):
         self._roster = roster
-        self._leases = LeaseTable(roster.clock)
+        self._leases = LeaseTable(roster.clock, roster.departures)
         self._quiet_s = 0.0
 
     def announce(self, announcement: Announcement) -> Lease:
@@ -42,7 +42,8 @@
 
     def check(self, revision: int) -> None:
         """Let leases lapse and spread quiet changes that are due."""
-        if self._leases.lapse():
+        is_recalled = self._leases.recall_departures()
+        if self._leases.lapse() or is_recalled:
             self._roster.shortest_lease_s = self._leases.shortest_s
             self._publish()
         own = self._roster.own
--- a/libs/membership/auburnjunction/membership/joins.py
+++ b/libs/membership/auburnjunction/membership/joins.py
@@ -63,6 +63,7 @@
         self._reads_own = False
         self._recheck_backoff = Backoff(roster, 0.5, 2.0)
         self._search_backoff = Backoff(roster, 2.0, 60.0)
+        self._save_backoff = Backoff(roster, 0.5, 8.0)
 
     async def join(self) -> None:
         """Contact a few seeds; read the table if none answers.
@@ -129,6 +130,11 @@
             return False
         return True
 
+    async def save_departures(self) -> None:
+        """Write departures into the own row that it does not hold yet."""
+        if self._save_backoff.is_due() and await self.check_table():
+            self._save_backoff.reset()
+
     async def recheck(self) -> None:
         """After a pause and alone, ask the table or the seeds."""
         if self._recheck_backoff.is_due():
--- a/libs/membership/auburnjunction/membership/leases.py
+++ b/libs/membership/auburnjunction/membership/leases.py
@@ -6,6 +6,7 @@
 
 from auburnjunction.base.clocks import Clock
 from auburnjunction.membership.announcements import Announcement
+from auburnjunction.membership.departures import DepartureLog
 from auburnjunction.model.services import InstanceState
 
 GONE_KEEP_S = 30.0
@@ -37,8 +38,9 @@
 class LeaseTable:
     """Leases of the backend servers that announce to this node."""
 
-    def __init__(self, clock: Clock):
+    def __init__(self, clock: Clock, departures: DepartureLog | None = None):
         self._clock = clock
+        self._departures = departures or DepartureLog()
         self._leases: dict[str, Lease] = {}
 
     def renew(self, announcement: Announcement) -> Lease:
@@ -59,13 +61,38 @@
         elif announcement.born_ms == lease.announcement.born_ms:
             state = _keep_leaving(lease, state)
         lease.announcement = announcement
-        lease.state = state
+        lease.state = self._apply_departure(announcement, state)
         lease.has_lapsed = False
         lease.end_s = now_s + announcement.lease_s
-        if state is InstanceState.GONE:
+        if lease.state is InstanceState.GONE:
             lease.end_s = now_s + GONE_KEEP_S
         return lease
 
+    def recall_departures(self) -> bool:
+        """Apply departures that were read back; tell if one counted."""
+        ready = [
+            lease
+            for lease in self._leases.values()
+            if lease.state is InstanceState.READY
+            and lease.announcement.life in self._departures
+        ]
+        for lease in ready:
+            lease.state = InstanceState.LEAVING
+        return bool(ready)
+
+    def _apply_departure(
+        self, announcement: Announcement, state: InstanceState
+    ) -> InstanceState:
+        """Return the state, given what is known of this life's end."""
+        if state in (InstanceState.LEAVING, InstanceState.GONE):
+            self._departures.add(announcement.life)
+        elif (
+            state is InstanceState.READY
+            and announcement.life in self._departures
+        ):
+            return InstanceState.LEAVING
+        return state
+
     def get(self, instance: str) -> Lease | None:
         """Return the lease of a backend server, if there is one."""
         return self._leases.get(instance)
--- a/libs/membership/auburnjunction/membership/members.py
+++ b/libs/membership/auburnjunction/membership/members.py
@@ -111,6 +111,17 @@
         """Take in the announcement of a backend server of this host."""
         return self._locals.announce(announcement)
 
+    async def save_departures(self) -> None:
+        """Have the table keep departures that it does not hold yet.
+
+        Give up after the limit of the settings, as a departure also
+        holds without the table; the attempt is then repeated later.
+        """
+        if self._roster.departures.is_saved:
+            return
+        async with curio.ignore_after(self._cfg.departure_save_limit_s):
+            await self._joiner.check_table()
+
     def set_draining(self, instance: str, draining: bool) -> None:
         """Show a local backend server as leaving until undrained.
 
@@ -221,6 +232,8 @@
         self._locals.check(self.mark_source().revision)
         self._suspicions.check()
         self._roster.pauses.tick()
+        if not self._roster.departures.is_saved:
+            await self._spawn(self._joiner.save_departures)
         self.stats.pauses = self._roster.pauses.pauses
         if not self._roster.pauses.is_current:
             await self._recheck()
--- a/libs/membership/auburnjunction/membership/rosters.py
+++ b/libs/membership/auburnjunction/membership/rosters.py
@@ -12,6 +12,7 @@
 from auburnjunction.base.logs import log_event
 from auburnjunction.http.clients import Address
 from auburnjunction.membership.contacts import ContactTable
+from auburnjunction.membership.departures import DepartureLog
 from auburnjunction.membership.pauses import PauseDetector
 from auburnjunction.membership.records import Node, NodeState
 from auburnjunction.membership.rumors import RumorQueue
@@ -46,6 +47,7 @@
         self.rumors = RumorQueue()
         self.stats = MembershipStats()
         self.urgent: dict[str, Node] = {}
+        self.departures = DepartureLog()
         self.contacts = ContactTable(clock, cfg.unreachable_after_s)
         self.pauses = PauseDetector(clock, self._pause_limit)
         # Shortest lease of a local backend server.
--- a/libs/membership/auburnjunction/membership/seeds.py
+++ b/libs/membership/auburnjunction/membership/seeds.py
@@ -4,6 +4,7 @@
 
 from auburnjunction.base.logs import log_event
 from auburnjunction.http.clients import Address
+from auburnjunction.membership.departures import Departure
 from auburnjunction.membership.rosters import Roster
 from auburnjunction.schema import control_pb2 as pb
 from auburnjunction.storage.tables import (
@@ -37,22 +38,35 @@
         roster = self._roster
         own = roster.own
         key = f"{ROW_PREFIX}{own.data_centre}/{own.node}"
-        value = self._make_row().SerializeToString()
         timeout_s = roster.cfg.table_timeout_s
         started_s = roster.clock.monotonic()
         version, self._version = self._version, None
         if version is None:
             version = await self._read_version(key)
+        change_count = roster.departures.change_count
+        value = self._make_row().SerializeToString()
         roster.stats.table_writes += 1
         row = await self._table.put_if(key, value, version, timeout_s)
         self._version = row.version
+        roster.departures.note_saved(change_count)
         roster.note_table(started_s)
 
     async def _read_version(self, key: str) -> int:
-        """Return the version that an earlier life or write left."""
+        """Return the version that an earlier life or write left.
+
+        The departures that it saved are known again from then on.
+        """
         self._roster.stats.table_reads += 1
         row = await self._table.get(key, self._roster.cfg.table_timeout_s)
-        return row.version if row is not None else 0
+        if row is None:
+            return 0
+        message = _parse_row(row)
+        if message is not None:
+            self._roster.departures.recall(
+                Departure(item.instance, item.born_ms)
+                for item in message.departures
+            )
+        return row.version
 
     async def read_data_centre(self, data_centre: str) -> list[Address]:
         """Return addresses of one data centre's rows."""
@@ -97,6 +111,10 @@
             host=own.address.host,
             peer_port=own.address.port,
             expires_ms=int(expires_s * 1000),
+            departures=[
+                pb.DepartureRecord(instance=d.instance, born_ms=d.born_ms)
+                for d in roster.departures.list_all()
+            ],
         )
 
     def _read_addresses(self, rows: list[Row]) -> list[Address]:
@@ -104,11 +122,17 @@
         own = self._roster.own.node
         addresses = []
         for row in rows:
-            try:
-                message = pb.NodeRow.FromString(row.value)
-            except DecodeError:
-                log_event("a row of a node is unreadable", key=row.key)
+            message = _parse_row(row)
+            if message is None:
                 continue
             if message.expires_ms > now_ms and message.node != own:
                 addresses.append(Address(message.host, message.peer_port))
         return addresses
+
+
+def _parse_row(row: Row) -> pb.NodeRow | None:
+    try:
+        return pb.NodeRow.FromString(row.value)
+    except DecodeError:
+        log_event("a row of a node is unreadable", key=row.key)
+        return None
--- a/libs/membership/auburnjunction/membership/settings.py
+++ b/libs/membership/auburnjunction/membership/settings.py
@@ -79,6 +79,11 @@
     table_timeout_s: float = attrs.field(
         default=2.0, validator=check_range(0.05, 60)
     )
+    # How long the acknowledgement of a departure waits for the table to
+    # keep it; backend servers expect it within a second.
+    departure_save_limit_s: float = attrs.field(
+        default=0.2, validator=check_range(0, 1)
+    )
 
     @property
     def seed_addresses(self) -> list[Address]:
--- a/libs/node/auburnjunction/node/instances.py
+++ b/libs/node/auburnjunction/node/instances.py
@@ -30,6 +30,7 @@
         response = await self._membership.handle_announce(request)
         if response.status == 200:
             self._remember(parse_settings(request.body, Announcement))
+            await self.save_departures()
         return response
 
     def announce(self, announcement: Announcement) -> InstanceState:
@@ -44,6 +45,13 @@
             self._remember(announcement)
         return lease.shown_state
 
+    async def save_departures(self) -> None:
+        """Keep departures beyond the life of this node, if possible.
+
+        To be awaited before a departure is acknowledged.
+        """
+        await self._membership.save_departures()
+
     def withdraw(self, instance: str) -> None:
         """Take in that a backend server is gone or about to go."""
         known = self._announced.get(instance)
