--- a/libs/traffic/auburnjunction/traffic/admissions.py
+++ b/libs/traffic/auburnjunction/traffic/admissions.py
@@ -76,6 +76,11 @@
     )
     # Whether calls that would be late for their latency objective wait.
     late_waits: bool = True
+    # Deviations above the mean that a waiting call's duration is taken to
+    # have where it is held to its objective.
+    objective_deviations: float = attrs.field(
+        default=0.0, validator=check_range(0, 10)
+    )
     adaptive_limit: bool = True
     # Least limit, as a share of the slots.
     limit_floor_share: float = attrs.field(
--- a/libs/traffic/auburnjunction/traffic/slots.py
+++ b/libs/traffic/auburnjunction/traffic/slots.py
@@ -101,7 +101,7 @@
         if not self._queue and self.running < self._limit.value:
             self.running += 1
             return
-        self._check_wait(call, ticket, now_s, duration_s)
+        self._check_wait(call, ticket, now_s)
         try:
             evicted = self._queue.push(ticket)
         except QueueFullError as exc:
@@ -125,9 +125,7 @@
             return float("inf")
         return call.deadline_s - duration_s
 
-    def _check_wait(
-        self, call: Call, ticket: Ticket, now_s: float, duration_s: float
-    ) -> None:
+    def _check_wait(self, call: Call, ticket: Ticket, now_s: float) -> None:
         """Refuse a call that would wait for too long.
 
         Under lasting overload a queue that serves every call late serves
@@ -137,7 +135,7 @@
         wait_s = ahead * self._limit.times.mean_s / self._limit.value
         latest_s = ticket.latest_start_s
         if not self._cfg.late_waits and not call.nested:
-            latest_s = min(latest_s, call.target_s - duration_s)
+            latest_s = min(latest_s, self._find_latest_wait(call, now_s))
         excess_s = now_s + wait_s - latest_s
         if excess_s > 0:
             raise NotRunError(
@@ -148,6 +146,17 @@
                 self._find_retry_after(excess_s),
             )
 
+    def _find_latest_wait(self, call: Call, now_s: float) -> float:
+        """Return when a call must start to meet its objective, most likely.
+
+        Under overload the queue grows to whatever is let in, so that
+        without a margin every second call would be late.
+        """
+        duration_s = self._limit.times.estimate(
+            call.route, self._cfg.objective_deviations, now_s
+        )
+        return call.target_s - duration_s
+
     def _find_retry_after(self, excess_s: float) -> float:
         """Return when the queue will have room, spread over callers.
 
--- a/libs/traffic/auburnjunction/traffic/tests/test_load_patterns.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_load_patterns.py
@@ -136,6 +136,27 @@
         assert 0.5 <= outcome.retry_after_s <= 3.0
 
 
+@pytest.mark.parametrize(
+    ("deviations", "is_refused"), [(0.0, False), (2.0, True)]
+)
+def test_overload_of_work_that_varies(deviations, is_refused):
+    """A call that would be late as often as in time does not wait."""
+
+    async def main():
+        cfg = attrs.evolve(EAGER, objective_deviations=deviations)
+        gate, limit, clock = make_gate(cfg=cfg)
+        for duration_s in (0.5, 1.5) * 10:
+            limit.add_sample("route", duration_s, 1)
+        async with gate.hold_slot(make_timed_call(clock, 100.0)):
+            call = make_timed_call(clock, 50.0, 1.5)
+            task = await curio.spawn(hold, gate, call)
+            await curio.sleep(0)
+        return await task.join()
+
+    outcome = curio.run(main)
+    assert isinstance(outcome, NotRunError) is is_refused
+
+
 async def hold(gate, call):
     try:
         async with gate.hold_slot(call):
