Ask two instances for a free slot before a call waits

Ruled out: load in gossip (its budget is spent at 3,000 nodes); the same for other data centres (a call costs the link, and a refusal finds them). Change: while the own data centre has others to ask, the first two instances take a call only into a free slot (code busy); the next one queues it. Where the others are gone meanwhile, a busy one is asked again.

--- a/libs/base/auburnjunction/base/errors.py
+++ b/libs/base/auburnjunction/base/errors.py
@@ -13,6 +13,8 @@
     UNKNOWN = "unknown"
     TIMEOUT = "timeout"
     OVERLOADED = "overloaded"
+    # No slot is free, and the call was not to wait.
+    BUSY = "busy"
     # The node of the instance takes no connection.
     UNREACHABLE = "unreachable"
     # Refused by the backend server itself.
--- a/libs/traffic/auburnjunction/traffic/balancers.py
+++ b/libs/traffic/auburnjunction/traffic/balancers.py
@@ -62,6 +62,16 @@
             return self._choose_near(routed, near, far, now_s)
         return self._choose_far(routed, far, near_exists, now_s)
 
+    def has_other_near(
+        self, routed: RoutedCall, tried: Set[str], now_s: float
+    ) -> bool:
+        """Tell whether the own data centre has an instance not tried."""
+        return any(
+            i.data_centre == self._place.data_centre
+            and i.instance not in tried
+            for i in self._find_unheld(self._find_able(routed), now_s)
+        )
+
     def _find_unheld(
         self, instances: Sequence[Instance], now_s: float
     ) -> Sequence[Instance]:
--- a/libs/traffic/auburnjunction/traffic/calls.py
+++ b/libs/traffic/auburnjunction/traffic/calls.py
@@ -59,7 +59,8 @@
 
     Deadline and target are in seconds of the local monotonic clock; an
     answer is at its best up to the target. A nested call is one that a
-    backend server makes for a request that it runs.
+    backend server makes for a request that it runs. A prompt call is
+    refused rather than made to wait for a slot.
     """
 
     request_id: str
@@ -74,6 +75,7 @@
     idempotency_key: str = ""
     target_s: float = math.inf
     nested: bool = False
+    prompt: bool = False
 
 
 @attrs.define(slots=True)
--- a/libs/traffic/auburnjunction/traffic/headers.py
+++ b/libs/traffic/auburnjunction/traffic/headers.py
@@ -41,7 +41,7 @@
 # Time in seconds after which a refused call had best be tried again.
 RETRY_AFTER_HEADER = b"retry-after"
 
-FIELD_COUNT = 11
+FIELD_COUNT = 12
 # Values of the Connection header that name no other header.
 PLAIN_CONNECTIONS = frozenset({b"keep-alive", b"close"})
 
@@ -132,6 +132,7 @@
         str(call.revision),
         _format_target(call, now_s),
         "1" if call.nested else "0",
+        "1" if call.prompt else "0",
     )
     return ";".join(fields).encode("ascii")
 
@@ -168,6 +169,7 @@
             idempotency_key=key.decode("latin-1"),
             target_s=now_s + int(fields[9]) / 1000 if fields[9] else math.inf,
             nested=fields[10] == "1",
+            prompt=fields[11] == "1",
         )
     except (ValueError, OverflowError) as exc:
         raise BadMessageError(f"the call header is bad: {exc}") from exc
@@ -180,6 +182,7 @@
     ErrorCode.CONFLICT: 409,
     ErrorCode.TOO_LARGE: 413,
     ErrorCode.OVERLOADED: 503,
+    ErrorCode.BUSY: 503,
     ErrorCode.SHED: 503,
     ErrorCode.UNREACHABLE: 503,
     ErrorCode.MISPLACED: 503,
--- a/libs/traffic/auburnjunction/traffic/observations.py
+++ b/libs/traffic/auburnjunction/traffic/observations.py
@@ -144,6 +144,9 @@
         if code in HOLDING_CODES:
             hold_s = self._settings.draining_hold_ms / 1000
             record.held_until_s = now_s + hold_s
+        elif code is ErrorCode.BUSY:
+            record.load = max(1.0, self._load_of(record, now_s))
+            record.load_s = now_s
         elif code in (ErrorCode.OVERLOADED, ErrorCode.TIMEOUT):
             load = self._load_of(record, now_s)
             record.load = max(load, self._settings.overload_limit)
--- a/libs/traffic/auburnjunction/traffic/routing_settings.py
+++ b/libs/traffic/auburnjunction/traffic/routing_settings.py
@@ -95,6 +95,9 @@
     connect_timeout_ms: float = attrs.field(
         default=1000.0, validator=check_range(1.0, 60_000.0)
     )
+    # Instances of the own data centre that are asked for a free slot
+    # before a call waits at one.
+    prompt_attempts: int = attrs.field(default=0, validator=check_range(0, 10))
     # Share of calls that get a line in the access log; 0 switches it off.
     access_log_share: float = attrs.field(
         default=0.01, validator=check_range(0.0, 1.0)
--- a/libs/traffic/auburnjunction/traffic/senders.py
+++ b/libs/traffic/auburnjunction/traffic/senders.py
@@ -68,13 +68,17 @@
     tried: set[str] = attrs.field(factory=set)
     # Instances that were sent the call.
     reached: int = 0
+    # Instances without a free slot, which were not asked to queue the call,
+    # and how many more may be asked so.
+    busy: set[str] = attrs.field(factory=set)
+    prompts_left: int = 0
     worst: TrafficError | None = None
     answer: Answer | None = None
 
     @property
     def is_exhausted(self) -> bool:
         """Whether no other instance may be tried."""
-        if len(self.tried) >= self.most_tried:
+        if len(self.tried) - len(self.busy) >= self.most_tried:
             return True
         return self.reached >= self.limit
 
@@ -84,6 +88,20 @@
         self.reached += not is_unsent or error.code is ErrorCode.SHED
         self.worst = _find_worst(self.worst, error)
 
+    def add_busy(self, instance: str) -> None:
+        """Note an instance without a free slot."""
+        self.busy.add(instance)
+        self.prompts_left -= 1
+
+    def return_to_busy(self) -> bool:
+        """Let the busy instances queue the call; tell if there are any."""
+        if not self.busy:
+            return False
+        self.tried -= self.busy
+        self.busy.clear()
+        self.prompts_left = 0
+        return True
+
     def add_answer(self, answer: Answer) -> None:
         """Note an answer of a backend server."""
         self.reached += 1
@@ -124,6 +142,7 @@
             attrs.evolve(settings, retry_share=share)
         )
         self._max_attempts = settings.max_attempts
+        self._prompt_attempts = settings.prompt_attempts
         self._backoff_s = settings.retry_backoff_ms / 1000
         self._random = rng.random
 
@@ -139,7 +158,12 @@
         refusals = self._refusals.get(call.service, call.priority, now_s)
         refusals.record_first_try()
         limit = self._find_limit(routed)
-        attempts = Attempts(limit, self._max_attempts, refusals)
+        attempts = Attempts(
+            limit,
+            self._max_attempts,
+            refusals,
+            prompts_left=self._prompt_attempts,
+        )
         while True:
             now_s = self._clock.monotonic()
             instance = self._choose(routed, attempts, now_s)
@@ -148,8 +172,14 @@
             attempts.tried.add(instance.instance)
             self._note_attempt(instance, trace)
             try:
-                answer = await self._attempt(routed, instance, now_s)
+                is_prompt = self._is_prompt(routed, attempts, now_s)
+                answer = await self._attempt(
+                    routed, instance, now_s, is_prompt
+                )
             except TrafficError as exc:
+                if exc.code is ErrorCode.BUSY:
+                    attempts.add_busy(instance.instance)
+                    continue
                 attempts.add_error(exc)
                 if not self._may_retry(call, exc, budget, attempts):
                     return attempts.conclude(call)
@@ -174,7 +204,18 @@
                 NotRunError("the deadline has passed", ErrorCode.TIMEOUT)
             )
             return None
-        return self._balancer.choose(routed, attempts.tried, now_s)
+        instance = self._balancer.choose(routed, attempts.tried, now_s)
+        if instance is None and attempts.return_to_busy():
+            return self._balancer.choose(routed, attempts.tried, now_s)
+        return instance
+
+    def _is_prompt(
+        self, routed: RoutedCall, attempts: Attempts, now_s: float
+    ) -> bool:
+        """Tell whether to look for a free slot before the call waits."""
+        if attempts.prompts_left <= 0:
+            return False
+        return self._balancer.has_other_near(routed, attempts.tried, now_s)
 
     def _note_attempt(self, instance: Instance, trace: CallTrace) -> None:
         trace.attempts += 1
@@ -183,10 +224,16 @@
             trace.spills += 1
 
     async def _attempt(
-        self, routed: RoutedCall, instance: Instance, now_s: float
+        self,
+        routed: RoutedCall,
+        instance: Instance,
+        now_s: float,
+        is_prompt: bool,
     ) -> Answer:
         observer = self._observer
         call = _limit_attempt(routed, now_s)
+        if is_prompt:
+            call = attrs.evolve(call, prompt=True)
         observer.start_call(instance)
         try:
             answer = await self._run(call, instance)
--- a/libs/traffic/auburnjunction/traffic/slots.py
+++ b/libs/traffic/auburnjunction/traffic/slots.py
@@ -101,6 +101,8 @@
         if not self._queue and self.running < self._limit.value:
             self.running += 1
             return
+        if call.prompt:
+            raise NotRunError(*_BUSY)
         self._check_wait(call, ticket, now_s)
         try:
             evicted = self._queue.push(ticket)
@@ -235,4 +237,5 @@
 
 _DRAINING = ("the backend server is draining", ErrorCode.DRAINING)
 _TOO_LATE = ("the call cannot end by its deadline", ErrorCode.TIMEOUT)
+_BUSY = ("no slot is free", ErrorCode.BUSY)
 _EVICTED = ("a more urgent call took the place", ErrorCode.OVERLOADED)
--- a/libs/traffic/auburnjunction/traffic/tests/test_bad_input.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_bad_input.py
@@ -80,13 +80,13 @@
 @pytest.mark.parametrize(
     ("header", "answer"),
     [
-        (CALL + b"r1;read;s;i0;3;1;0;900;7;;0\r\n", "200 ok"),
+        (CALL + b"r1;read;s;i0;3;1;0;900;7;;0;0\r\n", "200 ok"),
         (b"", "400 not-run"),
-        (CALL + b"r1;read;s;i0;3;1;0;900;;0\r\n", "400 not-run"),
-        (CALL + b"r1;read;s;i0;9;1;0;900;7;;0\r\n", "400 not-run"),
-        (CALL + b"r1;read;s;i0;3;1;7;900;7;;0\r\n", "400 not-run"),
-        (CALL + b"r1;read;s;i0;3;1;0;x;7;;0\r\n", "400 not-run"),
-        (CALL + b"r1;read;s;i0;3;1;0;" + BIG + b";7;;0\r\n", "400 not-run"),
+        (CALL + b"r1;read;s;i0;3;1;0;900;;0;0\r\n", "400 not-run"),
+        (CALL + b"r1;read;s;i0;9;1;0;900;7;;0;0\r\n", "400 not-run"),
+        (CALL + b"r1;read;s;i0;3;1;7;900;7;;0;0\r\n", "400 not-run"),
+        (CALL + b"r1;read;s;i0;3;1;0;x;7;;0;0\r\n", "400 not-run"),
+        (CALL + b"r1;read;s;i0;3;1;0;" + BIG + b";7;;0;0\r\n", "400 not-run"),
     ],
 )  # fmt: skip
 def test_peer_listener_answers(header, answer):
--- a/libs/traffic/auburnjunction/traffic/tests/test_entries.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_entries.py
@@ -4,6 +4,8 @@
 import pytest
 
 from auburnjunction.base.errors import ErrorCode
+from auburnjunction.traffic.calls import NotRunError
+from auburnjunction.traffic.routing_settings import RoutingSettings
 from auburnjunction.traffic.tests.routing_support import (
     hang,
     lose_outcome,
@@ -190,3 +192,63 @@
         assert describe(await mesh.call("x", path="/near")) == answer
 
     run_mesh(test, data_centres=("dc-1", "dc-2", "dc-3"))
+
+
+def note_prompts(mesh, busy):
+    """Make instances busy; return the instances asked, prompt ones marked."""
+    asked = []
+
+    async def behave(call, instance):
+        asked.append((instance, call.prompt))
+        if call.prompt and instance in busy:
+            raise NotRunError("no slot is free", ErrorCode.BUSY)
+
+    for name in mesh.servers:
+        mesh.runner.before[name] = behave
+    return asked
+
+
+@pytest.mark.parametrize(
+    ("data_centres", "busy", "prompts"),
+    [
+        # One of three has a free slot, and is found within two tries.
+        (("dc-1",) * 3, ["i0", "i1", "i2"], [True, True, False]),
+        (("dc-1",) * 3, [], [True]),
+        # The other one is the last of its data centre.
+        (("dc-1", "dc-1", "dc-2"), ["i0", "i1"], [True, False]),
+        # Another data centre is not worth a search for a free slot.
+        (("dc-1", "dc-2"), ["i0"], [False]),
+    ],
+)
+def test_free_slot_is_looked_for_before_a_call_waits(
+    data_centres, busy, prompts
+):
+    """Half-full service of many small instances: few calls wait."""
+
+    async def test(mesh):
+        asked = note_prompts(mesh, busy)
+        assert describe(await mesh.call("a")) == "200 ok"
+        assert [prompt for _, prompt in asked] == prompts
+        names = [name for name, _ in asked]
+        assert len(set(names)) == len(names)
+
+    settings = RoutingSettings(access_log_share=0, prompt_attempts=2)
+    run_mesh(test, data_centres=data_centres, settings=settings)
+
+
+def test_busy_instance_queues_the_call_when_the_others_are_gone():
+    async def test(mesh):
+        asked = note_prompts(mesh, ["i0", "i1"])
+
+        async def leave(call, instance):
+            asked.append((instance, call.prompt))
+            mesh.source.instances = mesh.source.instances[:1]
+            raise NotRunError("no slot is free", ErrorCode.BUSY)
+
+        mesh.runner.before["i1"] = leave
+        for number in range(20):
+            assert describe(await mesh.call(f"a{number}")) == "200 ok"
+        assert ("i0", False) in asked
+
+    settings = RoutingSettings(access_log_share=0, prompt_attempts=2)
+    run_mesh(test, data_centres=("dc-1", "dc-1"), settings=settings)
--- a/libs/traffic/auburnjunction/traffic/tests/test_load_patterns.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_load_patterns.py
@@ -8,6 +8,7 @@
 import pytest
 
 from auburnjunction.base.clocks import ManualClock
+from auburnjunction.base.errors import ErrorCode
 from auburnjunction.model.priorities import Priority
 from auburnjunction.model.routes import Route, SplitPart
 from auburnjunction.traffic.admissions import AdmissionSettings
@@ -157,6 +158,25 @@
     assert isinstance(outcome, NotRunError) is is_refused
 
 
+@pytest.mark.parametrize("prompt", [False, True])
+def test_prompt_call_does_not_wait(prompt):
+    """A full instance sends a call on while another may be idle."""
+
+    async def main():
+        gate, _, clock = make_gate()
+        call = make_timed_call(clock, 50.0, prompt=prompt)
+        async with gate.hold_slot(make_timed_call(clock, 100.0)):
+            task = await curio.spawn(hold, gate, call)
+            await curio.sleep(0)
+        return await task.join()
+
+    outcome = curio.run(main)
+    if prompt:
+        assert outcome.code is ErrorCode.BUSY
+    else:
+        assert outcome == "held"
+
+
 async def hold(gate, call):
     try:
         async with gate.hold_slot(call):
