Keep calls from a data centre that is cut off

Ruled out: a shorter connect timeout (round trips between regions take 110 ms); what membership knows (its links take 5 s to tell). Change: after two nodes of a data centre took no connection in time, one call a second tries it until a node there answers. The shortest time of a link moves to the same place, traffic.links.

--- a/libs/http/auburnjunction/http/clients.py
+++ b/libs/http/auburnjunction/http/clients.py
@@ -13,6 +13,7 @@
 
 from auburnjunction.base.clocks import Clock
 from auburnjunction.http.errors import (
+    ConnectTimeoutError,
     ExchangeError,
     ExchangeTimeoutError,
     NotSentError,
@@ -196,7 +197,7 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     except curio.TaskTimeout as exc:
         await sock.close()
-        raise NotSentError(
+        raise ConnectTimeoutError(
             f"no connection to {address} within {timeout_s:.3f} s",
         ) from exc
     except OSError as exc:
--- a/libs/http/auburnjunction/http/errors.py
+++ b/libs/http/auburnjunction/http/errors.py
@@ -25,6 +25,10 @@
     code = ErrorCode.UNAVAILABLE
 
 
+class ConnectTimeoutError(NotSentError):
+    """The peer neither took nor refused a connection in time."""
+
+
 class ExchangeError(HttpError):
     """The connection failed after the request began to be sent."""
 
--- a/libs/traffic/auburnjunction/traffic/balancers.py
+++ b/libs/traffic/auburnjunction/traffic/balancers.py
@@ -44,7 +44,7 @@
         self, routed: RoutedCall, tried: Set[str], now_s: float
     ) -> Instance | None:
         """Return the instance for the next attempt of a call, if any."""
-        instances = self._find_able(routed)
+        instances = self._find_reached(routed, now_s)
         if not tried:
             call = routed.call
             probe = self._find_probe(instances, call.repeatable, now_s)
@@ -69,7 +69,9 @@
         return any(
             i.data_centre == self._place.data_centre
             and i.instance not in tried
-            for i in self._find_unheld(self._find_able(routed), now_s)
+            for i in self._find_unheld(
+                self._find_reached(routed, now_s), now_s
+            )
         )
 
     def _find_unheld(
@@ -84,6 +86,17 @@
         unheld = [i for i in usable if not self._observer.is_held(i, now_s)]
         return unheld or usable
 
+    def _find_reached(
+        self, routed: RoutedCall, now_s: float
+    ) -> Sequence[Instance]:
+        """Return the able instances but those behind a link that is cut."""
+        able = self._find_able(routed)
+        closed = self._observer.find_closed_links(now_s)
+        closed -= {self._place.data_centre}
+        if not closed:
+            return able
+        return [i for i in able if i.data_centre not in closed]
+
     def _find_able(self, routed: RoutedCall) -> Sequence[Instance]:
         instances = self._instances.find_instances(routed.call.service)
         resource = routed.route.resource
--- a/libs/traffic/auburnjunction/traffic/observations.py
+++ b/libs/traffic/auburnjunction/traffic/observations.py
@@ -12,12 +12,11 @@
     TrafficError,
 )
 from auburnjunction.traffic.ejections import OutlierTracker
-from auburnjunction.traffic.peers import SuspectPathError
+from auburnjunction.traffic.links import LinkTracker
+from auburnjunction.traffic.peers import SilentNodeError, SuspectPathError
 from auburnjunction.traffic.routing_settings import RoutingSettings
 
 LATENCY_WEIGHT = 0.1
-# How fast the shortest time seen of a data centre forgets.
-LINK_WEIGHT = 0.01
 MAX_LOAD_REPORT = 4.0
 MAX_RECORDS = 8192
 # Codes that say nothing of the instance that answered.
@@ -33,6 +32,17 @@
         ErrorCode.MISPLACED,
     }
 )
+# Codes that only the node of an instance gives.
+ANSWERED_CODES = frozenset(
+    {
+        ErrorCode.BUSY,
+        ErrorCode.DRAINING,
+        ErrorCode.MISPLACED,
+        ErrorCode.OVERLOADED,
+        ErrorCode.SHED,
+        ErrorCode.UNRESPONSIVE,
+    }
+)
 # Costs closer than this are taken as equal, or else a difference of no
 # meaning would send every call to one instance.
 COST_TOLERANCE = 1.1
@@ -63,10 +73,12 @@
         self._settings = settings
         self._half_life_s = settings.load_half_life_ms / 1000
         self._records: dict[str, InstanceRecord] = {}
-        self._links_s: dict[str, float] = {}
+        self._links = LinkTracker(settings)
 
     def start_call(self, instance: Instance) -> None:
         """Count a call that is about to be sent to the instance."""
+        now_s = self._clock.monotonic()
+        self._links.note_call(instance.data_centre, now_s)
         self._find_record(instance.instance).in_flight += 1
 
     def end_call(self, instance: Instance) -> None:
@@ -79,6 +91,7 @@
         """Learn from a whole answer."""
         now_s = self._clock.monotonic()
         name = instance.instance
+        self._links.note_answer(instance.data_centre)
         if answer.response.status >= FIRST_SERVER_ERROR:
             self._tracker.record_failure(name, now_s)
             return
@@ -93,12 +106,13 @@
             record.load = min(answer.load, MAX_LOAD_REPORT)
             record.load_s = now_s
         link_s = max(0.0, latency_s - answer.spent_s)
-        self._learn_link(instance.data_centre, link_s)
+        self._links.learn_latency(instance.data_centre, link_s)
 
     def record_error(self, instance: Instance, error: TrafficError) -> None:
         """Learn from a refusal or a failure."""
         now_s = self._clock.monotonic()
         name = instance.instance
+        self._learn_link(instance, error, now_s)
         if error.code in NEUTRAL_CODES:
             self._tracker.release_probe(name)
             return
@@ -114,8 +128,11 @@
 
     def estimate_link_s(self, data_centre: str) -> float:
         """Return the shortest time seen for a call there, in seconds."""
-        default_s = self._settings.link_latency_ms / 1000
-        return self._links_s.get(data_centre, default_s)
+        return self._links.estimate_s(data_centre)
+
+    def find_closed_links(self, now_s: float) -> frozenset[str]:
+        """Return the data centres to which no call should go now."""
+        return self._links.find_closed(now_s)
 
     def is_held(self, instance: Instance, now_s: float) -> bool:
         """Tell whether the instance refused all calls just now."""
@@ -156,13 +173,14 @@
         self._tracker.release_probe(name)
         return True
 
-    def _learn_link(self, data_centre: str, latency_s: float) -> None:
-        known_s = self._links_s.get(data_centre)
-        if known_s is None or latency_s < known_s:
-            self._links_s[data_centre] = latency_s
-        else:
-            change_s = LINK_WEIGHT * (latency_s - known_s)
-            self._links_s[data_centre] = known_s + change_s
+    def _learn_link(
+        self, instance: Instance, error: TrafficError, now_s: float
+    ) -> None:
+        data_centre = instance.data_centre
+        if isinstance(error, SilentNodeError):
+            self._links.note_silence(data_centre, instance.node, now_s)
+        elif error.code in ANSWERED_CODES:
+            self._links.note_answer(data_centre)
 
     def _weigh(
         self, instance: Instance, record: InstanceRecord, now_s: float
--- a/libs/traffic/auburnjunction/traffic/peers.py
+++ b/libs/traffic/auburnjunction/traffic/peers.py
@@ -17,6 +17,7 @@
 )
 from auburnjunction.http.errors import (
     BadMessageError,
+    ConnectTimeoutError,
     ExchangeTimeoutError,
     HttpError,
     NotSentError,
@@ -78,6 +79,15 @@
     """
 
 
+class SilentNodeError(NotRunError):
+    """The node of the instance did not answer to a connection.
+
+    Either it is gone or the way to it is cut.
+    """
+
+    code = ErrorCode.UNREACHABLE
+
+
 class PeerRunner(CallRunner):
     """Runs calls on instances of other nodes, through those nodes."""
 
@@ -118,6 +128,8 @@
                 if not _belongs(response, call):
                     conn.discard()
                     raise UnknownRunError("the answer is of another request")
+        except ConnectTimeoutError as exc:
+            raise SilentNodeError(exc.message) from exc
         except NotSentError as exc:
             raise NotRunError(exc.message, ErrorCode.UNREACHABLE) from exc
         except SuspectPathError:
--- a/libs/traffic/auburnjunction/traffic/routing_settings.py
+++ b/libs/traffic/auburnjunction/traffic/routing_settings.py
@@ -77,6 +77,10 @@
     link_latency_ms: float = attrs.field(
         default=10.0, validator=check_range(0.1, 10_000.0)
     )
+    # Time between calls that try a data centre which seems cut off.
+    link_retry_ms: float = attrs.field(
+        default=1000.0, validator=check_range(1.0, 60_000.0)
+    )
     # Time by which an owner node must answer before the entry gives up.
     answer_margin_ms: float = attrs.field(
         default=10.0, validator=check_range(0.0, 1000.0)
