Let restarted nodes find each other at once

Cause: after all nodes lose power, each waited up to 0.3 s to write its row and up to 0.5 s to read those of the others, as at the first start, though all rows stood in the table; data centres found each other later still. Ruled out: keeping backend servers in the rows (logs show each announcing itself within 0.2 s of its node's start, and a row could show one ready that has left). Change: a node that finds a row of its earlier life reads all rows in one call, if a page holds them, and contacts three nodes of its data centre and one of each other. Measured: in membership's tests six nodes without seeds know each other at once, where they waited for a minute before.

--- a/libs/membership/auburnjunction/membership/joins.py
+++ b/libs/membership/auburnjunction/membership/joins.py
@@ -14,6 +14,9 @@
 READERS_PER_REFRESH = 2
 # Least and greatest wait between reads of the table by a lone node.
 TABLE_WAITS_S = (2.0, 60.0)
+# Time over which a herd of restarted nodes spreads its reads: 200 nodes
+# with two each stay below 2000 in a second.
+REJOIN_SPREAD_S = 0.2
 # Share of the refresh interval over which a herd of starting nodes
 # spreads its first writes.
 FIRST_WRITE_SHARE = 1 / 6
@@ -109,6 +112,9 @@
     async def start(self) -> None:
         """Join, then write the own row for the first time."""
         cfg = self._roster.cfg
+        if await self._rejoin():
+            await self.check_table()
+            return
         if cfg.first_write_spread_s:
             # The others find this node in the table when they read it.
             await self._wait(cfg.first_write_spread_s)
@@ -119,6 +125,29 @@
         await self._wait(cfg.table_refresh_s * FIRST_WRITE_SHARE)
         await self.check_table()
 
+    async def _rejoin(self) -> bool:
+        """Contact nodes of every data centre after a restart.
+
+        Tell if one answered. The rows of an earlier life's peers stand in
+        the table, so that there is no need to wait for them.
+        """
+        if self._rows is None:
+            return False
+        await self._wait(REJOIN_SPREAD_S)
+        try:
+            if not await self._rows.find_own():
+                return False
+            fleet = await self._rows.read_fleet()
+        except PlatformError as exc:
+            log_event("the table gives no seeds", error=exc.message)
+            return False
+        near = fleet.pop(self._roster.own.data_centre, [])
+        answered = await self._contact(near)
+        for addresses in fleet.values():
+            address = self._roster.random.choice(addresses)
+            answered = await self._contact([address]) or answered
+        return answered
+
     async def check_table(self) -> bool:
         """Write the own row; tell whether the table answered."""
         if self._rows is None:
--- a/libs/membership/auburnjunction/membership/seeds.py
+++ b/libs/membership/auburnjunction/membership/seeds.py
@@ -5,6 +5,7 @@
 from auburnjunction.base.logs import log_event
 from auburnjunction.http.clients import Address
 from auburnjunction.membership.departures import Departure
+from auburnjunction.membership.records import Node
 from auburnjunction.membership.rosters import Roster
 from auburnjunction.schema import control_pb2 as pb
 from auburnjunction.storage.tables import (
@@ -37,7 +38,7 @@
         """
         roster = self._roster
         own = roster.own
-        key = f"{ROW_PREFIX}{own.data_centre}/{own.node}"
+        key = make_key(own)
         timeout_s = roster.cfg.table_timeout_s
         started_s = roster.clock.monotonic()
         version, self._version = self._version, None
@@ -68,6 +69,29 @@
             )
         return row.version
 
+    async def find_own(self) -> bool:
+        """Tell whether an earlier life of this node left a row.
+
+        Raise PlatformError if the table does not answer.
+        """
+        own = self._roster.own
+        self._version = await self._read_version(make_key(own))
+        return self._version != 0
+
+    async def read_fleet(self) -> dict[str, list[Address]]:
+        """Return addresses by data centre; none if one page is too small.
+
+        One read finds all nodes of a small fleet.
+        """
+        rows = await self._scan(ROW_PREFIX, "", MAX_ROWS)
+        fleet: dict[str, list[Address]] = {}
+        if len(rows) == MAX_ROWS:
+            return fleet
+        for message in self._parse_rows(rows):
+            address = Address(message.host, message.peer_port)
+            fleet.setdefault(message.data_centre, []).append(address)
+        return fleet
+
     async def read_data_centre(self, data_centre: str) -> list[Address]:
         """Return addresses of one data centre's rows."""
         prefix = f"{ROW_PREFIX}{data_centre}/"
@@ -118,16 +142,28 @@
         )
 
     def _read_addresses(self, rows: list[Row]) -> list[Address]:
+        return [
+            Address(message.host, message.peer_port)
+            for message in self._parse_rows(rows)
+        ]
+
+    def _parse_rows(self, rows: list[Row]) -> list[pb.NodeRow]:
+        """Return the rows of other nodes that have not expired."""
         now_ms = self._roster.clock.now().timestamp() * 1000
         own = self._roster.own.node
-        addresses = []
-        for row in rows:
-            message = _parse_row(row)
-            if message is None:
-                continue
-            if message.expires_ms > now_ms and message.node != own:
-                addresses.append(Address(message.host, message.peer_port))
-        return addresses
+        messages = (_parse_row(row) for row in rows)
+        return [
+            message
+            for message in messages
+            if message is not None
+            and message.expires_ms > now_ms
+            and message.node != own
+        ]
+
+
+def make_key(record: Node) -> str:
+    """Return the key of a node's row."""
+    return f"{ROW_PREFIX}{record.data_centre}/{record.node}"
 
 
 def _parse_row(row: Row) -> pb.NodeRow | None:
--- a/libs/membership/auburnjunction/membership/tests/test_seeds.py
+++ b/libs/membership/auburnjunction/membership/tests/test_seeds.py
@@ -6,11 +6,11 @@
 import curio
 import pytest
 
-from auburnjunction.base.clocks import ManualClock
+from auburnjunction.base.clocks import ManualClock, SystemClock
 from auburnjunction.http.clients import Address
 from auburnjunction.membership.joins import TABLE_WAITS_S, Backoff
 from auburnjunction.membership.rosters import Roster
-from auburnjunction.membership.seeds import SeedTable
+from auburnjunction.membership.seeds import MAX_ROWS, SeedTable
 from auburnjunction.membership.settings import MembershipSettings
 from auburnjunction.membership.tests.support import (
     FAST,
@@ -39,6 +39,15 @@
     return SeedTable(roster, table)
 
 
+async def write_row(member, table):
+    """Write the row that an earlier life of a member left."""
+    clock = SystemClock()
+    address, source = member.address, random.Random(1)
+    name, data_centre = member.node, member.data_centre
+    roster = Roster(FAST, name, data_centre, address, clock, source)
+    await SeedTable(roster, table).write_own()
+
+
 def test_rows_are_read_by_data_centre_until_they_expire():
     async def main():
         table, clock = MemoryTable(), ManualClock()
@@ -90,6 +99,46 @@
     run_cluster(scenario, 4, CFG, table=MemoryTable(), seeds=0)
 
 
+@pytest.mark.parametrize("restarts", [False, True])
+def test_herd_that_returns_finds_itself_at_once(restarts):
+    """All nodes return together; none waits for rows that are there."""
+
+    async def main():
+        table = MemoryTable()
+        cfg = attrs.evolve(
+            FAST, first_write_spread_s=60.0, table_spread_s=60.0
+        )
+        cluster = Cluster(6, cfg, table=table, seeds=0)
+        if restarts:
+            for member in cluster.members:
+                await write_row(member, table)
+        for member in cluster.members:
+            await cluster.start(member)
+        if restarts:
+            await cluster.wait_joined()
+        else:
+            await curio.sleep(0.5)
+            sizes = [len(m.membership.list_nodes()) for m in cluster.members]
+            assert sizes == [1] * len(sizes)
+        for member in cluster.members:
+            await member.task.cancel()
+
+    curio.run(main)
+
+
+def test_fleet_of_many_pages_is_not_read_as_a_whole():
+    async def main():
+        table, clock = MemoryTable(), ManualClock()
+        for index in range(MAX_ROWS):
+            await make_rows(table, f"n{index}", clock=clock).write_own()
+            reader = make_rows(table, "reader", clock=clock)
+            if index in (3, MAX_ROWS - 1):
+                fleet = await reader.read_fleet()
+                assert bool(fleet) is (index == 3)
+
+    curio.run(main)
+
+
 def test_lone_nodes_read_a_dead_table_at_a_bounded_rate():
     async def main():
         table = MemoryTable()
