Correct the expected wait by the waits that were seen

Cause: an owner expected calls to wait for the mean duration of all calls times those ahead. Ruled out: sums of estimates by ticket (they know nothing of what overtakes later); more deviations (they also refuse what does not wait). Change: a moving ratio of waits seen to waits expected, bounded to 0.5 to 4, fading while nothing waits; nested calls are left out. The call whose end frees the first slot is counted in the expectation.

--- a/libs/traffic/auburnjunction/traffic/queues.py
+++ b/libs/traffic/auburnjunction/traffic/queues.py
@@ -44,6 +44,9 @@
     latest_start_s: float = float("inf")
     # Whether the call is made for a request that has begun already.
     nested: bool = False
+    # When it began to wait, and for how long the queue suggested.
+    queued_s: float = 0.0
+    expected_s: float = 0.0
     state: TicketState = TicketState.WAITING
     error: NotRunError | None = None
     event: curio.Event = attrs.field(factory=curio.Event)
--- a/libs/traffic/auburnjunction/traffic/slots.py
+++ b/libs/traffic/auburnjunction/traffic/slots.py
@@ -17,6 +17,7 @@
     WaitQueue,
     make_queue,
 )
+from auburnjunction.traffic.waits import WaitEstimator
 
 
 class SlotGate:
@@ -36,6 +37,7 @@
         self._queue: WaitQueue = make_queue(cfg, queue_limit)
         self._draining_since_s: float | None = None
         self._random = random.Random()
+        self._waits = WaitEstimator()
 
     @property
     def waiting(self) -> int:
@@ -134,7 +136,10 @@
         no more of them than one that serves fewer in time.
         """
         ahead = self._queue.count_ahead(ticket)
-        wait_s = ahead * self._limit.times.mean_s / self._limit.value
+        # One more call must end before the first that waits starts.
+        turn_s = self._limit.times.mean_s / self._limit.value
+        ticket.queued_s, ticket.expected_s = now_s, (ahead + 1) * turn_s
+        wait_s = ticket.expected_s * self._waits.correction(now_s)
         latest_s = ticket.latest_start_s
         if not self._cfg.late_waits and not call.nested:
             latest_s = min(latest_s, self._find_latest_wait(call, now_s))
@@ -214,6 +219,9 @@
         now_s = self._clock.monotonic()
         while self._queue and self.running < self._limit.value:
             ticket = self._queue.pop()
+            if not ticket.nested:
+                seen_s = now_s - ticket.queued_s
+                self._waits.learn(ticket.expected_s, seen_s, now_s)
             if now_s > ticket.latest_start_s:
                 await self._refuse(ticket, *_TOO_LATE)
                 continue
