Log cuts of data centres and departures that were recalled

Cause: both change what a node believes, and left no line. Change: one line when a data centre counts as cut off, with the nodes that were silent, one when a node there answers again, and one when a backend server that says it is ready is known to have left.

--- a/libs/membership/auburnjunction/membership/leases.py
+++ b/libs/membership/auburnjunction/membership/leases.py
@@ -5,6 +5,7 @@
 import attrs
 
 from auburnjunction.base.clocks import Clock
+from auburnjunction.base.logs import log_event
 from auburnjunction.membership.announcements import Announcement
 from auburnjunction.membership.departures import DepartureLog
 from auburnjunction.model.services import InstanceState
@@ -78,6 +79,7 @@
         ]
         for lease in ready:
             lease.state = InstanceState.LEAVING
+            _log_recalled(lease.announcement)
         return bool(ready)
 
     def _apply_departure(
@@ -90,6 +92,7 @@
             state is InstanceState.READY
             and announcement.life in self._departures
         ):
+            _log_recalled(announcement)
             return InstanceState.LEAVING
         return state
 
@@ -128,6 +131,15 @@
         return lapsed
 
 
+def _log_recalled(announcement: Announcement) -> None:
+    log_event(
+        "backend server has left before",
+        instance=announcement.instance,
+        born_ms=announcement.born_ms,
+        sequence=announcement.sequence,
+    )
+
+
 def _keep_leaving(lease: Lease, state: InstanceState) -> InstanceState:
     """Return the state that an announcement of the same life leads to."""
     has_left = lease.state in (InstanceState.LEAVING, InstanceState.GONE)
--- a/libs/traffic/auburnjunction/traffic/links.py
+++ b/libs/traffic/auburnjunction/traffic/links.py
@@ -1,7 +1,9 @@
 """Links to other data centres, as the calls over them went."""
 
 import attrs
+from absl import logging
 
+from auburnjunction.base.logs import log_event
 from auburnjunction.traffic.routing_settings import RoutingSettings
 
 # How fast the shortest time seen of a data centre forgets.
@@ -64,6 +66,7 @@
         """Note that a node there has answered."""
         if data_centre in self._cut:
             self._cut.discard(data_centre)
+            log_event("data centre reached again", reached=data_centre)
         link = self._links.get(data_centre)
         if link is not None and link.silent:
             link.silent.clear()
@@ -72,9 +75,17 @@
         """Note that no connection to a node there came about in time."""
         link = self._find(data_centre)
         link.silent.add(node)
-        if link.is_cut:
+        if not link.is_cut:
+            return
+        link.next_try_s = now_s + self._retry_s
+        if data_centre not in self._cut:
             self._cut.add(data_centre)
-            link.next_try_s = now_s + self._retry_s
+            log_event(
+                "data centre cut off",
+                logging.WARNING,
+                unreached=data_centre,
+                silent_nodes=sorted(link.silent),
+            )
 
     def learn_latency(self, data_centre: str, latency_s: float) -> None:
         """Learn from the time of a call less that of its work."""
