--- a/libs/traffic/auburnjunction/traffic/routers.py
+++ b/libs/traffic/auburnjunction/traffic/routers.py
@@ -156,7 +156,9 @@
 
     def _require_snapshot(self) -> RevisedSnapshot:
         if not self._currency.is_current:
-            raise NotRunError("this node is catching up after a pause")
+            raise NotRunError(
+                "this node is starting or catching up after a pause"
+            )
         revised = self._snapshots.current
         if revised is None:
             raise NotRunError("this node has no configuration yet")
