Keep a stopping node's backend server in use during its notice

Ruled out: a shorter notice (callers are moved after two misses of a second each); restarting slower (the platform decides). Change: other nodes are told when the notice is over. Until then the owner takes calls that will most likely, four deviations above the mean, end within the grace time, and refuses the others as draining.

--- a/libs/node/auburnjunction/node/nodes.py
+++ b/libs/node/auburnjunction/node/nodes.py
@@ -41,15 +41,18 @@
     async def drain(self) -> int:
         """Leave: refuse new calls, finish those in flight.
 
-        Return how many calls were still in flight at the drain limit.
+        Callers are told first. The backend servers of this host stay in
+        use meanwhile, as their service may have few others. Return how
+        many calls were still in flight at the drain limit.
         """
         log_event("node leaving")
         self._parts.currency.leaving = True
-        self._parts.membership.set_leaving()
         self._servers.callers.end_reuse()
-        end_s = self._clock.monotonic() + self._cfg.leaving_notice_s
-        await self._clock.sleep(self._cfg.leaving_notice_s)
-        end_s += self._cfg.drain_limit_s
+        notice_s = self._cfg.leaving_notice_s
+        end_s = self._clock.monotonic() + notice_s + self._cfg.drain_limit_s
+        self._parts.owners.set_end(end_s)
+        await self._clock.sleep(notice_s)
+        self._parts.membership.set_leaving()
         # Calls of this host's backend servers are served until these have
         # answered what needs them.
         remaining = await self._parts.owners.drain(self._left(end_s))
--- a/libs/traffic/auburnjunction/traffic/instances.py
+++ b/libs/traffic/auburnjunction/traffic/instances.py
@@ -121,6 +121,10 @@
         """Ramp up again; the backend server has just started."""
         self._limit.ramp.restart()
 
+    def set_end(self, end_s: float) -> None:
+        """Refuse calls that may not have ended by a time of the clock."""
+        self._gate.set_end(end_s)
+
     def start_draining(self) -> None:
         """Refuse new calls as not run; finish those in flight."""
         self._gate.start_draining()
--- a/libs/traffic/auburnjunction/traffic/owners.py
+++ b/libs/traffic/auburnjunction/traffic/owners.py
@@ -1,5 +1,6 @@
 """The owners of this node's backend servers."""
 
+import math
 from collections.abc import Callable
 
 from auburnjunction.base.clocks import Clock
@@ -44,6 +45,7 @@
         self._running: dict[str, Priority] = {}
         self._retired: list[InstanceOwner] = []
         self._closing = False
+        self._end_s = math.inf
         metrics.watch(self)
 
     def __iter__(self):
@@ -103,6 +105,16 @@
             return None
         return self._running.get(request_id.rpartition(mark)[0])
 
+    def set_end(self, end_s: float) -> None:
+        """Take only calls that will most likely end by then.
+
+        The node ends at that time of the clock; until it drains, its
+        backend servers stay in use.
+        """
+        self._end_s = end_s
+        for owner in self._owners.values():
+            owner.set_end(end_s)
+
     async def drain(self, limit_s: float) -> int:
         """Refuse new calls and wait; return how many remain in flight."""
         self._closing = True
@@ -171,7 +183,7 @@
         self, announcement: Announcement, address: Address, cold: bool
     ) -> InstanceOwner:
         name = announcement.service
-        return InstanceOwner(
+        owner = InstanceOwner(
             self._cfg,
             announcement.instance,
             self._find_service(name) or Service(name),
@@ -184,6 +196,8 @@
             cold,
             self._names,
         )
+        owner.set_end(self._end_s)
+        return owner
 
 
 def _is_owner_of(
--- a/libs/traffic/auburnjunction/traffic/slots.py
+++ b/libs/traffic/auburnjunction/traffic/slots.py
@@ -1,5 +1,6 @@
 """Slots of one backend server, and the calls that hold or await them."""
 
+import math
 import random
 from contextlib import asynccontextmanager
 
@@ -19,6 +20,10 @@
 )
 from auburnjunction.traffic.waits import WaitEstimator
 
+# Deviations above the mean that a call's duration is taken to have where
+# it must end before the node does.
+END_DEVIATIONS = 4.0
+
 
 class SlotGate:
     """Grants the slots of one backend server, each to one call."""
@@ -36,6 +41,7 @@
         self._clock = clock
         self._queue: WaitQueue = make_queue(cfg, queue_limit)
         self._draining_since_s: float | None = None
+        self._end_s = math.inf
         self._random = random.Random()
         self._waits = WaitEstimator()
 
@@ -53,6 +59,10 @@
         """Change how many calls may wait; those that wait stay."""
         self._queue.set_limit(queue_limit)
 
+    def set_end(self, end_s: float) -> None:
+        """Refuse calls that may not have ended by a time of the clock."""
+        self._end_s = end_s
+
     def start_draining(self) -> None:
         """Refuse new calls from now on."""
         if self._draining_since_s is None:
@@ -85,9 +95,9 @@
             await self._refuse(self._queue.pop(), *_DRAINING)
 
     async def _enter(self, call: Call) -> None:
-        if self.draining:
-            raise NotRunError(*_DRAINING)
         now_s = self._clock.monotonic()
+        if self.draining or self._ends_too_late(call, now_s):
+            raise NotRunError(*_DRAINING)
         duration_s = self._estimate(call, now_s)
         ticket = Ticket(
             call.priority,
@@ -116,6 +126,14 @@
         await self._dispatch()
         await self._wait(ticket, ticket.latest_start_s - now_s)
 
+    def _ends_too_late(self, call: Call, now_s: float) -> bool:
+        if self._end_s == math.inf:
+            return False
+        duration_s = self._limit.times.estimate(
+            call.route, END_DEVIATIONS, now_s
+        )
+        return now_s + duration_s > self._end_s
+
     def _estimate(self, call: Call, now_s: float) -> float:
         if not self.running:
             # An idle backend server shows whether the estimate still holds.
--- a/libs/traffic/auburnjunction/traffic/tests/test_load_patterns.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_load_patterns.py
@@ -217,6 +217,23 @@
     assert is_refused is bool(overtaken_s)
 
 
+@pytest.mark.parametrize(("left_s", "is_refused"), [(1.0, False), (0.1, True)])
+def test_node_that_ends_soon_takes_short_work(left_s, is_refused):
+    """Nodes restart in turn: the backend server is of use until the end."""
+
+    async def main():
+        gate, limit, clock = make_gate()
+        limit.add_sample("route", 0.2, 1)
+        gate.set_end(clock.monotonic() + left_s)
+        return await hold(gate, make_timed_call(clock, 50.0))
+
+    outcome = curio.run(main)
+    if is_refused:
+        assert outcome.code is ErrorCode.DRAINING
+    else:
+        assert outcome == "held"
+
+
 async def hold(gate, call):
     try:
         async with gate.hold_slot(call):
