Tell of backend servers that come as fast as of those that leave

Change: a change of the ready backend servers of a host is urgent in both directions; pushes of a tenth of a second still go together. Measured: the test fails without it; 111 tests of membership pass.

--- a/libs/membership/auburnjunction/membership/instances.py
+++ b/libs/membership/auburnjunction/membership/instances.py
@@ -3,7 +3,6 @@
 from auburnjunction.membership.announcements import Announcement
 from auburnjunction.membership.errors import UnknownInstanceError
 from auburnjunction.membership.leases import Lease, LeaseTable, round_load
-from auburnjunction.membership.records import Node
 from auburnjunction.membership.rosters import Roster
 from auburnjunction.model.services import Instance, InstanceState
 
@@ -62,7 +61,7 @@
         if _without_load(instances) == _without_load(before.instances):
             return
         self._roster.renew_own(instances=instances)
-        if _has_left(before, instances):
+        if _list_ready(before.instances) != _list_ready(instances):
             self._roster.mark_urgent(self._roster.own)
 
     def _list_instances(self) -> tuple[Instance, ...]:
@@ -94,10 +93,7 @@
     ]
 
 
-def _has_left(before: Node, instances: tuple[Instance, ...]) -> bool:
-    """Tell whether a ready backend server is ready no more."""
+def _list_ready(instances: tuple[Instance, ...]) -> set[str]:
+    """Return the names of the backend servers that take work."""
     ready = InstanceState.READY
-    still = {i.instance for i in instances if i.state is ready}
-    return any(
-        i.state is ready and i.instance not in still for i in before.instances
-    )
+    return {i.instance for i in instances if i.state is ready}
--- a/libs/membership/auburnjunction/membership/spreads.py
+++ b/libs/membership/auburnjunction/membership/spreads.py
@@ -1,4 +1,4 @@
-"""Immediate spread of nodes and backend servers that are leaving."""
+"""Immediate spread of backend servers that come or leave, and of nodes."""
 
 from collections.abc import Callable
 from functools import partial
--- a/libs/membership/auburnjunction/membership/tests/test_histories.py
+++ b/libs/membership/auburnjunction/membership/tests/test_histories.py
@@ -110,3 +110,15 @@
     assert len([e for e in events if isinstance(e, Left)]) == 4
     assert find_late_sights(events) == []
     assert find_returns(events) == []
+
+
+def test_backend_server_that_comes_is_known_without_a_round():
+    """A node has restarted; its service waits for its backend server."""
+
+    async def main():
+        async with open_cluster(MEMBERS) as cluster:
+            cluster.network.only_urgent = True
+            cluster[3].membership.announce(make_announcement("new-1"))
+            await cluster.wait_ready({"new-1"}, LEAVING_LIMIT_S)
+
+    curio.run(main)
