--- a/libs/traffic/auburnjunction/traffic/memories.py
+++ b/libs/traffic/auburnjunction/traffic/claim_caches.py
@@ -1,4 +1,4 @@
-"""Bounded memory of the claims that one owner node has made."""
+"""Bounded cache of the claims that one owner node has made."""
 
 from collections import OrderedDict
 
@@ -6,14 +6,14 @@
 
 from auburnjunction.http.messages import HttpResponse
 
-ENTRY_BYTES = 400
+ENTRY_OVERHEAD_BYTES = 400
 
 
 @attrs.frozen(slots=True)
 class ClaimEntry:
-    """What a node remembers of a claim of its own.
+    """A cached claim of this node.
 
-    Without a response the call is running, or its end is unknown.
+    Without a response, the call is running or its outcome is unknown.
     """
 
     fingerprint: bytes
@@ -21,12 +21,17 @@
 
     @property
     def size(self) -> int:
-        """Estimate of the memory that the entry takes, in bytes."""
-        return ENTRY_BYTES + (len(self.response.body) if self.response else 0)
+        """Estimated memory use of the entry, in bytes."""
+        return ENTRY_OVERHEAD_BYTES + (
+            len(self.response.body) if self.response else 0
+        )
 
 
-class ClaimMemory:
-    """Claims by row key; the oldest ended ones are forgotten first."""
+class ClaimCache:
+    """Claims by row key; evicts the oldest ones of ended calls first.
+
+    Claims of running calls are neither evicted nor counted.
+    """
 
     def __init__(self, max_bytes: int):
         self._max_bytes = max_bytes
@@ -35,19 +40,19 @@
         self._ended: OrderedDict[str, ClaimEntry] = OrderedDict()
 
     def get(self, key: str) -> ClaimEntry | None:
-        """Return what is remembered of a key."""
+        """Return the entry of a key, or None."""
         return self._running.get(key) or self._ended.get(key)
 
     def start(self, key: str, fingerprint: bytes) -> None:
-        """Remember that a call with this key is about to run."""
+        """Add an entry for a call that is about to run."""
         self._running[key] = ClaimEntry(fingerprint)
 
-    def forget(self, key: str) -> None:
-        """Forget a call that did not run."""
+    def discard(self, key: str) -> None:
+        """Remove the entry of a call that did not run."""
         self._running.pop(key, None)
 
-    def end(self, key: str, response: HttpResponse | None) -> None:
-        """Remember how a call ended; None means that it is unknown."""
+    def finish(self, key: str, response: HttpResponse | None) -> None:
+        """Store a call's response; None if unknown or too large to keep."""
         entry = self._running.pop(key)
         self._ended.pop(key, None)
         self._ended[key] = attrs.evolve(entry, response=response)
--- a/libs/traffic/auburnjunction/traffic/claims.py
+++ b/libs/traffic/auburnjunction/traffic/claims.py
@@ -1,4 +1,4 @@
-"""Claims that let a request with an idempotency key run at most once."""
+"""Claims that make a request with an idempotency key run at most once."""
 
 import hashlib
 import os
@@ -24,20 +24,20 @@
     VersionConflictError,
 )
 from auburnjunction.traffic.admissions import ClaimSettings
-from auburnjunction.traffic.breakers import GuardedTable
+from auburnjunction.traffic.breakers import CircuitBreakerTable
 from auburnjunction.traffic.calls import Call, NotRunError, UnknownRunError
-from auburnjunction.traffic.memories import ClaimMemory
+from auburnjunction.traffic.claim_caches import ClaimCache
 from auburnjunction.traffic.meters import OwnerMetrics
 
 TOKEN_BYTES = 16
 WRITE_ATTEMPTS = 4
-# Outcomes kept for later while the table is down.
-MAX_UNFINISHED = 1024
+# Outcomes queued to be written again while the table is unavailable.
+MAX_UNRECORDED = 1024
 OUTCOME_ATTEMPTS = 2
 
 
 class ClaimOutcome(StrEnum):
-    """How an attempt to claim a request ended."""
+    """Outcome of an attempt to claim a request."""
 
     CLAIMED = "claimed"
     MEMORY_ONLY = "memory-only"
@@ -51,21 +51,21 @@
 
 @attrs.define(eq=False, slots=True)
 class HeldClaim:
-    """A claim that lets its holder send the request.
+    """A claim under which the owner node may send the request.
 
-    A version of None means that the row could not be confirmed. With a
-    response the request ran before and must not be sent.
+    A version of None means that the row's version is unknown. If a response
+    is set, the request has run before and must not be sent.
     """
 
     key: str
     row: pb.Claim
     version: int | None = None
-    may_exist: bool = False
+    row_may_exist: bool = False
     response: HttpResponse | None = None
 
 
 class ClaimStore:
-    """Claims requests in the platform's table and in memory."""
+    """Claims requests in the platform's table and in a local cache."""
 
     def __init__(
         self,
@@ -74,38 +74,39 @@
         clock: Clock,
         metrics: OwnerMetrics,
     ):
-        # Writes of outcomes that are still under way.
-        self.pending = 0
+        # Number of outcome writes in progress.
+        self.pending_writes = 0
         self._cfg = cfg
-        self._table = GuardedTable(
+        self._table = CircuitBreakerTable(
             table, clock, cfg.timeout_s, cfg.retry_delay_s
         )
         self._clock = clock
         self._metrics = metrics
-        self._memory = ClaimMemory(cfg.memory_bytes)
-        self._unfinished: deque[HeldClaim] = deque(maxlen=MAX_UNFINISHED)
+        self._cache = ClaimCache(cfg.memory_bytes)
+        self._unrecorded: deque[HeldClaim] = deque(maxlen=MAX_UNRECORDED)
 
-    def recall(self, call: Call) -> HttpResponse | None:
-        """Return the answer that this node remembers, if any.
+    def find_cached_response(self, call: Call) -> HttpResponse | None:
+        """Return the answer cached at this node for the call's key, if any.
 
-        Raise UnknownRunError when the call may have run before, and
-        NotRunError when its key belongs to another request.
+        Raise UnknownRunError if a request with the key may have run, and
+        NotRunError if the key was used for another request.
         """
-        entry = self._memory.get(format_key(call))
+        entry = self._cache.get(format_key(call))
         if entry is None:
             return None
-        return self._judge(
+        return self._replay_or_raise(
             call, entry.fingerprint, entry.response, entry.response is not None
         )
 
     async def acquire(self, call: Call) -> HeldClaim:
         """Claim a call that is about to be sent.
 
-        Raise NotRunError when it may not be sent for now, and
-        UnknownRunError when another attempt may have run it.
+        Raise NotRunError if it must not be sent now, and UnknownRunError if
+        another attempt may have run it.
         """
-        # Another call with this key may have got a slot meanwhile.
-        response = self.recall(call)
+        # Another call with this key may have been claimed while this one
+        # waited for its slot.
+        response = self.find_cached_response(call)
         if response is not None:
             return HeldClaim(format_key(call), pb.Claim(), response=response)
         row = pb.Claim(
@@ -115,16 +116,16 @@
             claimed_ms=int(self._clock.now().timestamp() * 1000),
         )
         claim = HeldClaim(format_key(call), row)
-        self._memory.start(claim.key, row.fingerprint)
+        self._cache.start(claim.key, row.fingerprint)
         try:
             await self._claim_row(call, claim)
         except BaseException:
-            self._memory.forget(claim.key)
+            self._cache.discard(claim.key)
             raise
         return claim
 
     async def record(self, claim: HeldClaim, response: HttpResponse) -> None:
-        """Keep the answer for later arrivals with the same key."""
+        """Record the answer for later calls with the same key."""
         row = claim.row
         row.state = pb.CLAIM_STATE_ANSWERED
         row.status = response.status
@@ -133,31 +134,31 @@
         row.body_dropped = len(response.body) > self._cfg.body_bytes
         if not row.body_dropped:
             row.body = response.body
-        kept = None if row.body_dropped else response
-        self._memory.end(claim.key, kept)
-        await self._finish(claim)
+        cached = None if row.body_dropped else response
+        self._cache.finish(claim.key, cached)
+        await self._record_outcome(claim)
 
     async def release(self, claim: HeldClaim) -> None:
-        """Let the key be claimed again; the call did not run."""
-        self._memory.forget(claim.key)
+        """Release the key for another claim, because the call did not run."""
+        self._cache.discard(claim.key)
         self._count(ClaimOutcome.RELEASED)
         claim.row.state = pb.CLAIM_STATE_RELEASED
-        await self._finish(claim)
+        await self._record_outcome(claim)
 
-    async def retry_unfinished(self) -> None:
-        """Write outcomes again that the table did not take.
+    async def retry_unrecorded(self) -> None:
+        """Retry the outcome writes that failed.
 
-        To be called a few times a second; stops at the first failure.
+        Must be called a few times per second; stops at the first failure.
         """
-        for _ in range(len(self._unfinished)):
-            claim = self._unfinished.popleft()
-            self.pending += 1
+        for _ in range(len(self._unrecorded)):
+            claim = self._unrecorded.popleft()
+            self.pending_writes += 1
             if not await self._write_outcome(claim):
                 return
 
-    def leave(self, claim: HeldClaim) -> None:
-        """Keep the claim of a call that may have run."""
-        self._memory.end(claim.key, None)
+    def keep_unknown(self, claim: HeldClaim) -> None:
+        """Keep the claim of a call with an unknown outcome."""
+        self._cache.finish(claim.key, None)
 
     async def _claim_row(self, call: Call, claim: HeldClaim) -> None:
         try:
@@ -172,53 +173,60 @@
                 f"the request cannot be claimed: {exc.message}"
             ) from exc
         except curio.CancelledError:
-            await self._start_release(claim)
+            await self._spawn_release(claim)
             raise
         found = pb.Claim.FromString(row.value)
         if found.token == claim.row.token:
             claim.version = row.version
             self._count(ClaimOutcome.CLAIMED)
             return
-        claim.response = self._judge(
+        claim.response = self._replay_or_raise(
             call,
             found.fingerprint,
             _make_response(found),
             found.state == pb.CLAIM_STATE_ANSWERED,
         )
-        self._memory.end(claim.key, claim.response)
+        self._cache.finish(claim.key, claim.response)
 
-    def _judge(
+    def _replay_or_raise(
         self,
         call: Call,
         fingerprint: bytes,
         response: HttpResponse | None,
-        answered: bool,
+        was_answered: bool,
     ) -> HttpResponse:
         if fingerprint != digest_request(call):
             self._count(ClaimOutcome.MISMATCH)
             raise NotRunError(
-                "the idempotency key belongs to another request",
+                "the idempotency key was used for another request",
                 ErrorCode.CONFLICT,
             )
-        if not answered or response is None:
+        if not was_answered or response is None:
             self._count(ClaimOutcome.IN_DOUBT)
-            raise UnknownRunError("a request with this key may have run")
+            raise UnknownRunError(
+                "a request with this idempotency key may have run"
+            )
         self._count(ClaimOutcome.REPLAYED)
         return response
 
     async def _write_claim(self, claim: HeldClaim) -> Row:
-        """Return the row that stands after writing the claim."""
+        """Write the claim unless the key is claimed; return the key's row."""
         version = 0
         for _ in range(WRITE_ATTEMPTS):
             row = await self._put(claim, version)
-            if row is not None and not _is_free(row):
+            if row is not None and not _is_released(row):
                 return row
             version = row.version if row is not None else 0
-        raise UnavailableError("the claim could not be written")
+        raise UnavailableError(
+            f"the claim was not written after {WRITE_ATTEMPTS} attempts"
+        )
 
     async def _put(self, claim: HeldClaim, version: int) -> Row | None:
-        """Return the row after a write at a version, whoever wrote it."""
-        claim.may_exist = True
+        """Write the row at a version; return the row then in the table.
+
+        After a conflict or an unknown outcome, the row may be another's.
+        """
+        claim.row_may_exist = True
         value = claim.row.SerializeToString()
         try:
             return await self._table.put_if(claim.key, value, version)
@@ -229,35 +237,39 @@
             pass
         return await self._table.get(claim.key)
 
-    async def _finish(self, claim: HeldClaim) -> None:
-        """Write the outcome; go on when the caller goes meanwhile."""
-        if claim.may_exist:
-            task = await self._start_finish(claim)
+    async def _record_outcome(self, claim: HeldClaim) -> None:
+        """Write the outcome; cancelling the call does not stop the write."""
+        if claim.row_may_exist:
+            task = await self._spawn_outcome_write(claim)
             await task.join()
 
-    async def _start_release(self, claim: HeldClaim) -> None:
-        if claim.may_exist:
+    async def _spawn_release(self, claim: HeldClaim) -> None:
+        if claim.row_may_exist:
             claim.row.state = pb.CLAIM_STATE_RELEASED
-            await self._start_finish(claim)
+            await self._spawn_outcome_write(claim)
 
-    async def _start_finish(self, claim: HeldClaim) -> curio.Task:
-        self.pending += 1
+    async def _spawn_outcome_write(self, claim: HeldClaim) -> curio.Task:
+        self.pending_writes += 1
         return await curio.spawn(self._write_outcome, claim, daemon=True)
 
     async def _write_outcome(self, claim: HeldClaim) -> bool:
-        """Write the outcome; keep it for later and return False if not."""
+        """Write the outcome; on failure, queue it and return False."""
         try:
             if claim.version is None:
-                claim.version = await self._find_version(claim)
+                claim.version = await self._read_own_version(claim)
             if claim.version is not None:
                 await self._write_at_version(claim, claim.version)
         except PlatformError as exc:
             self._count(ClaimOutcome.UNRECORDED)
-            self._unfinished.append(claim)
-            log_event("claim not updated", key=claim.key, error=exc.message)
+            self._unrecorded.append(claim)
+            log_event(
+                "claim outcome not written; queued for retry",
+                key=claim.key,
+                error=exc.message,
+            )
             return False
         finally:
-            self.pending -= 1
+            self.pending_writes -= 1
         return True
 
     async def _write_at_version(self, claim: HeldClaim, version: int) -> None:
@@ -267,12 +279,15 @@
                 return
             if row is not None and row.version != version:
                 return
-        raise UnavailableError("the outcome could not be written")
+        raise UnavailableError(
+            f"the outcome was not written after {OUTCOME_ATTEMPTS} attempts"
+        )
 
-    async def _find_version(self, claim: HeldClaim) -> int | None:
+    async def _read_own_version(self, claim: HeldClaim) -> int | None:
         row = await self._table.get(claim.key)
         if row is None:
-            # A late write of the claim then finds a row and conflicts.
+            # Writing the outcome as a new row makes a delayed write of the
+            # claim conflict.
             return 0
         found = pb.Claim.FromString(row.value)
         return row.version if found.token == claim.row.token else None
@@ -281,8 +296,8 @@
         self._metrics.claims[outcome.value] += 1
 
 
-def wants_claim(call: Call) -> bool:
-    """Tell whether a call runs only under a claim."""
+def needs_claim(call: Call) -> bool:
+    """Return whether a call must be claimed before it runs."""
     if call.repeatable or not call.idempotency_key:
         return False
     return call.claims is not ClaimMode.NONE
@@ -296,7 +311,7 @@
 
 
 def digest_request(call: Call) -> bytes:
-    """Return a digest that tells requests with one key apart."""
+    """Return a digest that distinguishes requests with the same key."""
     request = call.request
     digest = hashlib.sha256()
     for part in (request.method, request.target, request.body):
@@ -305,7 +320,7 @@
     return digest.digest()
 
 
-def _is_free(row: Row) -> bool:
+def _is_released(row: Row) -> bool:
     state = pb.Claim.FromString(row.value).state
     return state == pb.CLAIM_STATE_RELEASED
 
--- a/libs/traffic/auburnjunction/traffic/meters.py
+++ b/libs/traffic/auburnjunction/traffic/meters.py
@@ -10,10 +10,10 @@
 
 
 class OwnerMetrics:
-    """Counts how calls ended at this node's backend servers.
+    """Counts outcomes of calls to this node's backend servers.
 
-    Plain counts are kept and handed to the metric registry when it is
-    rendered, which keeps label handling off the path of calls.
+    Calls only increment plain counters, which are copied to the metric
+    registry when it is rendered; this keeps label handling off the call path.
     """
 
     def __init__(self, registry: MetricRegistry | None = None):
@@ -38,16 +38,16 @@
         )
         registry.add_collector(self._collect)
 
-    def watch(self, owners: Iterable) -> None:
-        """Report the gauges of these owners from now on."""
+    def set_owners(self, owners: Iterable) -> None:
+        """Set the owners whose gauges are exported."""
         self._owners = owners
 
     def count_answer(self, call: Call) -> None:
-        """Count a call that its backend server answered."""
+        """Count a call that the backend server answered."""
         self.calls[call.service, call.priority, Outcome.OK, OK_CODE] += 1
 
     def count_error(self, call: Call, error: TrafficError) -> None:
-        """Count a call that ended otherwise."""
+        """Count a call that ended with an error."""
         key = (call.service, call.priority, error.outcome, error.code.value)
         self.calls[key] += 1
 
--- a/libs/traffic/auburnjunction/traffic/owners.py
+++ b/libs/traffic/auburnjunction/traffic/owners.py
@@ -1,4 +1,4 @@
-"""The owners of this node's backend servers."""
+"""Registry of the owners of this node's backend servers."""
 
 import math
 from collections.abc import Callable
@@ -13,7 +13,10 @@
 from auburnjunction.traffic.calls import Answer, Call, NotRunError
 from auburnjunction.traffic.claims import ClaimStore
 from auburnjunction.traffic.headers import OWN_NAMES, HeaderNames
-from auburnjunction.traffic.instances import DRAIN_POLL_S, InstanceOwner
+from auburnjunction.traffic.instances import (
+    DRAIN_POLL_INTERVAL_S,
+    InstanceOwner,
+)
 from auburnjunction.traffic.meters import OwnerMetrics
 
 REFUSED_STATES = ("starting", "leaving", "gone")
@@ -22,7 +25,7 @@
 
 
 class OwnerRegistry:
-    """The backend servers of this node, as they announced themselves."""
+    """Owners of this node's backend servers by announced instance."""
 
     def __init__(
         self,
@@ -42,36 +45,36 @@
         self._start_s = clock.monotonic()
         self._owners: dict[str, InstanceOwner] = {}
         # Priorities of the calls that run or wait, by request id.
-        self._running: dict[str, Priority] = {}
+        self._running_priorities: dict[str, Priority] = {}
         self._retired: list[InstanceOwner] = []
-        self._closing = False
-        self._end_s = math.inf
-        metrics.watch(self)
+        self._draining = False
+        self._shutdown_s = math.inf
+        metrics.set_owners(self)
 
     def __iter__(self):
         return iter(self._owners.values())
 
     def get(self, instance: str) -> InstanceOwner | None:
-        """Return the owner of an instance, if it is of this node."""
+        """Return the owner of an instance if it is registered here."""
         return self._owners.get(instance)
 
     def update(self, announcement: Announcement) -> None:
-        """Take in what a backend server announces."""
+        """Apply a backend server's announcement."""
         if announcement.state == "gone":
             self.remove(announcement.instance)
             return
         owner = self._find_owner(announcement)
-        owner.note_announced()
+        owner.clear_misplaced()
         owner.set_capacity(announcement.slots, announcement.connections)
         if announcement.state == "starting":
             owner.restart_ramp()
-        if announcement.state in REFUSED_STATES or self._closing:
+        if announcement.state in REFUSED_STATES or self._draining:
             owner.start_draining()
         else:
             owner.stop_draining()
 
     def remove(self, instance: str) -> None:
-        """Refuse new calls of an instance that has gone."""
+        """Unregister an instance and refuse new calls to it."""
         owner = self._owners.pop(instance, None)
         if owner is not None:
             owner.start_draining()
@@ -83,75 +86,76 @@
         if owner is None or owner.service.name != call.service:
             raise NotRunError(
                 f"instance {instance} of service {call.service} is not "
-                "of this node",
+                "registered at this node",
                 ErrorCode.MISPLACED,
             )
         service = self._find_service(call.service)
         if service is not None and service is not owner.service:
             owner.set_service(service)
-        self._running[call.request_id] = call.priority
+        self._running_priorities[call.request_id] = call.priority
         try:
             return await owner.run_call(call)
         finally:
-            self._running.pop(call.request_id, None)
+            self._running_priorities.pop(call.request_id, None)
 
     def find_parent(self, request_id: str) -> Priority | None:
-        """Return the priority of the request that a call is made for.
+        """Return the priority of a nested call's parent request.
 
-        None means that it is made for none that runs here.
+        Return None if the parent does not run at this node.
         """
         mark = self._names.nesting_mark
         if not mark:
             return None
-        return self._running.get(request_id.rpartition(mark)[0])
+        return self._running_priorities.get(request_id.rpartition(mark)[0])
 
-    def set_end(self, end_s: float) -> None:
-        """Take only calls that will most likely end by then.
+    def set_end(self, shutdown_s: float) -> None:
+        """Refuse calls that may still run at this monotonic time.
 
-        The node ends at that time of the clock; until it drains, its
-        backend servers stay in use.
+        The node shuts down then. Until it drains, its backend servers
+        still serve the calls that will most likely have ended.
         """
-        self._end_s = end_s
+        self._shutdown_s = shutdown_s
         for owner in self._owners.values():
-            owner.set_end(end_s)
+            owner.set_shutdown_time(shutdown_s)
 
     async def drain(self, limit_s: float) -> int:
-        """Refuse new calls and wait; return how many remain in flight."""
-        self._closing = True
+        """Refuse new calls and wait; return how many are still in flight."""
+        self._draining = True
         owners = [*self._owners.values(), *self._retired]
         for owner in owners:
             owner.start_draining()
         end_s = self._clock.monotonic() + limit_s
         while self.in_flight and self._clock.monotonic() < end_s:
             await self.sweep()
-            await self._clock.sleep(DRAIN_POLL_S)
+            await self._clock.sleep(DRAIN_POLL_INTERVAL_S)
         await self.sweep()
         return self.in_flight
 
     @property
     def in_flight(self) -> int:
-        """Calls that run or wait, and claims still being written."""
+        """Number of running and waiting calls and pending claim writes."""
         owners = [*self._owners.values(), *self._retired]
-        pending = self._claims.pending if self._claims else 0
-        return pending + sum(o.running + o.waiting for o in owners)
+        pending_writes = self._claims.pending_writes if self._claims else 0
+        return pending_writes + sum(o.running + o.waiting for o in owners)
 
     async def probe(self) -> None:
-        """Ask suspect backend servers for a sign of life.
+        """Probe suspect backend servers.
 
-        To be called a few times a second.
+        Must be called a few times per second.
         """
         for owner in list(self._owners.values()):
             await owner.probe()
 
     async def sweep(self) -> None:
-        """Refuse waiting calls that may not start; close what is unused.
+        """Refuse overdue waiting calls and retry claim writes.
 
-        To be called a few times a second.
+        Also close unused connections and drop retired owners without calls.
+        Must be called a few times per second.
         """
         for owner in [*self._owners.values(), *self._retired]:
             await owner.sweep()
         if self._claims is not None:
-            await self._claims.retry_unfinished()
+            await self._claims.retry_unrecorded()
         self._retired = [
             owner for owner in self._retired if owner.running + owner.waiting
         ]
@@ -160,9 +164,10 @@
         address = parse_address(announcement.address)
         name = announcement.instance
         current = self._owners.get(name)
-        # One whose lease lapsed may still have calls in its slots.
-        known = [*([current] if current else []), *self._retired]
-        for owner in known:
+        # An owner retired when its lease expired may still have calls in
+        # its slots.
+        candidates = [*([current] if current else []), *self._retired]
+        for owner in candidates:
             if _is_owner_of(owner, announcement, address):
                 if owner is not current:
                     self._retired.remove(owner)
@@ -170,12 +175,12 @@
                 return owner
         if current is not None:
             self.remove(name)
-        cold = current is not None or self._counts_as_fresh()
+        cold = current is not None or self._counts_as_cold_start()
         owner = self._make_owner(announcement, address, cold)
         self._owners[name] = owner
         return owner
 
-    def _counts_as_fresh(self) -> bool:
+    def _counts_as_cold_start(self) -> bool:
         age_s = self._clock.monotonic() - self._start_s
         return age_s >= self._cfg.ramp_node_age_s
 
@@ -196,7 +201,7 @@
             cold,
             self._names,
         )
-        owner.set_end(self._end_s)
+        owner.set_shutdown_time(self._shutdown_s)
         return owner
 
 
--- a/libs/traffic/auburnjunction/traffic/queues.py
+++ b/libs/traffic/auburnjunction/traffic/queues.py
@@ -1,4 +1,4 @@
-"""Bounded queues of calls that wait for a slot."""
+"""Bounded queues of calls waiting for a slot."""
 
 from collections import OrderedDict
 from enum import Enum, auto
@@ -16,20 +16,22 @@
 )
 from auburnjunction.traffic.calls import NotRunError
 
-# Starts that a priority may save up while none of its tickets wait.
-MAX_CREDIT = 2.0
-# Places that a guaranteed share keeps in a queue long enough for them.
-LEAST_PLACES = 4
+# Upper bound of a priority's credit, which it also accumulates while none of
+# its tickets wait.
+MAX_CREDIT_STARTS = 2.0
+# Minimum number of places reserved for a guaranteed share, unless
+# an eighth of the queue is less.
+MIN_RESERVED_PLACES = 4
 
 
 class QueueFullError(NotRunError):
-    """The queue holds no place for a call of this priority."""
+    """The queue has no place for a call of this priority."""
 
     code = ErrorCode.OVERLOADED
 
 
 class TicketState(Enum):
-    """What became of a waiting call."""
+    """Whether a ticket waits, was granted a slot or was refused."""
 
     WAITING = auto()
     GRANTED = auto()
@@ -38,33 +40,33 @@
 
 @attrs.define(eq=False, slots=True)
 class Ticket:
-    """One call that waits; the event is set when its state changes."""
+    """A waiting call; the event is set when its state changes."""
 
     priority: Priority
     latest_start_s: float = float("inf")
-    # Whether the call is made for a request that has begun already.
+    # Whether the call is made for a request that is already running.
     nested: bool = False
-    # When it began to wait, and for how long the queue suggested.
+    # When the call was queued, and the wait estimated from the queue then.
     queued_s: float = 0.0
-    expected_s: float = 0.0
+    expected_wait_s: float = 0.0
     state: TicketState = TicketState.WAITING
     error: NotRunError | None = None
     event: curio.Event = attrs.field(factory=curio.Event)
 
 
 class WaitQueue(Protocol):
-    """Waiting tickets in the order in which they get slots."""
+    """Waiting tickets in the order in which they are granted slots."""
 
     def __len__(self) -> int:
         """Return the number of waiting tickets."""
 
     def set_limit(self, limit: int) -> None:
-        """Change how many tickets may wait; those that wait stay."""
+        """Change the queue limit; tickets already waiting are kept."""
 
     def push(self, ticket: Ticket) -> Ticket | None:
         """Add a ticket and return the one evicted for it, if any.
 
-        Raise QueueFullError when there is no place for it.
+        Raise QueueFullError when the queue is full and none can be evicted.
         """
 
     def pop(self) -> Ticket:
@@ -74,14 +76,14 @@
         """Remove a waiting ticket."""
 
     def count_ahead(self, ticket: Ticket) -> float:
-        """Return how many starts come before a new ticket, at best."""
+        """Return how many starts precede a new ticket if none overtakes it."""
 
     def count(self, priority: Priority) -> int:
         """Return the number of waiting tickets of a priority."""
 
 
 class FifoQueue:
-    """Tickets in the order of arrival, without regard to priority."""
+    """Tickets in the order of arrival, regardless of priority."""
 
     def __init__(self, limit: int):
         self._limit = limit
@@ -91,18 +93,18 @@
         return len(self._tickets)
 
     def set_limit(self, limit: int) -> None:
-        """Change how many tickets may wait; those that wait stay."""
+        """Change the queue limit; tickets already waiting are kept."""
         self._limit = limit
 
     def push(self, ticket: Ticket) -> Ticket | None:
         """Add a ticket; raise QueueFullError when the queue is full."""
         if len(self._tickets) >= self._limit:
-            raise QueueFullError("the queue is full")
+            raise QueueFullError(f"the queue is full (limit {self._limit})")
         self._tickets[ticket] = None
         return None
 
     def pop(self) -> Ticket:
-        """Remove and return the ticket that came first."""
+        """Remove and return the oldest ticket."""
         return self._tickets.popitem(last=False)[0]
 
     def remove(self, ticket: Ticket) -> None:
@@ -110,7 +112,7 @@
         del self._tickets[ticket]
 
     def count_ahead(self, ticket: Ticket) -> float:
-        """Return the number of all waiting tickets."""
+        """Return the number of waiting tickets; all precede a new one."""
         return len(self._tickets)
 
     def count(self, priority: Priority) -> int:
@@ -119,51 +121,51 @@
 
 
 class Lane:
-    """Tickets of one priority; nested calls come before new work."""
+    """Tickets of one priority; nested calls precede top-level calls."""
 
     def __init__(self):
         self._nested: OrderedDict[Ticket, None] = OrderedDict()
-        self._fresh: OrderedDict[Ticket, None] = OrderedDict()
+        self._top_level: OrderedDict[Ticket, None] = OrderedDict()
 
     def __len__(self) -> int:
-        return len(self._nested) + len(self._fresh)
+        return len(self._nested) + len(self._top_level)
 
     @property
-    def has_fresh(self) -> bool:
-        """Whether new work waits."""
-        return bool(self._fresh)
+    def has_top_level(self) -> bool:
+        """Whether any top-level call waits."""
+        return bool(self._top_level)
 
     def push(self, ticket: Ticket) -> None:
-        """Add a ticket behind those of its kind."""
-        self._part(ticket)[ticket] = None
+        """Add a ticket behind the other nested or top-level ones."""
+        self._tickets_like(ticket)[ticket] = None
 
     def pop_first(self) -> Ticket:
         """Remove and return the next ticket."""
-        return (self._nested or self._fresh).popitem(last=False)[0]
+        return (self._nested or self._top_level).popitem(last=False)[0]
 
     def pop_last(self) -> Ticket:
-        """Remove and return the ticket that can best be done without."""
-        return (self._fresh or self._nested).popitem(last=True)[0]
+        """Remove and return the ticket to evict first."""
+        return (self._top_level or self._nested).popitem(last=True)[0]
 
     def remove(self, ticket: Ticket) -> None:
         """Remove a ticket."""
-        del self._part(ticket)[ticket]
+        del self._tickets_like(ticket)[ticket]
 
     def count_ahead(self, ticket: Ticket) -> int:
-        """Return how many of the lane would come before a new ticket."""
+        """Return how many tickets of the lane precede a new ticket."""
         return len(self._nested) if ticket.nested else len(self)
 
-    def _part(self, ticket: Ticket) -> OrderedDict[Ticket, None]:
-        return self._nested if ticket.nested else self._fresh
+    def _tickets_like(self, ticket: Ticket) -> OrderedDict[Ticket, None]:
+        return self._nested if ticket.nested else self._top_level
 
 
 class PriorityQueue:
-    """Tickets by priority, with a guaranteed share for each lower one.
+    """Tickets by priority, with a guaranteed share for each lower priority.
 
-    While more urgent tickets wait, each start earns a lower priority
-    credit in the size of its share; a whole credit buys the next start.
-    The share also keeps places in a full queue, else a flood of urgent
-    calls would evict all others before their turn.
+    While more urgent tickets wait, each start adds a lower priority's share
+    to its credit; a credit of at least 1 is spent on the next start. The
+    share also reserves places in the queue, because otherwise a flood of
+    urgent calls would evict all others before they could start.
     """
 
     def __init__(self, limit: int, shares: PriorityShares | None):
@@ -180,17 +182,17 @@
         return self._size
 
     def set_limit(self, limit: int) -> None:
-        """Change how many tickets may wait; those that wait stay."""
+        """Change the queue limit; tickets already waiting are kept."""
         self._limit = limit
-        self._kept_places = {
-            priority: _count_kept_places(share, limit)
+        self._reserved_places = {
+            priority: _count_reserved_places(share, limit)
             for priority, share in self._shares.items()
         }
 
     def push(self, ticket: Ticket) -> Ticket | None:
         """Add a ticket and return the one evicted for it, if any.
 
-        Raise QueueFullError when no less urgent ticket can be evicted.
+        Raise QueueFullError when the queue is full and none can be evicted.
         """
         evicted = None
         if self._size >= self._limit:
@@ -201,7 +203,7 @@
 
     def pop(self) -> Ticket:
         """Remove and return the next ticket; the queue is not empty."""
-        priority = self._pick()
+        priority = self._select_priority()
         ticket = self._lanes[priority].pop_first()
         self._size -= 1
         return ticket
@@ -212,7 +214,7 @@
         self._size -= 1
 
     def count_ahead(self, ticket: Ticket) -> float:
-        """Return how many starts come before a new ticket, at best."""
+        """Return how many starts precede a new ticket if none overtakes it."""
         priority = ticket.priority
         ahead = sum(
             len(lane)
@@ -229,48 +231,48 @@
         """Return the number of waiting tickets of a priority."""
         return len(self._lanes[priority])
 
-    def _pick(self) -> Priority:
+    def _select_priority(self) -> Priority:
         waiting = [p for p, lane in self._lanes.items() if lane]
-        first = waiting[0]
+        most_urgent = waiting[0]
         for priority in Priority:
-            if priority > first:
+            if priority > most_urgent:
                 credit = self._credits[priority] + self._shares[priority]
-                self._credits[priority] = min(credit, MAX_CREDIT)
+                self._credits[priority] = min(credit, MAX_CREDIT_STARTS)
         if len(waiting) == 1:
-            return first
-        richest = max(waiting[1:], key=self._credits.__getitem__)
-        if self._credits[richest] < 1.0:
-            return first
-        self._credits[richest] -= 1.0
-        return richest
+            return most_urgent
+        highest = max(waiting[1:], key=self._credits.__getitem__)
+        if self._credits[highest] < 1.0:
+            return most_urgent
+        self._credits[highest] -= 1.0
+        return highest
 
     def _evict_for(self, ticket: Ticket) -> Ticket:
         priority = ticket.priority
-        keeps_place = self._size_beyond_share(priority) < 0
+        has_reserved_place = self._excess_over_reserved(priority) < 0
         for other in reversed(Priority):
-            if other <= priority and not keeps_place:
+            if other <= priority and not has_reserved_place:
                 break
-            if other is not priority and self._size_beyond_share(other) > 0:
+            if other is not priority and self._excess_over_reserved(other) > 0:
                 ticket = self._lanes[other].pop_last()
                 self._size -= 1
                 return ticket
-        if ticket.nested and self._lanes[priority].has_fresh:
+        if ticket.nested and self._lanes[priority].has_top_level:
             self._size -= 1
             return self._lanes[priority].pop_last()
-        raise QueueFullError("the queue is full")
+        raise QueueFullError(f"the queue is full (limit {self._limit})")
 
-    def _size_beyond_share(self, priority: Priority) -> int:
-        return len(self._lanes[priority]) - self._kept_places[priority]
+    def _excess_over_reserved(self, priority: Priority) -> int:
+        return len(self._lanes[priority]) - self._reserved_places[priority]
 
 
-def _count_kept_places(share: float, limit: int) -> int:
+def _count_reserved_places(share: float, limit: int) -> int:
     if not share:
         return 0
-    return max(1, int(share * limit), min(LEAST_PLACES, limit // 8))
+    return max(1, int(share * limit), min(MIN_RESERVED_PLACES, limit // 8))
 
 
 def make_queue(cfg: AdmissionSettings, limit: int) -> WaitQueue:
-    """Return an empty queue of the discipline that the settings name."""
+    """Return an empty queue with the configured discipline."""
     match cfg.discipline:
         case Discipline.FIFO:
             return FifoQueue(limit)
--- a/libs/traffic/auburnjunction/traffic/slots.py
+++ b/libs/traffic/auburnjunction/traffic/slots.py
@@ -1,4 +1,4 @@
-"""Slots of one backend server, and the calls that hold or await them."""
+"""Admission of calls to the slots of one backend server."""
 
 import math
 import random
@@ -20,13 +20,13 @@
 )
 from auburnjunction.traffic.waits import WaitEstimator
 
-# Deviations above the mean that a call's duration is taken to have where
-# it must end before the node does.
-END_DEVIATIONS = 4.0
+# Number of mean deviations added to the mean duration of a call when checking
+# that it will end before the node shuts down.
+SHUTDOWN_DEVIATIONS = 4.0
 
 
-class SlotGate:
-    """Grants the slots of one backend server, each to one call."""
+class AdmissionController:
+    """Admits calls to one backend server; each holds a slot while it runs."""
 
     def __init__(
         self,
@@ -41,9 +41,9 @@
         self._clock = clock
         self._queue: WaitQueue = make_queue(cfg, queue_limit)
         self._draining_since_s: float | None = None
-        self._end_s = math.inf
+        self._shutdown_s = math.inf
         self._random = random.Random()
-        self._waits = WaitEstimator()
+        self._wait_estimator = WaitEstimator()
 
     @property
     def waiting(self) -> int:
@@ -56,33 +56,33 @@
         return self._draining_since_s is not None
 
     def set_queue_limit(self, queue_limit: int) -> None:
-        """Change how many calls may wait; those that wait stay."""
+        """Change the queue limit; calls already waiting are kept."""
         self._queue.set_limit(queue_limit)
 
-    def set_end(self, end_s: float) -> None:
-        """Refuse calls that may not have ended by a time of the clock."""
-        self._end_s = end_s
+    def set_shutdown_time(self, shutdown_s: float) -> None:
+        """Refuse calls that may still run at this monotonic time."""
+        self._shutdown_s = shutdown_s
 
     def start_draining(self) -> None:
-        """Refuse new calls from now on."""
+        """Refuse new calls."""
         if self._draining_since_s is None:
             self._draining_since_s = self._clock.monotonic()
 
     def stop_draining(self) -> None:
-        """Take new calls again."""
+        """Admit new calls again."""
         self._draining_since_s = None
 
     @asynccontextmanager
     async def hold_slot(self, call: Call):
-        """Hold a slot for the length of the block.
+        """Hold a slot for the duration of the block.
 
-        Raise NotRunError when none is granted in time.
+        Raise NotRunError if the call is refused.
         """
-        await self._enter(call)
+        await self._acquire(call)
         try:
             yield
         except (curio.CancelledError, UnknownRunError):
-            await self._release_late()
+            await self._release_after_grace()
             raise
         except BaseException:
             await self._release()
@@ -90,15 +90,15 @@
         await self._release()
 
     async def refuse_waiting(self) -> None:
-        """Refuse the calls that wait, if draining forbids their start."""
-        while self._queue and self._is_start_forbidden():
+        """Refuse all waiting calls if the drain start limit has passed."""
+        while self._queue and self._is_past_drain_start_limit():
             await self._refuse(self._queue.pop(), *_DRAINING)
 
-    async def _enter(self, call: Call) -> None:
+    async def _acquire(self, call: Call) -> None:
         now_s = self._clock.monotonic()
-        if self.draining or self._ends_too_late(call, now_s):
+        if self.draining or self._may_outlast_node(call, now_s):
             raise NotRunError(*_DRAINING)
-        duration_s = self._estimate(call, now_s)
+        duration_s = self._estimate_duration(call, now_s)
         ticket = Ticket(
             call.priority,
             self._find_latest_start(call, duration_s),
@@ -106,8 +106,8 @@
         )
         if now_s > ticket.latest_start_s:
             raise NotRunError(
-                f"takes about {duration_s:.3f} s, and "
-                f"{call.deadline_s - now_s:.3f} s are left",
+                f"estimated duration {duration_s:.3f} s exceeds the "
+                f"{call.deadline_s - now_s:.3f} s left to the deadline",
                 ErrorCode.TIMEOUT,
             )
         if not self._queue and self.running < self._limit.value:
@@ -124,19 +124,20 @@
         if evicted is not None:
             await self._refuse(evicted, *_EVICTED)
         await self._dispatch()
-        await self._wait(ticket, ticket.latest_start_s - now_s)
+        await self._wait_for_slot(ticket, ticket.latest_start_s - now_s)
 
-    def _ends_too_late(self, call: Call, now_s: float) -> bool:
-        if self._end_s == math.inf:
+    def _may_outlast_node(self, call: Call, now_s: float) -> bool:
+        if self._shutdown_s == math.inf:
             return False
         duration_s = self._limit.times.estimate(
-            call.route, END_DEVIATIONS, now_s
+            call.route, SHUTDOWN_DEVIATIONS, now_s
         )
-        return now_s + duration_s > self._end_s
+        return now_s + duration_s > self._shutdown_s
 
-    def _estimate(self, call: Call, now_s: float) -> float:
+    def _estimate_duration(self, call: Call, now_s: float) -> float:
         if not self.running:
-            # An idle backend server shows whether the estimate still holds.
+            # While the backend server is idle, admit the call, so that its
+            # duration updates an estimate that may be outdated.
             return 0.0
         return self._limit.times.estimate(
             call.route, self._cfg.deadline_deviations, now_s
@@ -148,34 +149,39 @@
         return call.deadline_s - duration_s
 
     def _check_wait(self, call: Call, ticket: Ticket, now_s: float) -> None:
-        """Refuse a call that would wait for too long.
+        """Refuse a call that would wait too long.
 
-        Under lasting overload a queue that serves every call late serves
-        no more of them than one that serves fewer in time.
+        Under sustained overload, a queue that serves every call late has no
+        higher throughput than one that serves fewer calls in time.
         """
         ahead = self._queue.count_ahead(ticket)
-        # One more call must end before the first that waits starts.
-        turn_s = self._limit.times.mean_s / self._limit.value
-        ticket.queued_s, ticket.expected_s = now_s, (ahead + 1) * turn_s
-        wait_s = ticket.expected_s * self._waits.correction(now_s)
+        # A running call must end before the first waiting call starts.
+        slot_interval_s = self._limit.times.mean_s / self._limit.value
+        ticket.queued_s, ticket.expected_wait_s = (
+            now_s,
+            (ahead + 1) * slot_interval_s,
+        )
+        wait_s = ticket.expected_wait_s * self._wait_estimator.correction(
+            now_s
+        )
         latest_s = ticket.latest_start_s
         if not self._cfg.late_waits and not call.nested:
-            latest_s = min(latest_s, self._find_latest_wait(call, now_s))
+            latest_s = min(latest_s, self._find_objective_start(call, now_s))
         excess_s = now_s + wait_s - latest_s
         if excess_s > 0:
             raise NotRunError(
-                f"would wait about {wait_s:.3f} s behind {ahead:.0f} of "
-                f"{len(self._queue)} calls, {excess_s:.3f} s too long; "
-                f"{self.running} of {self._limit.value} slots are held",
+                f"estimated wait {wait_s:.3f} s behind {ahead:.0f} of "
+                f"{len(self._queue)} calls is {excess_s:.3f} s too long; "
+                f"{self.running} of {self._limit.value} slots in use",
                 ErrorCode.TIMEOUT,
                 self._find_retry_after(excess_s),
             )
 
-    def _find_latest_wait(self, call: Call, now_s: float) -> float:
-        """Return when a call must start to meet its objective, most likely.
+    def _find_objective_start(self, call: Call, now_s: float) -> float:
+        """Return the latest start that likely meets the latency objective.
 
-        Under overload the queue grows to whatever is let in, so that
-        without a margin every second call would be late.
+        Under overload the queue grows until its wait reaches the admitted
+        maximum, so without a margin every second call would be late.
         """
         duration_s = self._limit.times.estimate(
             call.route, self._cfg.objective_deviations, now_s
@@ -183,14 +189,15 @@
         return call.target_s - duration_s
 
     def _find_retry_after(self, excess_s: float) -> float:
-        """Return when the queue will have room, spread over callers.
+        """Return a delay after which the queue should have room.
 
-        A caller that comes back too early has spent its retry.
+        It is jittered, to spread the retries of different callers. A caller
+        that retries too early has used up its retry.
         """
         wait_s = excess_s + self._limit.times.mean_s
         return wait_s * self._random.uniform(0.5, 1.5)
 
-    async def _wait(self, ticket: Ticket, limit_s: float) -> None:
+    async def _wait_for_slot(self, ticket: Ticket, limit_s: float) -> None:
         try:
             if limit_s == float("inf"):
                 await ticket.event.wait()
@@ -198,15 +205,15 @@
                 async with curio.ignore_after(limit_s):
                     await ticket.event.wait()
         except curio.CancelledError:
-            await self._abandon(ticket)
+            await self._withdraw(ticket)
             raise
         if ticket.state is TicketState.WAITING:
-            await self._abandon(ticket)
+            await self._withdraw(ticket)
             raise NotRunError(*_TOO_LATE)
         if ticket.error is not None:
             raise ticket.error
 
-    async def _abandon(self, ticket: Ticket) -> None:
+    async def _withdraw(self, ticket: Ticket) -> None:
         if ticket.state is TicketState.WAITING:
             self._queue.remove(ticket)
             ticket.state = TicketState.REFUSED
@@ -217,10 +224,11 @@
         self.running -= 1
         await self._dispatch()
 
-    async def _release_late(self) -> None:
-        """Give the slot back when the backend server has stopped too.
+    async def _release_after_grace(self) -> None:
+        """Release the slot after a grace period.
 
-        It notices only after a while that a connection was closed.
+        The backend server keeps running the call until it notices that
+        the connection was closed.
         """
         grace_s = min(self._cfg.cancel_grace_s, self._limit.times.mean_s)
         if grace_s:
@@ -238,8 +246,10 @@
         while self._queue and self.running < self._limit.value:
             ticket = self._queue.pop()
             if not ticket.nested:
-                seen_s = now_s - ticket.queued_s
-                self._waits.learn(ticket.expected_s, seen_s, now_s)
+                waited_s = now_s - ticket.queued_s
+                self._wait_estimator.record_wait(
+                    ticket.expected_wait_s, waited_s, now_s
+                )
             if now_s > ticket.latest_start_s:
                 await self._refuse(ticket, *_TOO_LATE)
                 continue
@@ -254,7 +264,7 @@
         ticket.error = NotRunError(message, code)
         await ticket.event.set()
 
-    def _is_start_forbidden(self) -> bool:
+    def _is_past_drain_start_limit(self) -> bool:
         if self._draining_since_s is None:
             return False
         age_s = self._clock.monotonic() - self._draining_since_s
@@ -264,4 +274,7 @@
 _DRAINING = ("the backend server is draining", ErrorCode.DRAINING)
 _TOO_LATE = ("the call cannot end by its deadline", ErrorCode.TIMEOUT)
 _BUSY = ("no slot is free", ErrorCode.BUSY)
-_EVICTED = ("a more urgent call took the place", ErrorCode.OVERLOADED)
+_EVICTED = (
+    "evicted from the queue by a more urgent call",
+    ErrorCode.OVERLOADED,
+)
--- a/libs/traffic/auburnjunction/traffic/tests/claim_support.py
+++ b/libs/traffic/auburnjunction/traffic/tests/claim_support.py
@@ -1,4 +1,4 @@
-"""Claim stores, calls and faulty tables for the tests of claims."""
+"""Claim stores, calls and faulty tables for testing claims."""
 
 import random
 
@@ -23,7 +23,7 @@
 
 REQUIRED = ClaimMode.REQUIRED
 BEST_EFFORT = ClaimMode.BEST_EFFORT
-KEYS = 25
+KEY_COUNT = 25
 
 
 async def try_claim(store, call):
@@ -35,23 +35,23 @@
 
 
 class FaultyTable(MemoryTable):
-    """Table that fails by a seeded random source."""
+    """Table with random faults from a seeded generator."""
 
     def __init__(self, seed):
         super().__init__()
         self._random = random.Random(seed)
 
     async def get(self, key, timeout_s):
-        await self._pass(UnavailableError("down"))
+        await self._inject_fault(UnavailableError("down"))
         return await super().get(key, timeout_s)
 
     async def put_if(self, key, value, expected_version, timeout_s):
-        await self._pass(UnavailableError("down"))
+        await self._inject_fault(UnavailableError("down"))
         row = await super().put_if(key, value, expected_version, timeout_s)
-        await self._pass(UnknownOutcomeError("lost"))
+        await self._inject_fault(UnknownOutcomeError("lost"))
         return row
 
-    async def _pass(self, error):
+    async def _inject_fault(self, error):
         await curio.sleep(self._random.random() * 0.002)
         if self._random.random() < 0.1:
             raise error
@@ -68,7 +68,7 @@
 
 
 class SlowTable(MemoryTable):
-    """Table whose next writes take effect and answer too late."""
+    """Table whose next writes take effect but answer after the timeout."""
 
     def __init__(self, slow_writes):
         super().__init__()
--- a/libs/traffic/auburnjunction/traffic/tests/owner_support.py
+++ b/libs/traffic/auburnjunction/traffic/tests/owner_support.py
@@ -1,4 +1,4 @@
-"""Backend servers and calls for the tests of the owner side."""
+"""Backend servers and calls for testing the owner side."""
 
 from collections import Counter
 from contextlib import asynccontextmanager
@@ -24,33 +24,33 @@
 
 @attrs.define
 class BackendServer:
-    """In-process backend server that records what it ran.
+    """In-process backend server that records the requests it ran.
 
-    Requests wait for the gate to open; then for the service time.
+    Each request waits for the gate to open, then for the service time.
     """
 
     service_time_s: float = 0.0
     headers: list = attrs.field(factory=list)
     status: int = 200
     executed: list[str] = attrs.field(factory=list)
-    seen: list[HttpRequest] = attrs.field(factory=list)
+    requests: list[HttpRequest] = attrs.field(factory=list)
     cancelled: list[str] = attrs.field(factory=list)
     running: int = 0
-    most_running: int = 0
+    max_running: int = 0
     gate: curio.Event = attrs.field(factory=curio.Event)
     port: int = 0
-    # Stands in front of handle, to add faults.
+    # Handler called instead of handle, to inject faults.
     respond: object = None
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
-        """Run one request; answer a probe, which runs nothing."""
+        """Run one request; answer a health probe without recording it."""
         if request.target == DEFAULT_HEALTH_PATH.encode():
             return HttpResponse(200)
         name = (request.header(b"auburn-request-id") or b"").decode()
         self.executed.append(name)
-        self.seen.append(request)
+        self.requests.append(request)
         self.running += 1
-        self.most_running = max(self.most_running, self.running)
+        self.max_running = max(self.max_running, self.running)
         try:
             await self.gate.wait()
             await curio.sleep(self.service_time_s)
--- a/libs/traffic/auburnjunction/traffic/tests/test_claim_outages.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_claim_outages.py
@@ -1,4 +1,4 @@
-"""Claims while the table is down, slow or loses answers."""
+"""Claims while the table is unavailable, slow or loses answers."""
 
 import curio
 import pytest
@@ -7,7 +7,7 @@
 from auburnjunction.storage.tables import (
     UnknownOutcomeError,
 )
-from auburnjunction.traffic.breakers import GuardedTable
+from auburnjunction.traffic.breakers import CircuitBreakerTable
 from auburnjunction.traffic.calls import (
     Answer,
     NotRunError,
@@ -30,19 +30,19 @@
 )
 
 
-def test_table_that_hangs_keeps_one_call_waiting():
+def test_hung_table_blocks_one_call_at_a_time():
     async def main():
         table = MemoryTable()
-        asked, counts = set(), []
+        active, counts = set(), []
 
         async def hang(*_):
             task = await curio.current_task()
-            asked.add(task)
-            counts.append(len(asked))
+            active.add(task)
+            counts.append(len(active))
             try:
                 await curio.sleep(60)
             finally:
-                asked.remove(task)
+                active.remove(task)
 
         table.put_if = table.get = hang
         store = make_store(table, timeout_s=0.03)
@@ -50,7 +50,7 @@
             try_claim, store, make_claimed_call("a", key="a")
         )
         assert isinstance(await refused.join(), NotRunError)
-        await wait_until(lambda: not store.pending)
+        await wait_until(lambda: not store.pending_writes)
         counts.clear()
         async with curio.TaskGroup() as group:
             for key in "bcdefg":
@@ -63,7 +63,7 @@
 
 
 @pytest.mark.parametrize("retry_delay_s", [0.0, 10.0])
-def test_lost_answers_of_the_claim_are_recognized(retry_delay_s):
+def test_own_claim_is_recognized_after_lost_answers(retry_delay_s):
     async def main():
         table = MemoryTable()
         table.lost_answers = 2
@@ -81,7 +81,7 @@
 @pytest.mark.parametrize(
     ("claims", "runs"), [(REQUIRED, []), (BEST_EFFORT, ["a"])]
 )
-def test_table_down(claims, runs):
+def test_calls_while_the_table_is_unavailable(claims, runs):
     async def main():
         table = MemoryTable()
         table.available = False
@@ -91,22 +91,22 @@
             call = make_claimed_call("a", claims)
             first = await curio.spawn(try_call, owner, call)
             await wait_until(lambda: backend.executed == runs)
-            crossing = await try_call(owner, make_claimed_call("b", claims))
+            concurrent = await try_call(owner, make_claimed_call("b", claims))
             await backend.gate.set()
             result = await first.join()
             after = await try_call(owner, make_claimed_call("c", claims))
         assert backend.executed == runs
         if claims is REQUIRED:
-            for refused in (crossing, result, after):
+            for refused in (concurrent, result, after):
                 assert isinstance(refused, NotRunError)
         else:
-            assert isinstance(crossing, UnknownRunError)
+            assert isinstance(concurrent, UnknownRunError)
             assert after.response == result.response
 
     curio.run(main)
 
 
-def test_release_whose_writes_are_lost_is_written_later():
+def test_release_whose_writes_are_lost_is_retried():
     async def main():
         table = MemoryTable()
         put_if = table.put_if
@@ -122,7 +122,7 @@
         assert isinstance(
             await try_claim(other, make_claimed_call("b")), UnknownRunError
         )
-        await store.retry_unfinished()
+        await store.retry_unrecorded()
         claim = await other.acquire(make_claimed_call("c"))
         assert claim.response is None
 
@@ -140,9 +140,9 @@
             owners = [make_owner(backend.port, claims=s) for s in stores]
             refused = await try_call(owners[0], make_claimed_call("a"))
             assert isinstance(refused, NotRunError)
-            await stores[0].retry_unfinished()
+            await stores[0].retry_unrecorded()
             table.available = True
-            await stores[0].retry_unfinished()
+            await stores[0].retry_unrecorded()
             other = owners[0 if same_node else 1]
             answer = await try_call(other, make_claimed_call("b"))
             assert isinstance(answer, Answer)
@@ -151,11 +151,11 @@
     curio.run(main)
 
 
-def test_write_that_takes_too_long_may_have_taken_effect():
+def test_timed_out_write_has_unknown_outcome():
     async def main():
         table = SlowTable(slow_writes=1)
-        guarded = GuardedTable(table, CLOCK, 0.05, 0.0)
+        breaker_table = CircuitBreakerTable(table, CLOCK, 0.05, 0.0)
         with pytest.raises(UnknownOutcomeError):
-            await guarded.put_if("key", b"value", 0)
+            await breaker_table.put_if("key", b"value", 0)
 
     curio.run(main)
--- a/libs/traffic/auburnjunction/traffic/tests/test_claims.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_claims.py
@@ -26,7 +26,7 @@
 from auburnjunction.traffic.claims import format_key
 from auburnjunction.traffic.tests.claim_support import (
     BEST_EFFORT,
-    KEYS,
+    KEY_COUNT,
     REQUIRED,
     FaultyTable,
     make_claimed_call,
@@ -41,8 +41,8 @@
 )
 
 
-async def send_until_known(owners, key, claims, results):
-    """Act as a caller that retries, on another node each time."""
+async def send_until_answered(owners, key, claims, results):
+    """Retry on alternating nodes until an answer arrives."""
     for attempt in range(4):
         owner = owners[attempt % len(owners)]
         name = f"{key}/{id(owners)}/{attempt}"
@@ -54,7 +54,7 @@
 
 
 def make_faulty_respond(backend, seed):
-    """Shed some requests and lose the answers of others."""
+    """Return a handler that sheds some requests and loses some answers."""
     source = random.Random(seed)
 
     async def respond(request):
@@ -69,7 +69,7 @@
 
 
 async def record_history(seed, claims):
-    """Return the backend server and results of crossing retries."""
+    """Return the backend server and the results of concurrent retries."""
     table = FaultyTable(seed)
     results = []
     service = Service("orders", attempt_timeout_ms=60)
@@ -82,19 +82,19 @@
             for _ in range(2)
         ]
         async with curio.TaskGroup() as group:
-            for number in range(KEYS):
+            for number in range(KEY_COUNT):
                 key = f"key-{number}"
                 for order in (owners, owners[::-1]):
                     await group.spawn(
-                        send_until_known, list(order), key, claims, results
+                        send_until_answered, list(order), key, claims, results
                     )
     return backend, results
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
 @pytest.mark.parametrize("claims", [REQUIRED, ClaimMode.NONE])
-def test_history_of_crossing_retries(seed, claims):
-    """Without claims the same history shows requests that ran twice."""
+def test_concurrent_retries(seed, claims):
+    """Claims prevent duplicate runs; without them, some requests run twice."""
     backend, results = curio.run(record_history, seed, claims)
     executed = set(backend.executed)
     for call, result in results:
@@ -102,15 +102,15 @@
             assert result.response.body == call.request.body
         if isinstance(result, NotRunError):
             assert call.request_id not in executed
-    runs = Counter(request.body for request in backend.seen)
+    runs = Counter(request.body for request in backend.requests)
     assert (max(runs.values()) == 1) is (claims is REQUIRED)
-    assert len(runs) > KEYS / 2
+    assert len(runs) > KEY_COUNT / 2
 
 
 @pytest.mark.parametrize(
     ("same_node", "memory_bytes"), [(True, 10_000), (True, 0), (False, 10_000)]
 )
-def test_second_arrival_gets_the_recorded_answer(same_node, memory_bytes):
+def test_second_call_gets_the_recorded_answer(same_node, memory_bytes):
     async def main():
         table = MemoryTable()
         async with open_backend(status=201) as backend:
@@ -132,7 +132,7 @@
     curio.run(main)
 
 
-def test_second_arrival_gets_no_answer_that_was_too_large_to_keep():
+def test_answer_too_large_to_keep_is_not_replayed():
     async def main():
         table = MemoryTable()
         async with open_backend() as backend:
@@ -162,26 +162,26 @@
     curio.run(main)
 
 
-def test_caller_that_goes_while_the_claim_is_written_leaves_it_free():
+def test_call_cancelled_while_its_claim_is_written_releases_the_key():
     async def main():
         table = FaultyTable(0)
         entered = curio.Event()
-        leave = curio.Event()
+        resume = curio.Event()
 
         async def pause(error):
             if isinstance(error, UnknownOutcomeError):
                 await entered.set()
-                await leave.wait()
+                await resume.wait()
 
-        table._pass = pause
+        table._inject_fault = pause
         store = make_store(table)
         async with open_backend() as backend:
             owner = make_owner(backend.port, claims=store)
             task = await curio.spawn(owner.run_call, make_claimed_call("a"))
             await entered.wait()
             await task.cancel()
-            await leave.set()
-            await wait_until(lambda: not store.pending)
+            await resume.set()
+            await wait_until(lambda: not store.pending_writes)
             assert owner.running == 0
             await owner.run_call(make_claimed_call("b"))
         assert backend.executed == ["b"]
@@ -189,7 +189,7 @@
     curio.run(main)
 
 
-def test_calls_with_one_key_that_waited_together_run_once():
+def test_queued_calls_with_the_same_key_run_once():
     async def main():
         table = MemoryTable()
         table.available = False
@@ -208,7 +208,7 @@
     curio.run(main)
 
 
-def test_keys_of_services_do_not_collide():
+def test_same_key_of_two_services_does_not_collide():
     first, second = make_claimed_call("a"), make_claimed_call("b")
     second.service = "billing"
     assert format_key(first) != format_key(second)
@@ -243,7 +243,10 @@
             assert claim.response.body == claim.key.encode()
 
     @precondition(lambda self: self.held)
-    @rule(data=st.data(), end=st.sampled_from(["record", "leave", "release"]))
+    @rule(
+        data=st.data(),
+        end=st.sampled_from(["record", "keep_unknown", "release"]),
+    )
     def finish(self, data, end):
         index = data.draw(st.integers(0, len(self.held) - 1))
         store, claim = self.held.pop(index)
@@ -252,8 +255,8 @@
             return
         self.runs[claim.key] += 1
         assert self.runs[claim.key] == 1
-        if end == "leave":
-            store.leave(claim)
+        if end == "keep_unknown":
+            store.keep_unknown(claim)
         else:
             response = HttpResponse(200, [], claim.key.encode())
             curio.run(store.record, claim, response)
--- a/libs/traffic/auburnjunction/traffic/tests/test_load_patterns.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_load_patterns.py
@@ -1,6 +1,6 @@
-"""Who waits and who is refused, by the pattern of load; no network.
+"""Admission decisions under different load patterns, without a network.
 
-Each case names the pattern that it answers.
+Each test name states the load pattern or the rule under test.
 """
 
 import attrs
@@ -15,20 +15,20 @@
 from auburnjunction.traffic.calls import NotRunError
 from auburnjunction.traffic.limits import SlotLimit
 from auburnjunction.traffic.queues import Ticket, make_queue
-from auburnjunction.traffic.slots import SlotGate
+from auburnjunction.traffic.slots import AdmissionController
 from auburnjunction.traffic.splits import TrafficSplitter
 from auburnjunction.traffic.tests.owner_support import make_call
 from auburnjunction.traffic.waits import WaitEstimator
 
-EAGER = AdmissionSettings(
+NO_MARGINS = AdmissionSettings(
     adaptive_limit=False, deadline_deviations=0.0, late_waits=False
 )
 
 
-def make_gate(slots=1, cfg=EAGER):
+def make_controller(slots=1, cfg=NO_MARGINS):
     clock = ManualClock()
     limit = SlotLimit(cfg, slots, 100, clock)
-    return SlotGate(cfg, limit, 40, clock), limit, clock
+    return AdmissionController(cfg, limit, 40, clock), limit, clock
 
 
 def make_timed_call(clock, left_s, target_s=None, **fields):
@@ -43,8 +43,8 @@
     )
 
 
-def test_flood_of_low_priority_through_a_shared_service():
-    """A call of a running urgent request goes before waiting new work."""
+def test_nested_call_precedes_top_level_calls_of_a_shared_service():
+    """A nested call of a running urgent request precedes top-level calls."""
     queue = make_queue(AdmissionSettings(), 40)
     for _ in range(10):
         queue.push(Ticket(Priority.LOW))
@@ -56,18 +56,18 @@
     assert queue.pop() is nested
 
 
-def test_full_queue_evicts_new_work_before_nested():
-    """A flood of urgent work displaces what has not begun."""
+def test_full_queue_evicts_top_level_calls_before_nested():
+    """A flood of urgent calls evicts top-level calls first."""
     queue = make_queue(AdmissionSettings(), 2)
     nested = Ticket(Priority.LOW, nested=True)
-    fresh = Ticket(Priority.LOW)
+    top_level = Ticket(Priority.LOW)
     queue.push(nested)
-    queue.push(fresh)
-    assert queue.push(Ticket(Priority.CRITICAL)) is fresh
+    queue.push(top_level)
+    assert queue.push(Ticket(Priority.CRITICAL)) is top_level
 
 
-def test_nested_call_takes_the_place_of_new_work_of_its_priority():
-    """A queue full of equally urgent new work does not fail what runs."""
+def test_nested_call_evicts_a_top_level_call_of_its_priority():
+    """A queue full of top-level calls must not fail running requests."""
     queue = make_queue(AdmissionSettings(), 2)
     queue.push(Ticket(Priority.HIGH))
     last = Ticket(Priority.HIGH)
@@ -77,36 +77,36 @@
 
 
 @pytest.mark.parametrize(
-    ("silence_s", "is_admitted"), [(0.0, False), (10.0, True)]
+    ("idle_s", "is_admitted"), [(0.0, False), (10.0, True)]
 )
-def test_rare_route_after_one_slow_answer(silence_s, is_admitted):
-    """One slow answer of a rare route must not refuse it for good."""
+def test_rare_route_after_one_slow_answer(idle_s, is_admitted):
+    """One slow answer must not cause a rare route to be refused forever."""
 
     async def main():
-        gate, limit, clock = make_gate(slots=2)
+        controller, limit, clock = make_controller(slots=2)
         limit.add_sample("route", 5.0, 1)
-        async with gate.hold_slot(make_timed_call(clock, 100.0)):
-            clock.advance(silence_s)
+        async with controller.hold_slot(make_timed_call(clock, 100.0)):
+            clock.advance(idle_s)
             try:
-                async with gate.hold_slot(make_timed_call(clock, 1.0)):
+                async with controller.hold_slot(make_timed_call(clock, 1.0)):
                     return True
             except NotRunError as exc:
-                assert "takes about 5.000 s" in exc.message
+                assert "estimated duration 5.000 s" in exc.message
                 return False
 
     assert curio.run(main) is is_admitted
 
 
 def test_short_calls_beside_long_ones_of_the_same_priority():
-    """A route is judged by its own durations, not by its neighbours'."""
+    """Durations are estimated per route, not per priority or service."""
 
     async def main():
-        gate, limit, clock = make_gate(slots=2)
+        controller, limit, clock = make_controller(slots=2)
         limit.add_sample("slow", 5.0, 1)
         limit.add_sample("quick", 0.02, 1)
-        async with gate.hold_slot(make_timed_call(clock, 100.0)):
+        async with controller.hold_slot(make_timed_call(clock, 100.0)):
             call = make_timed_call(clock, 1.0, route="quick")
-            async with gate.hold_slot(call):
+            async with controller.hold_slot(call):
                 return True
 
     assert curio.run(main)
@@ -117,42 +117,45 @@
     [(False, 0.5, True), (False, 3.0, False), (True, 0.5, False)],
     ids=["would be late", "in time", "nested"],
 )
-def test_lasting_overload_serves_fewer_in_time(nested, target_s, is_refused):
-    """Calls that would be late are refused at once, told when to return."""
+def test_sustained_overload_refuses_calls_that_would_be_late(
+    nested, target_s, is_refused
+):
+    """Calls that would be late are refused at once, with a retry delay."""
 
     async def main():
-        gate, limit, clock = make_gate()
+        controller, limit, clock = make_controller()
         limit.add_sample("route", 1.0, 1)
         call = make_timed_call(clock, 50.0, target_s, nested=nested)
-        async with gate.hold_slot(make_timed_call(clock, 100.0)):
-            task = await curio.spawn(hold, gate, call)
+        async with controller.hold_slot(make_timed_call(clock, 100.0)):
+            task = await curio.spawn(try_hold, controller, call)
             await curio.sleep(0)
             if not is_refused:
-                assert gate.waiting == 1
+                assert controller.waiting == 1
         return await task.join()
 
     outcome = curio.run(main)
     assert isinstance(outcome, NotRunError) is is_refused
     if is_refused:
-        # It would wait for the end of the running call, 1 s, and take 1 s
-        # itself: 1.5 s beyond its target, and the usual duration, spread.
+        # It would wait 1 s for the running call and run for 1 s, ending 1.5 s
+        # after its target. The mean duration of 1 s is added to this excess,
+        # and the sum is jittered by half.
         assert 1.25 <= outcome.retry_after_s <= 3.75
 
 
 @pytest.mark.parametrize(
     ("deviations", "is_refused"), [(0.0, False), (2.0, True)]
 )
-def test_overload_of_work_that_varies(deviations, is_refused):
-    """A call that would be late as often as in time does not wait."""
+def test_overload_with_varying_durations(deviations, is_refused):
+    """With a margin, a call as likely to be late as in time is refused."""
 
     async def main():
-        cfg = attrs.evolve(EAGER, objective_deviations=deviations)
-        gate, limit, clock = make_gate(cfg=cfg)
+        cfg = attrs.evolve(NO_MARGINS, objective_deviations=deviations)
+        controller, limit, clock = make_controller(cfg=cfg)
         for duration_s in (0.5, 1.5) * 10:
             limit.add_sample("route", duration_s, 1)
-        async with gate.hold_slot(make_timed_call(clock, 100.0)):
+        async with controller.hold_slot(make_timed_call(clock, 100.0)):
             call = make_timed_call(clock, 50.0, 2.2)
-            task = await curio.spawn(hold, gate, call)
+            task = await curio.spawn(try_hold, controller, call)
             await curio.sleep(0)
         return await task.join()
 
@@ -162,13 +165,13 @@
 
 @pytest.mark.parametrize("prompt", [False, True])
 def test_prompt_call_does_not_wait(prompt):
-    """A full instance sends a call on while another may be idle."""
+    """A full instance refuses it, because another instance may be idle."""
 
     async def main():
-        gate, _, clock = make_gate()
+        controller, _, clock = make_controller()
         call = make_timed_call(clock, 50.0, prompt=prompt)
-        async with gate.hold_slot(make_timed_call(clock, 100.0)):
-            task = await curio.spawn(hold, gate, call)
+        async with controller.hold_slot(make_timed_call(clock, 100.0)):
+            task = await curio.spawn(try_hold, controller, call)
             await curio.sleep(0)
         return await task.join()
 
@@ -180,37 +183,37 @@
 
 
 @pytest.mark.parametrize(
-    ("seen_s", "correction"),
+    ("waits_s", "correction"),
     [([0.1] * 9, 1.0), ([0.3] * 9, 3.0), ([9.0], 4.0), ([0.0], 0.5)],
 )
-def test_waits_longer_than_the_queue_tells(seen_s, correction):
-    """Short urgent calls overtake the long ones that wait."""
-    waits = WaitEstimator()
-    assert waits.correction(0.0) == 1.0
-    for wait_s in seen_s:
-        waits.learn(0.1, wait_s, 5.0)
-    assert waits.correction(5.0) == pytest.approx(correction)
-    # No call waits any more, so that nothing new is learnt.
-    assert waits.correction(15.0) == pytest.approx(1.0, abs=0.01)
+def test_measured_waits_correct_the_estimate(waits_s, correction):
+    """Short urgent calls overtake the long waiting ones."""
+    estimator = WaitEstimator()
+    assert estimator.correction(0.0) == 1.0
+    for wait_s in waits_s:
+        estimator.record_wait(0.1, wait_s, 5.0)
+    assert estimator.correction(5.0) == pytest.approx(correction)
+    # Without new samples the correction decays.
+    assert estimator.correction(15.0) == pytest.approx(1.0, abs=0.01)
 
 
 @pytest.mark.parametrize("overtaken_s", [0.0, 0.8])
-def test_overtaken_calls_teach_the_queue(overtaken_s):
-    """What waited too long was let in by an estimate that is mended."""
+def test_waits_of_overtaken_calls_raise_the_estimate(overtaken_s):
+    """Waits longer than estimated lead to refusals of later calls."""
 
     async def main():
-        gate, limit, clock = make_gate()
+        controller, limit, clock = make_controller()
         limit.add_sample("route", 0.2, 1)
         for _ in range(5):
-            async with gate.hold_slot(make_timed_call(clock, 100.0)):
+            async with controller.hold_slot(make_timed_call(clock, 100.0)):
                 call = make_timed_call(clock, 50.0)
-                task = await curio.spawn(hold, gate, call)
+                task = await curio.spawn(try_hold, controller, call)
                 await curio.sleep(0)
                 clock.advance(0.2 + overtaken_s)
             await task.join()
-        async with gate.hold_slot(make_timed_call(clock, 100.0)):
+        async with controller.hold_slot(make_timed_call(clock, 100.0)):
             call = make_timed_call(clock, 50.0, 0.6)
-            task = await curio.spawn(hold, gate, call)
+            task = await curio.spawn(try_hold, controller, call)
             await curio.sleep(0)
         return await task.join()
 
@@ -219,14 +222,14 @@
 
 
 @pytest.mark.parametrize(("left_s", "is_refused"), [(1.0, False), (0.1, True)])
-def test_node_that_ends_soon_takes_short_work(left_s, is_refused):
-    """Nodes restart in turn: the backend server is of use until the end."""
+def test_node_near_its_shutdown_admits_only_short_calls(left_s, is_refused):
+    """Backend servers serve until shutdown, as nodes restart in turn."""
 
     async def main():
-        gate, limit, clock = make_gate()
+        controller, limit, clock = make_controller()
         limit.add_sample("route", 0.2, 1)
-        gate.set_end(clock.monotonic() + left_s)
-        return await hold(gate, make_timed_call(clock, 50.0))
+        controller.set_shutdown_time(clock.monotonic() + left_s)
+        return await try_hold(controller, make_timed_call(clock, 50.0))
 
     outcome = curio.run(main)
     if is_refused:
@@ -235,9 +238,9 @@
         assert outcome == "held"
 
 
-async def hold(gate, call):
+async def try_hold(controller, call):
     try:
-        async with gate.hold_slot(call):
+        async with controller.hold_slot(call):
             return "held"
     except NotRunError as exc:
         return exc
@@ -246,7 +249,7 @@
 @pytest.mark.parametrize("requests", [20, 300])
 @pytest.mark.parametrize("weights", [(90, 10), (1, 1, 2), (0, 5)])
 def test_split_keeps_its_shares_over_short_runs(weights, requests):
-    """Each part of a split gets its share, within one in twenty."""
+    """Each part of a split gets its share, within 0.05."""
     splitter = TrafficSplitter()
     names = [f"s{i}" for i in range(len(weights))]
     split = tuple(map(SplitPart, names, weights))
--- a/libs/traffic/auburnjunction/traffic/tests/test_owners.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_owners.py
@@ -1,4 +1,4 @@
-"""Admission of calls to one backend server over loopback."""
+"""Admission of calls to a backend server over loopback."""
 
 import curio
 import pytest
@@ -37,7 +37,7 @@
         assert answer.response.body == b"tins"
         assert answer.response.header(b"x-kind") == b"box"
         assert answer.response.header(b"auburn-outcome") is None
-        request = backend.seen[0]
+        request = backend.requests[0]
         assert request.header(b"auburn-forged") is None
         assert 4000 < int(request.header(b"auburn-deadline-ms")) <= 5000
 
@@ -45,10 +45,10 @@
 
 
 @pytest.mark.parametrize(
-    ("slots", "connections", "most"), [(1, 130, 1), (6, 130, 6), (6, 2, 2)]
+    ("slots", "connections", "expected"), [(1, 130, 1), (6, 130, 6), (6, 2, 2)]
 )
-def test_no_more_calls_run_than_slots_and_connections(
-    slots, connections, most
+def test_slots_and_connections_limit_concurrent_calls(
+    slots, connections, expected
 ):
     async def main():
         async with open_backend(service_time_s=0.002) as backend:
@@ -59,7 +59,7 @@
             ]
             for task in tasks:
                 await task.join()
-        assert backend.most_running == most
+        assert backend.max_running == expected
         assert set(count_runs(backend).values()) == {1}
         assert len(backend.executed) == 40
         assert owner.running == owner.waiting == 0
@@ -94,7 +94,7 @@
     run(main)
 
 
-def test_full_queue_refuses_the_least_urgent_at_once():
+def test_full_queue_refuses_the_least_urgent_call_at_once():
     async def main():
         service = Service("orders", queue_limit=2)
         async with open_backend() as backend:
@@ -145,7 +145,7 @@
 
 
 @pytest.mark.parametrize("waiting", [False, True])
-def test_call_whose_caller_has_gone_gives_its_place_back_once(waiting):
+def test_cancelled_call_releases_its_place_once(waiting):
     async def main():
         async with open_backend() as backend:
             backend.gate.clear()
@@ -206,7 +206,7 @@
         ),
     ],
 )
-def test_answers_of_the_backend_server(status, headers, error, code):
+def test_backend_responses_are_classified(status, headers, error, code):
     async def main():
         async with open_backend(status=status, headers=headers) as backend:
             owner = make_owner(backend.port)
@@ -220,7 +220,7 @@
     run(main)
 
 
-def test_refused_connection_is_not_run_and_lost_answer_unknown():
+def test_refused_connection_is_not_run_and_lost_answer_is_unknown():
     async def main():
         async with open_backend() as backend:
             port = backend.port
@@ -245,7 +245,7 @@
     return Announcement(instance, "orders", f"{HOST}:{port}", state, **options)
 
 
-def test_registry_runs_calls_of_its_own_instances_only():
+def test_registry_runs_calls_only_for_registered_instances():
     async def main():
         metrics = OwnerMetrics()
         async with open_backend() as backend:
@@ -272,7 +272,7 @@
     run(main)
 
 
-def test_instance_announced_again_keeps_its_slots():
+def test_reannounced_instance_does_not_exceed_its_slots():
     async def main():
         async with open_backend() as backend:
             backend.gate.clear()
@@ -290,6 +290,6 @@
             await backend.gate.set()
             await first.join()
             await second.join()
-        assert backend.most_running == 1
+        assert backend.max_running == 1
 
     run(main)
