--- a/libs/traffic/auburnjunction/traffic/packed_headers.py
+++ b/libs/traffic/auburnjunction/traffic/packed_headers.py
@@ -1,9 +1,9 @@
-"""A message's headers as the value of one, between nodes.
+"""Packing of a message's headers into a single header between nodes.
 
-An HTTP library checks each header by itself, on every hop and in both
-directions; a packed one is checked once. Names and values alternate,
-with a byte between them that RFC 9110 allows in a value and that hardly
-any value holds; headers with it travel as they are.
+The HTTP library validates each header separately, on every hop and in both
+directions; a packed header is validated once. Names and values alternate,
+separated by a byte that RFC 9110 allows in values but that hardly any value
+contains; headers that contain it are sent unpacked.
 """
 
 from itertools import chain
@@ -15,7 +15,7 @@
 
 
 def pack_headers(headers: Headers) -> Headers:
-    """Return one header for all, or all if they cannot be packed."""
+    """Return one header with all, or all if they cannot be packed."""
     value = SEPARATOR.join(chain.from_iterable(headers))
     if value.count(SEPARATOR) != 2 * len(headers) - 1:
         return headers
@@ -23,7 +23,7 @@
 
 
 def unpack_headers(headers: Headers) -> Headers:
-    """Return the headers that were packed, or those that came."""
+    """Return the unpacked headers, or the given ones if not packed."""
     value = find_header(headers, PACKED_HEADER)
     if value is None:
         return headers
--- a/libs/traffic/auburnjunction/traffic/splits.py
+++ b/libs/traffic/auburnjunction/traffic/splits.py
@@ -1,11 +1,11 @@
-"""Shares of a route's requests for several services."""
+"""Weighted split of a route's requests over several services."""
 
 import itertools
 
 from auburnjunction.model.routes import Route
 
-# Steps of the golden ratio fall evenly over the unit interval, whatever
-# their number.
+# Multiples of the golden ratio, modulo 1, are spread evenly over the unit
+# interval for any number of steps (a low-discrepancy sequence).
 GOLDEN_STEP = 0.6180339887498949
 MAX_ROUTES = 4096
 
@@ -13,24 +13,24 @@
 class TrafficSplitter:
     """Chooses a service for each request in proportion to the weights.
 
-    The shares hold over short runs of requests too, which independent
-    draws would not give.
+    Unlike independent random draws, the sequence keeps the proportions
+    over short runs of requests too.
     """
 
     def __init__(self):
-        self._points: dict[str, float] = {}
+        self._positions: dict[str, float] = {}
 
     def choose_service(self, route: Route) -> str:
         """Return the service for the route's next request."""
         if not route.split:
             return route.service
-        if len(self._points) > MAX_ROUTES:
-            self._points.clear()
-        point = (self._points.get(route.name, 0.0) + GOLDEN_STEP) % 1.0
-        self._points[route.name] = point
+        if len(self._positions) > MAX_ROUTES:
+            self._positions.clear()
+        position = (self._positions.get(route.name, 0.0) + GOLDEN_STEP) % 1.0
+        self._positions[route.name] = position
         bounds = itertools.accumulate(part.weight for part in route.split)
         total = sum(part.weight for part in route.split)
         for part, bound in zip(route.split, bounds, strict=True):
-            if point * total < bound:
+            if position * total < bound:
                 return part.service
         return route.split[-1].service
--- a/libs/traffic/auburnjunction/traffic/tests/test_promises.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_status_outcomes.py
@@ -1,4 +1,4 @@
-"""What a status tells callers whom statuses make a promise."""
+"""Statuses from which callers infer whether a request ran."""
 
 import attrs
 import pytest
@@ -42,7 +42,7 @@
         (UnknownRunError("lost", ErrorCode.UNKNOWN), 502),
     ],
 )
-def test_only_what_did_not_run_promises_so(error, status):
+def test_status_implies_not_run_only_if_the_call_did_not_run(error, status):
     error.retry_after_s = 0.25
     response = make_error_response(error, "r;1", NAMES)
     expected = min(status, 503) if isinstance(error, NotRunError) else status
@@ -67,7 +67,7 @@
         (429, [], UnknownRunError),
     ],
 )
-def test_answers_that_may_be_passed_on(status, headers, error):
+def test_responses_that_may_be_forwarded(status, headers, error):
     response = HttpResponse(status, headers)
     if error is None:
         check_response(response, NAMES)
@@ -76,7 +76,7 @@
         check_response(response, NAMES)
 
 
-def test_caller_cannot_set_what_nodes_set():
+def test_headers_that_nodes_set_are_removed_from_requests():
     headers = [(b"x-caller", b"forged"), (b"x-left-ms", b"9"), (b"a", b"b")]
     assert drop_headers(headers, NAMES.set_by_nodes) == [(b"a", b"b")]
     assert not attrs.evolve(NAMES, caller_service=b"").set_by_nodes & {b""}
