--- a/libs/traffic/auburnjunction/traffic/balancers.py
+++ b/libs/traffic/auburnjunction/traffic/balancers.py
@@ -1,4 +1,4 @@
-"""Choice of the instance that a call goes to."""
+"""Load balancing: choice of the instance for each attempt of a call."""
 
 import random
 from collections.abc import Sequence, Set
@@ -7,7 +7,7 @@
 
 from auburnjunction.model.services import Instance
 from auburnjunction.traffic.ejections import OutlierTracker
-from auburnjunction.traffic.observations import Observer
+from auburnjunction.traffic.instance_trackers import InstanceTracker
 from auburnjunction.traffic.peers import InstanceSource
 from auburnjunction.traffic.routers import RoutedCall
 from auburnjunction.traffic.routing_settings import RoutingSettings
@@ -15,28 +15,31 @@
 
 @attrs.frozen
 class Place:
-    """Where this node is."""
+    """Identity and data centre of this node."""
 
     node: str
     data_centre: str
 
 
 class Balancer:
-    """Chooses instances by what was seen of them, near ones first."""
+    """Chooses instances by their load and latency, local ones first.
+
+    Local instances are those of this node's data centre.
+    """
 
     def __init__(
         self,
         place: Place,
         instances: InstanceSource,
-        tracker: OutlierTracker,
-        observer: Observer,
+        outlier_tracker: OutlierTracker,
+        instance_tracker: InstanceTracker,
         settings: RoutingSettings,
         rng: random.Random,
     ):
         self._place = place
         self._instances = instances
-        self._tracker = tracker
-        self._observer = observer
+        self._outlier_tracker = outlier_tracker
+        self._instance_tracker = instance_tracker
         self._settings = settings
         self._random = rng.random
 
@@ -44,114 +47,124 @@
         self, routed: RoutedCall, tried: Set[str], now_s: float
     ) -> Instance | None:
         """Return the instance for the next attempt of a call, if any."""
-        instances = self._find_reached(routed, now_s)
+        instances = self._find_reachable(routed, now_s)
         if not tried:
             call = routed.call
-            probe = self._find_probe(instances, call.repeatable, now_s)
+            probe = self._take_probe(instances, call.repeatable, now_s)
             if probe is not None:
                 return probe
-        usable = self._find_unheld(instances, now_s)
-        near, far = [], []
-        near_exists = False
+        usable = self._exclude_cooldowns(instances, now_s)
+        local, remote = [], []
+        local_exists = False
         for instance in usable:
-            is_near = instance.data_centre == self._place.data_centre
-            near_exists = near_exists or is_near
+            is_local = instance.data_centre == self._place.data_centre
+            local_exists = local_exists or is_local
             if instance.instance not in tried:
-                (near if is_near else far).append(instance)
-        if near:
-            return self._choose_near(routed, near, far, now_s)
-        return self._choose_far(routed, far, near_exists, now_s)
+                (local if is_local else remote).append(instance)
+        if local:
+            return self._choose_local(routed, local, remote, now_s)
+        return self._choose_remote(routed, remote, local_exists, now_s)
 
-    def has_other_near(
+    def has_untried_local(
         self, routed: RoutedCall, tried: Set[str], now_s: float
     ) -> bool:
-        """Tell whether the own data centre has an instance not tried."""
+        """Return whether the local data centre has an untried instance."""
         return any(
             i.data_centre == self._place.data_centre
             and i.instance not in tried
-            for i in self._find_unheld(
-                self._find_reached(routed, now_s), now_s
+            for i in self._exclude_cooldowns(
+                self._find_reachable(routed, now_s), now_s
             )
         )
 
-    def _find_unheld(
+    def _exclude_cooldowns(
         self, instances: Sequence[Instance], now_s: float
     ) -> Sequence[Instance]:
-        """Return the instances that did not refuse all calls just now.
+        """Return the usable instances that are not in cooldown.
 
-        Where all of them did, none is held: a refusal costs little, and
-        the first that takes calls again is found at once.
+        If all of them are, all are returned: a refusal costs little, and
+        the first instance that accepts calls again is found at once.
         """
-        usable = self._tracker.find_usable(instances)
-        unheld = [i for i in usable if not self._observer.is_held(i, now_s)]
-        return unheld or usable
+        usable = self._outlier_tracker.find_usable(instances)
+        available = [
+            i
+            for i in usable
+            if not self._instance_tracker.is_in_cooldown(i, now_s)
+        ]
+        return available or usable
 
-    def _find_reached(
+    def _find_reachable(
         self, routed: RoutedCall, now_s: float
     ) -> Sequence[Instance]:
-        """Return the able instances but those behind a link that is cut."""
-        able = self._find_able(routed)
-        closed = self._observer.find_closed_links(now_s)
-        closed -= {self._place.data_centre}
-        if not closed:
-            return able
-        return [i for i in able if i.data_centre not in closed]
-
-    def _find_able(self, routed: RoutedCall) -> Sequence[Instance]:
+        """Return the eligible instances of reachable data centres."""
+        eligible = self._find_eligible(routed)
+        unreachable = self._instance_tracker.find_unreachable_data_centres(
+            now_s
+        )
+        unreachable -= {self._place.data_centre}
+        if not unreachable:
+            return eligible
+        return [i for i in eligible if i.data_centre not in unreachable]
+
+    def _find_eligible(self, routed: RoutedCall) -> Sequence[Instance]:
         instances = self._instances.find_instances(routed.call.service)
         resource = routed.route.resource
         if not resource:
             return instances
         return [i for i in instances if resource in i.resources]
 
-    def _find_probe(
+    def _take_probe(
         self, instances: Sequence[Instance], repeatable: bool, now_s: float
     ) -> Instance | None:
         own = self._place.data_centre
-        near = [i for i in instances if i.data_centre == own]
-        return self._tracker.take_probe(near or instances, repeatable, now_s)
+        local = [i for i in instances if i.data_centre == own]
+        return self._outlier_tracker.take_probe(
+            local or instances, repeatable, now_s
+        )
 
-    def _choose_near(
+    def _choose_local(
         self,
         routed: RoutedCall,
-        near: list[Instance],
-        far: list[Instance],
+        local: list[Instance],
+        remote: list[Instance],
         now_s: float,
     ) -> Instance:
-        own = self._find_own(near, now_s)
+        own = self._choose_own(local, now_s)
         if own is not None:
             return own
-        best = self._choose_of_two(near, now_s)
+        best = self._choose_by_two_samples(local, now_s)
         limit = self._settings.overload_limit
-        if self._observer.find_load(best, now_s) < limit:
+        if self._instance_tracker.find_load(best, now_s) < limit:
             return best
-        far = self._find_worthwhile(routed, far, now_s)
-        if not far or not self._may_leave_overload(routed):
+        remote = self._find_spill_targets(routed, remote, now_s)
+        if not remote or not self._may_spill_overload(routed):
             return best
-        other = self._choose_of_two(far, now_s)
+        other = self._choose_by_two_samples(remote, now_s)
         return (
-            other if self._observer.find_load(other, now_s) < limit else best
+            other
+            if self._instance_tracker.find_load(other, now_s) < limit
+            else best
         )
 
-    def _choose_far(
+    def _choose_remote(
         self,
         routed: RoutedCall,
-        far: list[Instance],
-        near_exists: bool,
+        remote: list[Instance],
+        local_exists: bool,
         now_s: float,
     ) -> Instance | None:
-        # The near ones have refused the call, or would.
-        least = self._settings.refused_spill_priority
-        if near_exists and routed.call.priority > least:
+        # The local instances refused the call or are ejected or in cooldown.
+        least_urgent = self._settings.refused_spill_priority
+        if local_exists and routed.call.priority > least_urgent:
             return None
-        far = self._find_worthwhile(routed, far, now_s)
-        return self._choose_of_two(far, now_s) if far else None
+        remote = self._find_spill_targets(routed, remote, now_s)
+        return self._choose_by_two_samples(remote, now_s) if remote else None
 
-    def _may_leave_overload(self, routed: RoutedCall) -> bool:
+    def _may_spill_overload(self, routed: RoutedCall) -> bool:
         return routed.call.priority <= self._settings.spill_priority
 
-    def _find_worthwhile(
-        self, routed: RoutedCall, far: list[Instance], now_s: float
+    def _find_spill_targets(
+        self, routed: RoutedCall, remote: list[Instance], now_s: float
     ) -> list[Instance]:
         if not routed.route.spill:
             return []
@@ -159,22 +172,25 @@
         limit_s = remaining_s / self._settings.spill_round_trips
         return [
             i
-            for i in far
-            if self._observer.estimate_link_s(i.data_centre) <= limit_s
+            for i in remote
+            if self._instance_tracker.estimate_link_latency_s(i.data_centre)
+            <= limit_s
         ]
 
-    def _find_own(self, near: list[Instance], now_s: float) -> Instance | None:
-        for instance in near:
+    def _choose_own(
+        self, local: list[Instance], now_s: float
+    ) -> Instance | None:
+        for instance in local:
             if instance.node != self._place.node:
                 continue
-            if self._tracker.count_failures(instance.instance):
+            if self._outlier_tracker.count_failures(instance.instance):
                 return None
-            load = self._observer.find_load(instance, now_s)
+            load = self._instance_tracker.find_load(instance, now_s)
             limit = self._settings.own_load_limit
             return instance if load < limit else None
         return None
 
-    def _choose_of_two(
+    def _choose_by_two_samples(
         self, instances: list[Instance], now_s: float
     ) -> Instance:
         count = len(instances)
@@ -185,4 +201,8 @@
         if second >= first:
             second += 1
         one, two = instances[first], instances[second]
-        return one if self._observer.is_better(one, two, now_s) else two
+        return (
+            one
+            if self._instance_tracker.is_preferred(one, two, now_s)
+            else two
+        )
--- a/libs/traffic/auburnjunction/traffic/call_reports.py
+++ b/libs/traffic/auburnjunction/traffic/call_reports.py
@@ -1,4 +1,4 @@
-"""Metrics and access log of the calls that enter at this node."""
+"""Metrics and access log of the calls that callers send to this node."""
 
 from bisect import bisect_left
 
@@ -12,19 +12,19 @@
 from auburnjunction.traffic.senders import CallTrace
 
 # Upper bounds of the latency buckets in seconds.
-BUCKETS_S = (
+BUCKET_BOUNDS_S = (
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0,
 )  # fmt: skip
 
-# Result of a call that a backend server answered with a server error.
-FAILED = "failed"
+# Result of a call that a backend server answered with a 5xx status.
+FAILED_RESULT = "failed"
 
 
-def name_result(outcome: Outcome, code: object) -> str:
-    """Return the outcome, or "failed" for a server error as answer."""
+def find_result(outcome: Outcome, code: object) -> str:
+    """Return the outcome, or "failed" for an answer with a 5xx status."""
     if outcome is not Outcome.OK or not isinstance(code, int):
         return outcome.value
-    return FAILED if code >= FIRST_SERVER_ERROR else outcome.value
+    return FAILED_RESULT if code >= FIRST_SERVER_ERROR else outcome.value
 
 
 @attrs.define(slots=True)
@@ -36,29 +36,29 @@
     spills: int = 0
     duration_s: float = 0.0
     buckets: list[int] = attrs.field(
-        factory=lambda: [0] * (len(BUCKETS_S) + 1)
+        factory=lambda: [0] * (len(BUCKET_BOUNDS_S) + 1)
     )
 
 
 class CallReporter:
-    """Counts finished calls and logs a share of them.
+    """Counts finished calls and logs a sample of them.
 
-    Totals are kept as plain numbers and copied into the metrics when
-    these are rendered, so that a call pays for a few additions only.
+    Totals are kept as plain numbers and copied into the metrics when these
+    are rendered, so that the cost per call is a few additions.
     """
 
     def __init__(
         self,
         metrics: MetricRegistry,
-        tracker: OutlierTracker,
+        outlier_tracker: OutlierTracker,
         settings: RoutingSettings,
     ):
-        self._tracker = tracker
+        self._outlier_tracker = outlier_tracker
         self._totals: dict[tuple[str, int, str], CallTotals] = {}
         self._ok_share = settings.access_log_share
         self._error_share = settings.error_log_share
-        self._ok_due = 0.0
-        self._error_due = 0.0
+        self._ok_credit = 0.0
+        self._error_credit = 0.0
         self._calls = metrics.make_counter(
             "auburn_calls_total", "Calls by service, priority and outcome"
         )
@@ -91,19 +91,19 @@
         code: object,
         duration_s: float,
     ) -> None:
-        """Count a finished call and log it if its turn has come."""
-        result = name_result(outcome, code)
+        """Count a finished call and log it if it is sampled."""
+        result = find_result(outcome, code)
         key = (trace.service, trace.priority, result)
         totals = self._totals.get(key)
         if totals is None:
             totals = self._totals[key] = CallTotals()
         totals.calls += 1
         totals.duration_s += duration_s
-        totals.buckets[bisect_left(BUCKETS_S, duration_s)] += 1
+        totals.buckets[bisect_left(BUCKET_BOUNDS_S, duration_s)] += 1
         if trace.attempts > 1:
             totals.retries += trace.attempts - 1
         totals.spills += trace.spills
-        if self._is_due(result):
+        if self._take_sample(result):
             weight = 1.0 / self._find_share(result)
             _log_call(trace, result, code, duration_s, weight)
 
@@ -120,12 +120,12 @@
             self._spills.set(labels, totals.spills)
             self._sums.set(labels, totals.duration_s)
             self._collect_buckets(labels, totals)
-        self._ejections.set({}, self._tracker.ejection_count)
-        self._panics.set({}, self._tracker.panic_count)
+        self._ejections.set({}, self._outlier_tracker.ejection_count)
+        self._panics.set({}, self._outlier_tracker.panic_count)
 
     def _collect_buckets(self, labels: dict, totals: CallTotals) -> None:
         count = 0
-        bounds = [*(f"{bound:g}" for bound in BUCKETS_S), "+Inf"]
+        bounds = [*(f"{bound:g}" for bound in BUCKET_BOUNDS_S), "+Inf"]
         for bound, calls in zip(bounds, totals.buckets, strict=True):
             count += calls
             self._buckets.set({**labels, "le": bound}, count)
@@ -134,17 +134,17 @@
         ok = result == Outcome.OK
         return self._ok_share if ok else self._error_share
 
-    def _is_due(self, result: str) -> bool:
+    def _take_sample(self, result: str) -> bool:
         if result == Outcome.OK:
-            self._ok_due += self._ok_share
-            if self._ok_due < 1.0:
+            self._ok_credit += self._ok_share
+            if self._ok_credit < 1.0:
                 return False
-            self._ok_due -= 1.0
+            self._ok_credit -= 1.0
             return True
-        self._error_due += self._error_share
-        if self._error_due < 1.0:
+        self._error_credit += self._error_share
+        if self._error_credit < 1.0:
             return False
-        self._error_due -= 1.0
+        self._error_credit -= 1.0
         return True
 
 
@@ -155,7 +155,7 @@
     duration_s: float,
     weight: float,
 ) -> None:
-    """Log a call; the weight is the number of calls that it stands for."""
+    """Log a call; weight is the number of calls that it represents."""
     fields = {
         "request_id": trace.request_id,
         "service": trace.service,
--- a/libs/traffic/auburnjunction/traffic/calls.py
+++ b/libs/traffic/auburnjunction/traffic/calls.py
@@ -1,4 +1,4 @@
-"""Calls on their way through nodes, and how they ended."""
+"""Calls, their answers and the errors that end them."""
 
 import math
 from enum import StrEnum
@@ -14,7 +14,7 @@
 
 
 class Outcome(StrEnum):
-    """What is known of a call when it is answered."""
+    """Whether a call ran, as reported to its caller."""
 
     OK = "ok"
     NOT_RUN = "not-run"
@@ -22,10 +22,10 @@
 
 
 class TrafficError(AuburnError):
-    """A call that did not end with a backend server's answer.
+    """A call ended without an answer from a backend server.
 
-    The caller does best to come back after retry_after_s seconds; 0
-    leaves that to it.
+    The caller should retry after retry_after_s seconds at the earliest;
+    0 means that no delay is suggested.
     """
 
     code = ErrorCode.UNAVAILABLE
@@ -42,25 +42,25 @@
 
 
 class NotRunError(TrafficError):
-    """The call certainly did not run; a retry cannot double it."""
+    """The call did not run, so that a retry cannot run it twice."""
 
     outcome = Outcome.NOT_RUN
 
 
 class UnknownRunError(TrafficError):
-    """The call may have run; it must not be sent again."""
+    """The call may have run; only repeatable calls may be retried."""
 
     code = ErrorCode.UNKNOWN
 
 
 @attrs.define(slots=True)
 class Call:
-    """One request with what its route says of it.
+    """A request with the attributes of its route.
 
     Deadline and target are in seconds of the local monotonic clock; an
-    answer is at its best up to the target. A nested call is one that a
-    backend server makes for a request that it runs. A prompt call is
-    refused rather than made to wait for a slot.
+    answer before the target meets the route's latency objective. A nested
+    call is one that a backend server makes while it runs a request. A
+    prompt call is refused with BUSY instead of being queued for a slot.
     """
 
     request_id: str
@@ -80,20 +80,20 @@
 
 @attrs.define(slots=True)
 class Answer:
-    """A backend server's whole response to a call.
+    """A backend server's complete response to a call.
 
-    The load is that of the owner node: requests running and waiting
-    as a share of the slots in force. The owner node held the call for
-    spent_s seconds; what the call took beyond that is the link's.
+    The load is that of the owner node: running and queued requests as a
+    share of the slots in force. owner_duration_s is the time that the call
+    spent at the owner node; the rest of its latency is due to the link.
     """
 
     response: HttpResponse
     load: float = 0.0
-    spent_s: float = 0.0
+    owner_duration_s: float = 0.0
 
 
 class CallRunner(Protocol):
-    """Runs calls on one instance, locally or through its own node."""
+    """Runs calls on an instance, locally or through its owner node."""
 
     async def run_call(self, call: Call, instance: str) -> Answer:
         """Return the answer; raise NotRunError or UnknownRunError."""
--- a/libs/traffic/auburnjunction/traffic/entries.py
+++ b/libs/traffic/auburnjunction/traffic/entries.py
@@ -1,4 +1,4 @@
-"""The way in for callers: from a request to its answer."""
+"""Entry side of a node: handling of callers' requests."""
 
 import random
 
@@ -29,29 +29,29 @@
     make_error_response,
     strip_headers,
 )
-from auburnjunction.traffic.observations import Observer
+from auburnjunction.traffic.instance_trackers import InstanceTracker
 from auburnjunction.traffic.peers import InstanceSource, PeerRunner
 from auburnjunction.traffic.routers import (
-    CurrencySource,
+    FreshnessSource,
     ParentFinder,
-    RequestIdSource,
+    RequestIdGenerator,
     Router,
     ServiceSource,
     SnapshotSource,
-    find_none,
+    find_no_parent,
     no_service,
 )
 from auburnjunction.traffic.routing_settings import RoutingSettings
 from auburnjunction.traffic.senders import CallSender, CallTrace
 
-# Least time after which a refused call is worth another try, where its
-# owner told none: that of a change spreading to every node.
-RETRY_AFTER_S = 0.1
+# Retry-After for calls whose refusal gave none: the time in which a change
+# reaches every node.
+DEFAULT_RETRY_AFTER_S = 0.1
 OK_VALUE = Outcome.OK.value.encode()
 
 
 class EntryHandler:
-    """Handler of the callers' listener."""
+    """Handles the requests that callers send to this node."""
 
     def __init__(
         self,
@@ -66,25 +66,25 @@
         self._sender = sender
         self._reporter = reporter
         self._clock = clock
-        self._ids = RequestIdSource()
+        self._ids = RequestIdGenerator()
         self._draining = False
 
     def start_draining(self) -> None:
-        """Refuse new calls as not run; those in flight go on."""
+        """Refuse new calls as not run; calls in flight continue."""
         self._draining = True
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
-        """Return the answer of the request, or what is known of it."""
-        request_id = self._find_id(request)
+        """Return the answer, or an error response with the outcome."""
+        request_id = self._get_request_id(request)
         trace = CallTrace(request_id, self._clock.monotonic())
         try:
             response = await self._handle(request, trace)
         except TrafficError as exc:
-            return self._refuse(exc, trace)
+            return self._make_failure(exc, trace)
         except Exception:
             logging.exception("call %s failed", trace.request_id)
             error = UnknownRunError("internal error", ErrorCode.INTERNAL)
-            return self._refuse(error, trace)
+            return self._make_failure(error, trace)
         self._report(trace, Outcome.OK, response.status)
         return response
 
@@ -92,7 +92,7 @@
         self, request: HttpRequest, trace: CallTrace
     ) -> HttpResponse:
         if self._draining:
-            raise NotRunError("this node is leaving", ErrorCode.DRAINING)
+            raise NotRunError("this node is draining", ErrorCode.DRAINING)
         routed = self._router.route_request(
             request, trace.request_id, trace.started_s
         )
@@ -104,7 +104,7 @@
         answer = await self._sender.send_call(routed, trace)
         return self._make_response(answer, trace.request_id)
 
-    def _find_id(self, request: HttpRequest) -> str:
+    def _get_request_id(self, request: HttpRequest) -> str:
         if self._names.keeps_request_id:
             value = request.header(self._names.request_id)
             if value:
@@ -121,9 +121,11 @@
             ]
         return attrs.evolve(response, headers=headers)
 
-    def _refuse(self, error: TrafficError, trace: CallTrace) -> HttpResponse:
+    def _make_failure(
+        self, error: TrafficError, trace: CallTrace
+    ) -> HttpResponse:
         if error.outcome is Outcome.NOT_RUN and not error.retry_after_s:
-            error.retry_after_s = RETRY_AFTER_S * random.uniform(1, 2)
+            error.retry_after_s = DEFAULT_RETRY_AFTER_S * random.uniform(1, 2)
         trace.reason = error.message
         trace.retry_after_s = error.retry_after_s
         self._report(trace, error.outcome, error.code)
@@ -139,7 +141,7 @@
     settings: RoutingSettings,
     clock: Clock,
     snapshots: SnapshotSource,
-    currency: CurrencySource,
+    freshness: FreshnessSource,
     instances: InstanceSource,
     local: CallRunner,
     pools: PoolRegistry,
@@ -147,17 +149,26 @@
     rng: random.Random | None = None,
     names: HeaderNames = OWN_NAMES,
     own_service: ServiceSource = no_service,
-    find_parent: ParentFinder = find_none,
+    find_parent: ParentFinder = find_no_parent,
 ) -> EntryHandler:
-    """Return the entry of a node, put together from its parts."""
+    """Return a node's entry handler with all its components."""
     rng = rng or random.Random()
-    tracker = OutlierTracker(settings)
-    observer = Observer(tracker, clock, settings)
-    balancer = Balancer(place, instances, tracker, observer, settings, rng)
-    peers = PeerRunner(instances, pools, clock, settings)
+    outlier_tracker = OutlierTracker(settings)
+    instance_tracker = InstanceTracker(outlier_tracker, clock, settings)
+    balancer = Balancer(
+        place, instances, outlier_tracker, instance_tracker, settings, rng
+    )
+    peer_runner = PeerRunner(instances, pools, clock, settings)
     sender = CallSender(
-        place, balancer, observer, local, peers, clock, settings, rng
+        place,
+        balancer,
+        instance_tracker,
+        local,
+        peer_runner,
+        clock,
+        settings,
+        rng,
     )
-    reporter = CallReporter(metrics, tracker, settings)
-    router = Router(snapshots, currency, names, own_service, find_parent)
+    reporter = CallReporter(metrics, outlier_tracker, settings)
+    router = Router(snapshots, freshness, names, own_service, find_parent)
     return EntryHandler(router, sender, reporter, clock, names)
--- a/libs/traffic/auburnjunction/traffic/headers.py
+++ b/libs/traffic/auburnjunction/traffic/headers.py
@@ -1,8 +1,8 @@
 """Headers that nodes add to requests and responses.
 
-Between nodes one header carries all of a call's own data, so that a hop
-parses one header more instead of nine. Nodes remove every header that
-begins with the internal prefix from callers' requests and backend
+Between nodes, a single header carries all attributes of a call, so that
+each hop parses one extra header instead of one per attribute. Nodes remove
+every header with the internal prefix from callers' requests and backend
 servers' responses.
 """
 
@@ -29,58 +29,60 @@
 OUTCOME_HEADER = b"auburn-outcome"
 ERROR_HEADER = b"auburn-error"
 LOAD_HEADER = b"auburn-load"
-# Milliseconds for which the owner node held the call.
-SPENT_HEADER = b"auburn-spent-ms"
+# Milliseconds that the call spent at the owner node.
+OWNER_DURATION_HEADER = b"auburn-spent-ms"
 REQUEST_ID_HEADER = b"auburn-request-id"
 DEADLINE_HEADER = b"auburn-deadline-ms"
 PRIORITY_HEADER = b"auburn-priority"
 IDEMPOTENCY_KEY_HEADER = b"idempotency-key"
-# A backend server sets this on a refusal to say that nothing ran.
+# Set by a backend server on the refusal of a request that did not run.
 SHED_HEADER = b"auburn-shed"
 
-# Time in seconds after which a refused call had best be tried again.
+# Seconds after which a refused call should be retried.
 RETRY_AFTER_HEADER = b"retry-after"
 
-FIELD_COUNT = 12
-# Values of the Connection header that name no other header.
+# Number of fields in the value of the call header.
+CALL_FIELD_COUNT = 12
+# Values of the Connection header that list no other header.
 PLAIN_CONNECTIONS = frozenset({b"keep-alive", b"close"})
 
 
-# Statuses that tell a caller that its request did not and will not run.
+# Statuses from which callers infer that a request did not and will not run
+# (see HeaderNames.statuses_promise).
 PROMISE_STATUSES = frozenset({408, 421, 429, 503})
 REFUSED_STATUS = 503
 
 
 @attrs.frozen
 class HeaderNames:
-    """Names under which callers and backend servers know a call's data.
+    """Names of the headers that callers and backend servers use.
 
-    All are in lower case; what has an empty name is not sent.
+    All are in lower case; a header with an empty name is not sent.
     """
 
     request_id: bytes = REQUEST_ID_HEADER
-    # Milliseconds that are left for the answer.
+    # Milliseconds until the deadline of the call.
     deadline: bytes = DEADLINE_HEADER
     # Marks a backend server's response to a request that it did not run.
     not_run: bytes = SHED_HEADER
-    # Instance that a request is meant for; others answer 421.
+    # Target instance of a request; other instances answer 421.
     instance: bytes = b""
-    # Service on whose host the call began.
+    # Service of the host on which the call was made.
     caller_service: bytes = b""
-    # Mark that every success of a backend server bears.
+    # Present on every successful response of a backend server.
     signature: bytes = b""
-    # Stands in the id of a nested call behind the id of the request that
-    # the call is made for; empty where ids do not tell.
+    # Separates the id of the parent request from the rest of the id of a
+    # nested call; empty if ids do not contain that of the parent.
     nesting_mark: str = ""
-    # Whether callers name their requests, and answers bear that name.
+    # Whether callers set request ids, which the answers repeat.
     keeps_request_id: bool = False
-    # Whether the statuses of PROMISE_STATUSES alone tell callers that
-    # nothing ran, so that no other failure may have one of them.
+    # Whether callers infer from the statuses of PROMISE_STATUSES that a
+    # request did not run, so that no other failure may use one of them.
     statuses_promise: bool = False
 
     @property
     def set_by_nodes(self) -> frozenset[bytes]:
-        """Headers that nodes set, whatever the caller sent."""
+        """Headers that nodes set, replacing any that the caller sent."""
         names = {self.deadline, self.instance, self.caller_service}
         return frozenset(names - {b""})
 
@@ -89,12 +91,12 @@
 
 
 def drop_headers(headers: Headers, names: Set[bytes]) -> Headers:
-    """Return the headers without those of these names."""
+    """Return the headers whose names are not among the given ones."""
     return [(name, value) for name, value in headers if name not in names]
 
 
 def strip_headers(headers: Headers) -> Headers:
-    """Return the headers that may pass on to the next hop."""
+    """Return the headers that may be forwarded to the next hop."""
     kept = [
         (name, value)
         for name, value in headers
@@ -109,7 +111,7 @@
 
 
 def _list_connection_names(headers: Headers) -> set[bytes]:
-    """Return the headers that are for this connection only."""
+    """Return the names of the headers that Connection lists."""
     names = set()
     for name, value in headers:
         if name == b"connection":
@@ -146,14 +148,16 @@
 def parse_call(request: HttpRequest, now_s: float) -> tuple[Call, str]:
     """Return the call and instance of a forwarded request.
 
-    Raise BadMessageError when the call header is missing or bad.
+    Raise BadMessageError if the call header is missing or invalid.
     """
     value = request.header(CALL_HEADER)
     if value is None:
-        raise BadMessageError("the call header is missing")
+        raise BadMessageError("missing call header")
     fields = value.decode("latin-1").split(";")
-    if len(fields) != FIELD_COUNT:
-        raise BadMessageError("the call header has missing fields")
+    if len(fields) != CALL_FIELD_COUNT:
+        raise BadMessageError(
+            f"call header has {len(fields)} fields, not {CALL_FIELD_COUNT}"
+        )
     try:
         key = request.header(IDEMPOTENCY_KEY_HEADER) or b""
         call = Call(
@@ -172,7 +176,7 @@
             prompt=fields[11] == "1",
         )
     except (ValueError, OverflowError) as exc:
-        raise BadMessageError(f"the call header is bad: {exc}") from exc
+        raise BadMessageError(f"invalid call header: {exc}") from exc
     return call, unquote(fields[3])
 
 
@@ -199,7 +203,7 @@
 def make_error_response(
     error: TrafficError, request_id: str, names: HeaderNames = OWN_NAMES
 ) -> HttpResponse:
-    """Return the response that tells a caller how its call ended."""
+    """Return the response to the caller of a failed call."""
     headers = [
         (OUTCOME_HEADER, error.outcome.value.encode()),
         (ERROR_HEADER, error.code.value.encode()),
@@ -211,12 +215,12 @@
         headers.append((RETRY_AFTER_HEADER, value))
     status = STATUS_BY_CODE.get(error.code, 500)
     if names.statuses_promise:
-        status = _keep_promise(status, error.outcome)
+        status = _match_status_to_outcome(status, error.outcome)
     return HttpResponse(status, headers, f"{error.message}\n".encode())
 
 
-def _keep_promise(status: int, outcome: Outcome) -> int:
-    """Return a status that says no less and no more than the outcome."""
+def _match_status_to_outcome(status: int, outcome: Outcome) -> int:
+    """Return a status from which callers infer the right outcome."""
     if outcome is Outcome.NOT_RUN:
         return min(status, REFUSED_STATUS)
     return 502 if status in PROMISE_STATUSES else status
--- a/libs/traffic/auburnjunction/traffic/peers.py
+++ b/libs/traffic/auburnjunction/traffic/peers.py
@@ -1,4 +1,4 @@
-"""Forwarding of calls to the nodes that own the chosen instances."""
+"""Forwarding of calls between entry nodes and owner nodes."""
 
 from collections.abc import Sequence
 from contextlib import asynccontextmanager
@@ -42,9 +42,9 @@
     ERROR_HEADER,
     LOAD_HEADER,
     OUTCOME_HEADER,
+    OWNER_DURATION_HEADER,
     REQUEST_ID_HEADER,
     RETRY_AFTER_HEADER,
-    SPENT_HEADER,
     format_call,
     make_error_response,
     parse_call,
@@ -56,40 +56,42 @@
 )
 from auburnjunction.traffic.routing_settings import RoutingSettings
 
-MILLISECONDS = 1000
-OWN_HEADER_BYTES = 4096
+MILLISECONDS_PER_SECOND = 1000
+# Space for the headers that nodes add to a caller's request.
+NODE_HEADER_BYTES = 4096
 POOL_SWEEP_INTERVAL_S = 5.0
-# The caller's own Host is packed with its other headers.
-PACKED_HOST = (b"host", b"node")
+# HTTP requires a Host header; that of the caller is among the packed ones.
+PLACEHOLDER_HOST = (b"host", b"node")
 OK_VALUE = Outcome.OK.value.encode()
 NOT_RUN_VALUE = Outcome.NOT_RUN.value.encode()
 
 
 class InstanceSource(Protocol):
-    """Knows the instances of each service."""
+    """Provides the instances of each service."""
 
     def find_instances(self, service: str) -> Sequence[Instance]:
         """Return ready instances on live nodes of all data centres."""
 
 
-class SuspectPathError(UnknownRunError):
-    """A failure on a reused connection, which may have gone silent.
+class ReusedConnectionError(UnknownRunError):
+    """A failure on a reused connection, which may be broken.
 
-    It says less of the instance than one on a connection just opened.
+    It is weaker evidence of a fault of the instance than a failure on a new
+    connection.
     """
 
 
-class SilentNodeError(NotRunError):
-    """The node of the instance did not answer to a connection.
+class NodeConnectTimeoutError(NotRunError):
+    """The connection to the owner node timed out.
 
-    Either it is gone or the way to it is cut.
+    The node is down or the network to it is interrupted.
     """
 
     code = ErrorCode.UNREACHABLE
 
 
 class PeerRunner(CallRunner):
-    """Runs calls on instances of other nodes, through those nodes."""
+    """Runs calls on the instances of other nodes by forwarding them."""
 
     def __init__(
         self,
@@ -101,38 +103,40 @@
         self._instances = instances
         self._pools = pools
         self._clock = clock
-        self._margin_s = settings.answer_margin_ms / 1000
-        self._fresh_s = settings.non_repeatable_idle_ms / 1000
+        self._answer_margin_s = settings.answer_margin_ms / 1000
+        self._non_repeatable_idle_s = settings.non_repeatable_idle_ms / 1000
 
     async def run_call(self, call: Call, instance: str) -> Answer:
         """Return the answer; raise NotRunError or UnknownRunError."""
         for candidate in self._instances.find_instances(call.service):
             if candidate.instance == instance:
                 return await self.forward_call(call, candidate)
-        raise NotRunError(f"instance {instance} has gone")
+        raise NotRunError(f"instance {instance} is not available any more")
 
     async def forward_call(self, call: Call, instance: Instance) -> Answer:
-        """Run the call on the instance, through its node."""
+        """Forward the call to the instance's owner node."""
         now_s = self._clock.monotonic()
         timeout_s = call.deadline_s - now_s
         if timeout_s <= 0:
             raise NotRunError("the deadline has passed", ErrorCode.TIMEOUT)
         pool = self._pools.get(Address(instance.host, instance.peer_port))
         request = self._make_request(call, instance.instance, now_s)
-        fresh_s = None if call.repeatable else self._fresh_s
+        max_idle_s = None if call.repeatable else self._non_repeatable_idle_s
         try:
-            async with pool.lease(fresh_s, timeout_s) as conn:
+            async with pool.lease(max_idle_s, timeout_s) as conn:
                 remaining_s = call.deadline_s - self._clock.monotonic()
                 response = await _exchange(conn, request, remaining_s)
                 response.headers = unpack_headers(response.headers)
-                if not _belongs(response, call):
+                if not _is_answer_to(response, call):
                     conn.discard()
-                    raise UnknownRunError("the answer is of another request")
+                    raise UnknownRunError(
+                        "the answer belongs to another request"
+                    )
         except ConnectTimeoutError as exc:
-            raise SilentNodeError(exc.message) from exc
+            raise NodeConnectTimeoutError(exc.message) from exc
         except NotSentError as exc:
             raise NotRunError(exc.message, ErrorCode.UNREACHABLE) from exc
-        except SuspectPathError:
+        except ReusedConnectionError:
             await pool.close()
             raise
         return _read_answer(response)
@@ -141,13 +145,13 @@
         self, call: Call, instance: str, now_s: float
     ) -> HttpRequest:
         timeout_s = call.deadline_s - now_s
-        margin_s = min(self._margin_s, timeout_s / 10)
+        margin_s = min(self._answer_margin_s, timeout_s / 10)
         value = format_call(call, instance, now_s + margin_s)
         req = call.request
         packed = pack_headers(req.headers)
         headers = [(CALL_HEADER, value), *packed]
         if packed is not req.headers:
-            headers.append(PACKED_HOST)
+            headers.append(PLACEHOLDER_HOST)
         return HttpRequest(req.method, req.target, headers, req.body)
 
 
@@ -162,11 +166,11 @@
     except HttpError as exc:
         is_timeout = isinstance(exc, ExchangeTimeoutError)
         code = ErrorCode.TIMEOUT if is_timeout else ErrorCode.UNKNOWN
-        error = SuspectPathError if is_reused else UnknownRunError
+        error = ReusedConnectionError if is_reused else UnknownRunError
         raise error(exc.message, code) from exc
 
 
-def _belongs(response: HttpResponse, call: Call) -> bool:
+def _is_answer_to(response: HttpResponse, call: Call) -> bool:
     return response.header(REQUEST_ID_HEADER) == call.request_id.encode()
 
 
@@ -174,8 +178,11 @@
     outcome = response.header(OUTCOME_HEADER)
     if outcome == OK_VALUE:
         load = _read_number(response, LOAD_HEADER)
-        spent_s = _read_number(response, SPENT_HEADER) / MILLISECONDS
-        return Answer(response, load, spent_s)
+        owner_duration_s = (
+            _read_number(response, OWNER_DURATION_HEADER)
+            / MILLISECONDS_PER_SECOND
+        )
+        return Answer(response, load, owner_duration_s)
     message = response.body.decode(errors="replace").strip()
     code = _read_code(response)
     if outcome == NOT_RUN_VALUE:
@@ -185,7 +192,10 @@
 
 
 def _read_number(response: HttpResponse, name: bytes) -> float:
-    """Return a header's number; 0 when an older node sends none."""
+    """Return the number in a header, or 0 if missing or malformed.
+
+    Older nodes do not send all of these headers.
+    """
     try:
         return float(response.header(name) or 0)
     except ValueError:
@@ -205,7 +215,7 @@
     clock: Clock,
     translations: dict[Address, Address] | None = None,
 ) -> PoolRegistry:
-    """Return the pools of connections to other nodes."""
+    """Return the connection pools for other nodes."""
     return PoolRegistry(
         clock,
         translations,
@@ -221,7 +231,7 @@
     clock: Clock,
     translations: dict[Address, Address] | None = None,
 ):
-    """Yield pools that are swept until the block ends, then closed."""
+    """Yield pools that are swept periodically, and close them at the end."""
     pools = make_pools(settings, clock, translations)
     try:
         async with open_task_group() as group:
@@ -234,24 +244,25 @@
 
 
 def make_peer_limits(limits: MessageLimits) -> MessageLimits:
-    """Return limits of the peer listener, given those for callers.
+    """Return limits for the peer listener, given those for callers.
 
-    A head that a caller may send still fits with a node's own headers.
+    A request head of the maximum size must still fit after an entry node
+    has added its headers.
     """
     return attrs.evolve(
-        limits, head_bytes=limits.head_bytes + OWN_HEADER_BYTES
+        limits, head_bytes=limits.head_bytes + NODE_HEADER_BYTES
     )
 
 
 class PeerHandler:
-    """Runs calls that other nodes forward to this node's instances."""
+    """Handles calls that other nodes forward to this node's instances."""
 
     def __init__(self, runner: CallRunner, clock: Clock):
         self._runner = runner
         self._clock = clock
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
-        """Return the answer with the outcome, load and request id."""
+        """Return the answer with headers for outcome, load and request id."""
         started_s = self._clock.monotonic()
         _unpack_request(request)
         try:
@@ -268,7 +279,7 @@
             logging.exception("call %s failed", call.request_id)
             error = UnknownRunError("internal error", ErrorCode.INTERNAL)
             return make_error_response(error, call.request_id)
-        answer.spent_s = self._clock.monotonic() - started_s
+        answer.owner_duration_s = self._clock.monotonic() - started_s
         return _make_response(answer, call.request_id)
 
 
@@ -284,7 +295,10 @@
     headers = [
         (OUTCOME_HEADER, OK_VALUE),
         (LOAD_HEADER, b"%.2f" % answer.load),
-        (SPENT_HEADER, b"%.1f" % (answer.spent_s * MILLISECONDS)),
+        (
+            OWNER_DURATION_HEADER,
+            b"%.1f" % (answer.owner_duration_s * MILLISECONDS_PER_SECOND),
+        ),
         (REQUEST_ID_HEADER, request_id.encode()),
         *strip_headers(response.headers),
     ]
--- a/libs/traffic/auburnjunction/traffic/routers.py
+++ b/libs/traffic/auburnjunction/traffic/routers.py
@@ -26,11 +26,11 @@
 from auburnjunction.traffic.splits import TrafficSplitter
 
 MAX_KEY_LENGTH = 255
-PREFIX_BYTES = 4
+ID_PREFIX_BYTES = 4
 DEADLINE_PATTERN = re.compile(rb"[0-9]{1,9}\Z")
 KEY_PATTERN = re.compile(rb"[\x21-\x7e]+\Z")
-# A backend server may resolve these, so that the path that it sees would
-# not be the path that was matched.
+# Sequences that a backend server may normalise, so that it would serve
+# another path than the one that was matched against the routes.
 AMBIGUOUS_PATH = re.compile(r"/\.{1,2}(/|$)|//|\\|%2[ef]|%5c|%00|#", re.I)
 
 
@@ -38,74 +38,74 @@
 
 
 def no_service() -> str:
-    """Return the service of a node without a backend server."""
+    """Return an empty name, for a node without a backend server."""
     return ""
 
 
 ParentFinder = Callable[[str], Priority | None]
 
 
-def find_none(_request_id: str) -> None:
-    """Know of no request that a call is made for."""
+def find_no_parent(_request_id: str) -> None:
+    """Return None, for nodes that do not track parent requests."""
 
 
 class SnapshotSource(Protocol):
-    """Holder of the configuration in force."""
+    """Provides the configuration in force."""
 
     @property
     def current(self) -> RevisedSnapshot | None:
-        """The snapshot in force, if there is one."""
+        """The snapshot in force, or None before the first one."""
 
 
-class CurrencySource(Protocol):
-    """Knows whether what this node holds can be acted on.
+class FreshnessSource(Protocol):
+    """Reports whether this node's state is recent enough to route calls.
 
     A node that was paused is not current until it has caught up.
     """
 
     @property
     def is_current(self) -> bool:
-        """Whether the node may route calls now."""
+        """Whether the node may route calls."""
 
 
 @attrs.define(slots=True)
 class RoutedCall:
-    """A call with its route and service, of the snapshot it began with."""
+    """A call with its route and service from the snapshot that routed it."""
 
     call: Call
     route: Route
     service: Service
 
 
-class RequestIdSource:
-    """Short request ids, unique in the mesh.
+class RequestIdGenerator:
+    """Generates short request ids that are unique in the mesh.
 
-    A random prefix of the process is followed by a counter.
+    An id is a random prefix, drawn once per generator, and a counter.
     """
 
     def __init__(self):
-        self._prefix = os.urandom(PREFIX_BYTES).hex()
+        self._prefix = os.urandom(ID_PREFIX_BYTES).hex()
         self._counter = itertools.count(1)
 
     def make_id(self) -> str:
-        """Return an id that no other request has."""
+        """Return a new unique id."""
         return f"{self._prefix}-{next(self._counter):x}"
 
 
 class Router:
-    """Turns callers' requests into calls."""
+    """Matches callers' requests with routes and makes calls of them."""
 
     def __init__(
         self,
         snapshots: SnapshotSource,
-        currency: CurrencySource,
+        freshness: FreshnessSource,
         names: HeaderNames = OWN_NAMES,
         own_service: ServiceSource = no_service,
-        find_parent: ParentFinder = find_none,
+        find_parent: ParentFinder = find_no_parent,
     ):
         self._find_parent = find_parent
         self._snapshots = snapshots
-        self._currency = currency
+        self._freshness = freshness
         self._names = names
         self._set_by_nodes = names.set_by_nodes
         self._own_service = own_service
@@ -114,10 +114,12 @@
     def route_request(
         self, request: HttpRequest, request_id: str, now_s: float
     ) -> RoutedCall:
-        """Return the call of a request; raise NotRunError without one."""
+        """Return the call for a request; raise NotRunError if refused."""
         revised = self._require_snapshot()
         if request.header(b"host") is None:
-            raise NotRunError("no Host header", ErrorCode.INVALID)
+            raise NotRunError(
+                "the request has no Host header", ErrorCode.INVALID
+            )
         route = _find_route(revised, request)
         name = self._splitter.choose_service(route)
         service = revised.snapshot.services_by_name[name]
@@ -127,10 +129,10 @@
             request_id=request_id,
             route=route.name,
             service=service.name,
-            # What a nested call delays is the request that it is for.
+            # A slow nested call delays its parent request.
             priority=route.priority if parent is None else parent,
             nested=parent is not None,
-            target_s=_find_target(route, now_s),
+            target_s=_compute_target(route, now_s),
             repeatable=route.repeatable,
             claims=route.claims,
             deadline_s=now_s + timeout_ms / 1000,
@@ -141,7 +143,7 @@
                 self._make_headers(request),
                 request.body,
             ),
-            idempotency_key=_read_key(request),
+            idempotency_key=_read_idempotency_key(request),
         )
         return RoutedCall(call, route, service)
 
@@ -155,7 +157,7 @@
         return headers
 
     def _require_snapshot(self) -> RevisedSnapshot:
-        if not self._currency.is_current:
+        if not self._freshness.is_current:
             raise NotRunError(
                 "this node is starting or catching up after a pause"
             )
@@ -165,7 +167,7 @@
         return revised
 
 
-def _find_target(route: Route, now_s: float) -> float:
+def _compute_target(route: Route, now_s: float) -> float:
     if not route.target_latency_ms:
         return math.inf
     return now_s + route.target_latency_ms / 1000
@@ -179,39 +181,42 @@
     method = request.method.decode()
     route = revised.snapshot.find_route(method, path, host)
     if route is None:
-        raise NotRunError("no route matches", ErrorCode.NOT_FOUND)
+        raise NotRunError(
+            "no route matches host, method and path", ErrorCode.NOT_FOUND
+        )
     return route
 
 
 def _read_timeout(request: HttpRequest, route: Route, name: bytes) -> int:
-    value = _read_single(request, name)
+    value = _read_single_header(request, name)
     if value is None:
         return route.timeout_ms
     if not DEADLINE_PATTERN.match(value):
         raise NotRunError(
-            f"{name.decode()} is not a number of milliseconds",
+            f"{name.decode()} is not a 1- to 9-digit number of milliseconds",
             ErrorCode.INVALID,
         )
     return min(int(value), route.timeout_ms)
 
 
-def _read_key(request: HttpRequest) -> str:
-    value = _read_single(request, IDEMPOTENCY_KEY_HEADER)
+def _read_idempotency_key(request: HttpRequest) -> str:
+    value = _read_single_header(request, IDEMPOTENCY_KEY_HEADER)
     if value is None:
         return ""
     if len(value) > MAX_KEY_LENGTH or not KEY_PATTERN.match(value):
         raise NotRunError(
             f"Idempotency-Key is not 1 to {MAX_KEY_LENGTH} printable "
-            "characters",
+            "ASCII characters",
             ErrorCode.INVALID,
         )
     return value.decode("ascii")
 
 
-def _read_single(request: HttpRequest, name: bytes) -> bytes | None:
+def _read_single_header(request: HttpRequest, name: bytes) -> bytes | None:
     values = [value for key, value in request.headers if key == name]
     if len(values) > 1:
         raise NotRunError(
-            f"{name.decode()} stands {len(values)} times", ErrorCode.INVALID
+            f"{name.decode()} occurs {len(values)} times, not once",
+            ErrorCode.INVALID,
         )
     return values[0] if values else None
--- a/libs/traffic/auburnjunction/traffic/senders.py
+++ b/libs/traffic/auburnjunction/traffic/senders.py
@@ -1,4 +1,4 @@
-"""Attempts of one call: choice of instance, retries and backoff."""
+"""Sending of calls: attempts at instances, retries and backoff."""
 
 import random
 
@@ -17,14 +17,17 @@
     TrafficError,
     UnknownRunError,
 )
-from auburnjunction.traffic.observations import HOLDING_CODES, Observer
+from auburnjunction.traffic.instance_trackers import (
+    COOLDOWN_CODES,
+    InstanceTracker,
+)
 from auburnjunction.traffic.peers import PeerRunner
 from auburnjunction.traffic.retries import RetryBudget, RetryBudgets
 from auburnjunction.traffic.routers import RoutedCall
 from auburnjunction.traffic.routing_settings import RoutingSettings
 
-# Refusals that another instance may not give.
-RETRIED_REFUSALS = frozenset(
+# Codes of refusals after which another instance may accept the call.
+RETRIED_REFUSAL_CODES = frozenset(
     {
         ErrorCode.OVERLOADED,
         ErrorCode.DRAINING,
@@ -40,7 +43,7 @@
 
 @attrs.define(slots=True)
 class CallTrace:
-    """What happened to one call, for its log line and metrics."""
+    """Record of one call for the access log and the metrics."""
 
     request_id: str
     started_s: float
@@ -57,88 +60,89 @@
 
 
 @attrs.define(slots=True)
-class Attempts:
-    """What the attempts of one call have come to."""
-
-    # Instances that may be sent the call, and nodes that may be asked.
-    limit: int
-    most_tried: int
-    # Budget of attempts after refusals by nodes.
-    refusals: RetryBudget
+class AttemptState:
+    """State of a call across its attempts."""
+
+    # Maximum number of backend servers that are sent the call, and of
+    # attempts, including those that nodes refuse.
+    max_sent: int
+    max_tried: int
+    # Budget of retries after refusals by nodes.
+    refusal_budget: RetryBudget
     tried: set[str] = attrs.field(factory=set)
-    # Instances that were sent the call.
-    reached: int = 0
-    # Instances without a free slot, which were not asked to queue the call,
-    # and how many more may be asked so.
+    # Number of backend servers that were sent the call.
+    sent_count: int = 0
+    # Instances without a free slot that refused a prompt attempt, and the
+    # number of prompt attempts left.
     busy: set[str] = attrs.field(factory=set)
-    prompts_left: int = 0
-    worst: TrafficError | None = None
+    prompt_attempts_left: int = 0
+    error_so_far: TrafficError | None = None
     answer: Answer | None = None
 
     @property
     def is_exhausted(self) -> bool:
-        """Whether no other instance may be tried."""
-        if len(self.tried) - len(self.busy) >= self.most_tried:
+        """Whether the limits of the call allow no further attempt."""
+        if len(self.tried) - len(self.busy) >= self.max_tried:
             return True
-        return self.reached >= self.limit
+        return self.sent_count >= self.max_sent
 
     def add_error(self, error: TrafficError) -> None:
-        """Note an attempt without an answer."""
-        is_unsent = isinstance(error, NotRunError)
-        self.reached += not is_unsent or error.code is ErrorCode.SHED
-        self.worst = _find_worst(self.worst, error)
+        """Record an attempt that ended without an answer."""
+        did_not_run = isinstance(error, NotRunError)
+        self.sent_count += not did_not_run or error.code is ErrorCode.SHED
+        self.error_so_far = _combine_errors(self.error_so_far, error)
 
     def add_busy(self, instance: str) -> None:
-        """Note an instance without a free slot."""
+        """Record an instance that refused a prompt attempt."""
         self.busy.add(instance)
-        self.prompts_left -= 1
+        self.prompt_attempts_left -= 1
 
-    def return_to_busy(self) -> bool:
-        """Let the busy instances queue the call; tell if there are any."""
+    def allow_queueing(self) -> bool:
+        """Let busy instances queue the call; return whether there are any."""
         if not self.busy:
             return False
         self.tried -= self.busy
         self.busy.clear()
-        self.prompts_left = 0
+        self.prompt_attempts_left = 0
         return True
 
     def add_answer(self, answer: Answer) -> None:
-        """Note an answer of a backend server."""
-        self.reached += 1
+        """Record the answer of a backend server."""
+        self.sent_count += 1
         self.answer = answer
 
-    def conclude(self, call: Call) -> Answer:
-        """Return the best answer; raise what is true of all attempts."""
+    def get_result(self, call: Call) -> Answer:
+        """Return the last answer, or raise the error of all attempts."""
         if self.answer is not None:
             return self.answer
-        raise self.worst or NotRunError(
+        raise self.error_so_far or NotRunError(
             f"no instance of {call.service} can take the call"
         )
 
 
 class CallSender:
-    """Sends calls to instances; the only layer that retries."""
+    """Sends calls to instances; no other layer retries."""
 
     def __init__(
         self,
         place: Place,
         balancer: Balancer,
-        observer: Observer,
-        local: CallRunner,
-        peers: PeerRunner,
+        instance_tracker: InstanceTracker,
+        local_runner: CallRunner,
+        peer_runner: PeerRunner,
         clock: Clock,
         settings: RoutingSettings,
         rng: random.Random,
     ):
         self._place = place
         self._balancer = balancer
-        self._observer = observer
-        self._local = local
-        self._peers = peers
+        self._instance_tracker = instance_tracker
+        self._local_runner = local_runner
+        self._peer_runner = peer_runner
         self._clock = clock
-        self._budgets = RetryBudgets(settings)
+        self._retry_budgets = RetryBudgets(settings)
         share = settings.refused_retry_share
-        self._refusals = RetryBudgets(
+        self._refusal_budgets = RetryBudgets(
             attrs.evolve(settings, retry_share=share)
         )
         self._max_attempts = settings.max_attempts
@@ -147,33 +151,35 @@
         self._random = rng.random
 
     async def send_call(self, routed: RoutedCall, trace: CallTrace) -> Answer:
-        """Return a whole answer; raise NotRunError or UnknownRunError.
+        """Return a complete answer; raise NotRunError or UnknownRunError.
 
-        NotRunError means that no attempt ran.
+        NotRunError means that the call ran in none of its attempts.
         """
         call = routed.call
         now_s = self._clock.monotonic()
-        budget = self._budgets.get(call.service, call.priority, now_s)
-        budget.record_first_try()
-        refusals = self._refusals.get(call.service, call.priority, now_s)
-        refusals.record_first_try()
-        limit = self._find_limit(routed)
-        attempts = Attempts(
-            limit,
+        budget = self._retry_budgets.get(call.service, call.priority, now_s)
+        budget.record_first_attempt()
+        refusal_budget = self._refusal_budgets.get(
+            call.service, call.priority, now_s
+        )
+        refusal_budget.record_first_attempt()
+        max_sent = self._find_max_sent(routed)
+        attempts = AttemptState(
+            max_sent,
             self._max_attempts,
-            refusals,
-            prompts_left=self._prompt_attempts,
+            refusal_budget,
+            prompt_attempts_left=self._prompt_attempts,
         )
         while True:
             now_s = self._clock.monotonic()
-            instance = self._choose(routed, attempts, now_s)
+            instance = self._choose_instance(routed, attempts, now_s)
             if instance is None:
-                return attempts.conclude(call)
+                return attempts.get_result(call)
             attempts.tried.add(instance.instance)
-            self._note_attempt(instance, trace)
+            self._record_attempt(instance, trace)
             try:
                 is_prompt = self._is_prompt(routed, attempts, now_s)
-                answer = await self._attempt(
+                answer = await self._run_attempt(
                     routed, instance, now_s, is_prompt
                 )
             except TrafficError as exc:
@@ -181,22 +187,22 @@
                     attempts.add_busy(instance.instance)
                     continue
                 attempts.add_error(exc)
-                if not self._may_retry(call, exc, budget, attempts):
-                    return attempts.conclude(call)
+                if not self._may_retry_error(call, exc, budget, attempts):
+                    return attempts.get_result(call)
             else:
                 attempts.add_answer(answer)
-                if not self._may_improve(call, answer, budget, attempts):
+                if not self._may_retry_answer(call, answer, budget, attempts):
                     return answer
             await self._back_off(call, len(attempts.tried))
 
-    def _find_limit(self, routed: RoutedCall) -> int:
-        """Return how many instances may be sent the call."""
+    def _find_max_sent(self, routed: RoutedCall) -> int:
+        """Return how many backend servers may be sent the call."""
         return routed.route.max_attempts or self._max_attempts
 
-    def _choose(
+    def _choose_instance(
         self,
         routed: RoutedCall,
-        attempts: Attempts,
+        attempts: AttemptState,
         now_s: float,
     ) -> Instance | None:
         if now_s >= routed.call.deadline_s:
@@ -205,93 +211,93 @@
             )
             return None
         instance = self._balancer.choose(routed, attempts.tried, now_s)
-        if instance is None and attempts.return_to_busy():
+        if instance is None and attempts.allow_queueing():
             return self._balancer.choose(routed, attempts.tried, now_s)
         return instance
 
     def _is_prompt(
-        self, routed: RoutedCall, attempts: Attempts, now_s: float
+        self, routed: RoutedCall, attempts: AttemptState, now_s: float
     ) -> bool:
-        """Tell whether to look for a free slot before the call waits."""
-        if attempts.prompts_left <= 0:
+        """Return whether the next attempt needs a free slot at once."""
+        if attempts.prompt_attempts_left <= 0:
             return False
-        return self._balancer.has_other_near(routed, attempts.tried, now_s)
+        return self._balancer.has_untried_local(routed, attempts.tried, now_s)
 
-    def _note_attempt(self, instance: Instance, trace: CallTrace) -> None:
+    def _record_attempt(self, instance: Instance, trace: CallTrace) -> None:
         trace.attempts += 1
         trace.instance = instance.instance
         if instance.data_centre != self._place.data_centre:
             trace.spills += 1
 
-    async def _attempt(
+    async def _run_attempt(
         self,
         routed: RoutedCall,
         instance: Instance,
         now_s: float,
         is_prompt: bool,
     ) -> Answer:
-        observer = self._observer
-        call = _limit_attempt(routed, now_s)
+        instance_tracker = self._instance_tracker
+        call = _make_attempt_call(routed, now_s)
         if is_prompt:
             call = attrs.evolve(call, prompt=True)
-        observer.start_call(instance)
+        instance_tracker.start_call(instance)
         try:
             answer = await self._run(call, instance)
         except TrafficError as exc:
-            observer.record_error(instance, exc)
+            instance_tracker.record_error(instance, exc)
             raise
         except BaseException:
-            observer.release(instance)
+            instance_tracker.record_cancellation(instance)
             raise
         finally:
-            observer.end_call(instance)
+            instance_tracker.end_call(instance)
         latency_s = self._clock.monotonic() - now_s
-        observer.record_answer(instance, answer, latency_s)
+        instance_tracker.record_answer(instance, answer, latency_s)
         return answer
 
     async def _run(self, call: Call, instance: Instance) -> Answer:
         if instance.node == self._place.node:
-            return await self._local.run_call(call, instance.instance)
-        return await self._peers.forward_call(call, instance)
+            return await self._local_runner.run_call(call, instance.instance)
+        return await self._peer_runner.forward_call(call, instance)
 
-    def _may_retry(
+    def _may_retry_error(
         self,
         call: Call,
         error: TrafficError,
         budget: RetryBudget,
-        attempts: Attempts,
+        attempts: AttemptState,
     ) -> bool:
         if attempts.is_exhausted:
             return False
         if isinstance(error, NotRunError):
-            if error.code not in RETRIED_REFUSALS:
+            if error.code not in RETRIED_REFUSAL_CODES:
                 return False
-            # The instance is held back from now on, so that these
-            # retries are bounded by the calls already under way.
-            if error.code in HOLDING_CODES:
+            # The instance is in cooldown from now on, so that only calls
+            # already in flight to it cause such retries.
+            if error.code in COOLDOWN_CODES:
                 return True
-            # No backend server was sent the call, so that the retry adds
-            # nothing to what they get.
+            # No backend server was sent the call, so that the retry does
+            # not add to their load.
             if error.code is not ErrorCode.SHED:
                 now_s = self._clock.monotonic()
-                return attempts.refusals.take(now_s)
+                return attempts.refusal_budget.try_spend(now_s)
         elif not call.repeatable or error.code is ErrorCode.CONFLICT:
             return False
-        return budget.take(self._clock.monotonic())
+        return budget.try_spend(self._clock.monotonic())
 
-    def _may_improve(
+    def _may_retry_answer(
         self,
         call: Call,
         answer: Answer,
         budget: RetryBudget,
-        attempts: Attempts,
+        attempts: AttemptState,
     ) -> bool:
-        """Tell whether another instance may give a better answer."""
+        """Return whether to retry a server error at another instance."""
         if answer.response.status < FIRST_SERVER_ERROR or not call.repeatable:
             return False
         if attempts.is_exhausted:
             return False
-        return budget.take(self._clock.monotonic())
+        return budget.try_spend(self._clock.monotonic())
 
     async def _back_off(self, call: Call, attempts: int) -> None:
         delay_s = self._backoff_s * 2 ** (attempts - 1) * self._random()
@@ -300,8 +306,8 @@
             await self._clock.sleep(delay_s)
 
 
-def _limit_attempt(routed: RoutedCall, now_s: float) -> Call:
-    """Return the call with the deadline of one attempt."""
+def _make_attempt_call(routed: RoutedCall, now_s: float) -> Call:
+    """Return the call with its deadline cut to the attempt timeout."""
     call = routed.call
     limit_s = now_s + routed.service.attempt_timeout_ms / 1000
     if limit_s >= call.deadline_s:
@@ -309,10 +315,10 @@
     return attrs.evolve(call, deadline_s=limit_s)
 
 
-def _find_worst(
-    worst: TrafficError | None, error: TrafficError
+def _combine_errors(
+    error_so_far: TrafficError | None, error: TrafficError
 ) -> TrafficError:
-    """Return what is true of all attempts: unknown beats not run."""
-    if isinstance(worst, UnknownRunError):
-        return worst
+    """Return the error for all attempts; unknown outcomes prevail."""
+    if isinstance(error_so_far, UnknownRunError):
+        return error_so_far
     return error
--- a/libs/traffic/auburnjunction/traffic/tests/test_balancers.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_balancers.py
@@ -1,4 +1,4 @@
-"""Choice of instances by load seen, distance, priority and deadline."""
+"""Choice of instances by load, data centre, priority and deadline."""
 
 import random
 from collections import Counter
@@ -21,7 +21,7 @@
     UnknownRunError,
 )
 from auburnjunction.traffic.ejections import OutlierTracker
-from auburnjunction.traffic.observations import Observer
+from auburnjunction.traffic.instance_trackers import InstanceTracker
 from auburnjunction.traffic.routers import RoutedCall
 from auburnjunction.traffic.routing_settings import RoutingSettings
 from auburnjunction.traffic.tests.routing_support import (
@@ -30,23 +30,25 @@
     make_instance,
 )
 
-PLACE = Place("entry", "dc-1")
+ENTRY_PLACE = Place("entry", "dc-1")
 
 
 class Fixture:
-    """A balancer with its parts; the clock is manual."""
+    """A balancer with its components and a manual clock."""
 
     def __init__(self, instances, **options):
         self.clock = ManualClock()
         self.settings = RoutingSettings(**options)
-        self.tracker = OutlierTracker(self.settings)
-        self.observer = Observer(self.tracker, self.clock, self.settings)
+        self.outlier_tracker = OutlierTracker(self.settings)
+        self.instance_tracker = InstanceTracker(
+            self.outlier_tracker, self.clock, self.settings
+        )
         self.instances = {i.instance: i for i in instances}
         self.balancer = Balancer(
-            PLACE,
+            ENTRY_PLACE,
             FixedSource(instances=list(instances)),
-            self.tracker,
-            self.observer,
+            self.outlier_tracker,
+            self.instance_tracker,
             self.settings,
             random.Random(1),
         )
@@ -60,13 +62,15 @@
     def count_choices(self, number=300, **fields):
         return Counter(self.choose(**fields) for _ in range(number))
 
-    def answer(self, name, load=0.1, latency_s=0.01, status=200, spent_s=0.0):
-        answer = Answer(HttpResponse(status), load, spent_s)
+    def record_answer(
+        self, name, load=0.1, latency_s=0.01, status=200, owner_duration_s=0.0
+    ):
+        answer = Answer(HttpResponse(status), load, owner_duration_s)
         instance = self.instances[name]
-        self.observer.record_answer(instance, answer, latency_s)
+        self.instance_tracker.record_answer(instance, answer, latency_s)
 
-    def fail(self, name, error):
-        self.observer.record_error(self.instances[name], error)
+    def record_error(self, name, error):
+        self.instance_tracker.record_error(self.instances[name], error)
 
 
 def make_routed(deadline_s, priority=Priority.NORMAL, spill=True, resource=""):
@@ -85,11 +89,11 @@
     return RoutedCall(call, route, Service(SERVICE))
 
 
-def make_near(count=3):
+def make_local_instances(count=3):
     return [make_instance(f"n{index}") for index in range(count)]
 
 
-FAR = [
+REMOTE_INSTANCES = [
     make_instance("f0", data_centre="dc-2"),
     make_instance("f1", data_centre="dc-3"),
 ]
@@ -97,7 +101,7 @@
 
 @settings(derandomize=True, max_examples=100, deadline=None)
 @given(
-    places=st.lists(st.sampled_from(["dc-1", "dc-2"]), max_size=6),
+    data_centres=st.lists(st.sampled_from(["dc-1", "dc-2"]), max_size=6),
     tried=st.sets(st.integers(0, 5)),
     loads=st.lists(st.floats(0, 9), min_size=6, max_size=6),
     failing=st.lists(st.integers(0, 5), max_size=12),
@@ -105,100 +109,102 @@
     priority=st.sampled_from(list(Priority)),
     spill=st.booleans(),
 )
-def test_choice_is_able_untried_and_near_if_it_can_be(
-    places, tried, loads, failing, resources, priority, spill
+def test_chosen_instance_is_eligible_and_untried(
+    data_centres, tried, loads, failing, resources, priority, spill
 ):
     instances = [
         make_instance(
             f"i{index}",
-            data_centre=place,
+            data_centre=data_centre,
             resources=("ledger",) if resources[index] else (),
         )
-        for index, place in enumerate(places)
+        for index, data_centre in enumerate(data_centres)
     ]
     fixture = Fixture(instances)
     for index in range(len(instances)):
-        fixture.answer(f"i{index}", loads[index])
+        fixture.record_answer(f"i{index}", loads[index])
     for index in failing:
         if index < len(instances):
-            fixture.fail(f"i{index}", UnknownRunError("lost"))
+            fixture.record_error(f"i{index}", UnknownRunError("lost"))
     names = {f"i{index}" for index in tried}
     found = fixture.choose(
         names, priority=priority, spill=spill, resource="ledger"
     )
-    able = [i for i in instances if i.resources and i.instance not in names]
-    near = [i for i in able if i.data_centre == "dc-1"]
+    eligible = [
+        i for i in instances if i.resources and i.instance not in names
+    ]
+    local = [i for i in eligible if i.data_centre == "dc-1"]
     if found is None:
-        untouched = not tried and not failing
-        assert not (near and untouched)
+        is_pristine = not tried and not failing
+        assert not (local and is_pristine)
         return
     chosen = fixture.instances[found]
-    assert chosen in able
+    assert chosen in eligible
     if chosen.data_centre != "dc-1":
         assert spill
 
 
-def test_less_loaded_of_two_is_taken():
-    fixture = Fixture(make_near())
-    fixture.answer("n0", load=0.9)
-    fixture.answer("n1", load=0.1)
-    fixture.answer("n2", load=0.9)
+def test_less_loaded_of_two_is_chosen():
+    fixture = Fixture(make_local_instances())
+    fixture.record_answer("n0", load=0.9)
+    fixture.record_answer("n1", load=0.1)
+    fixture.record_answer("n2", load=0.9)
     counts = fixture.count_choices()
     assert counts["n1"] > 150
     assert counts["n0"] + counts["n2"] > 50
 
 
-def test_reports_of_load_decay():
-    fixture = Fixture(make_near(), load_half_life_ms=100)
-    fixture.answer("n0", load=3.0)
+def test_load_reports_decay():
+    fixture = Fixture(make_local_instances(), load_half_life_ms=100)
+    fixture.record_answer("n0", load=3.0)
     before = fixture.count_choices()["n0"]
     fixture.clock.advance(3)
     assert before == 0
     assert fixture.count_choices()["n0"] > 60
 
 
-def test_small_difference_of_latency_decides_nothing():
-    fixture = Fixture(make_near(2))
-    fixture.answer("n0", latency_s=0.0100)
-    fixture.answer("n1", latency_s=0.0105)
+def test_small_latency_difference_is_ignored():
+    fixture = Fixture(make_local_instances(2))
+    fixture.record_answer("n0", latency_s=0.0100)
+    fixture.record_answer("n1", latency_s=0.0105)
     assert 100 < fixture.count_choices()["n0"] < 200
 
 
-@pytest.mark.parametrize("lie", [0.0, -5.0, float("nan")])
-def test_lying_load_attracts_a_bounded_share(lie):
-    """Each call takes 10 calls' time; the liar slows as it fills."""
-    fixture = Fixture(make_near(4))
+@pytest.mark.parametrize("false_load", [0.0, -5.0, float("nan")])
+def test_false_load_report_attracts_a_bounded_share(false_load):
+    """Ten calls are in flight; latency grows with an instance's calls."""
+    fixture = Fixture(make_local_instances(4))
     running = []
     counts = Counter()
     for _ in range(2000):
         name = fixture.choose()
         counts[name] += 1
         instance = fixture.instances[name]
-        fixture.observer.start_call(instance)
+        fixture.instance_tracker.start_call(instance)
         running.append(instance)
         if len(running) > 10:
             ended = running.pop(0)
-            fixture.observer.end_call(ended)
+            fixture.instance_tracker.end_call(ended)
             busy = running.count(ended)
-            load = lie if ended.instance == "n0" else 0.8
-            fixture.answer(ended.instance, load, 0.01 * (1 + busy))
+            load = false_load if ended.instance == "n0" else 0.8
+            fixture.record_answer(ended.instance, load, 0.01 * (1 + busy))
         fixture.clock.advance(0.001)
     assert counts["n0"] <= 1000
     assert min(counts.values()) >= 100
 
 
 @pytest.mark.parametrize(("own_load", "all_own"), [(0.2, True), (0.9, False)])
-def test_own_instance_is_taken_while_it_has_room(own_load, all_own):
+def test_own_instance_is_chosen_below_its_load_limit(own_load, all_own):
     own = make_instance("own", node="entry")
-    fixture = Fixture([own, *make_near()])
-    fixture.answer("own", own_load)
+    fixture = Fixture([own, *make_local_instances()])
+    fixture.record_answer("own", own_load)
     for index in range(3):
-        fixture.answer(f"n{index}", 0.1)
+        fixture.record_answer(f"n{index}", 0.1)
     assert (fixture.count_choices()["own"] == 300) == all_own
 
 
 @pytest.mark.parametrize(
-    ("priority", "spill", "timeout_s", "near_load", "spilled"),
+    ("priority", "spill", "timeout_s", "local_load", "spilled"),
     [
         (Priority.CRITICAL, True, 1.0, 0.5, False),
         (Priority.CRITICAL, True, 1.0, 2.0, True),
@@ -208,12 +214,12 @@
         (Priority.CRITICAL, True, 0.02, 2.0, False),
     ],
 )
-def test_overload_spills_only_what_is_worth_the_link(
-    priority, spill, timeout_s, near_load, spilled
+def test_overload_spills_only_urgent_calls_with_time_left(
+    priority, spill, timeout_s, local_load, spilled
 ):
-    fixture = Fixture([*make_near(), *FAR])
+    fixture = Fixture([*make_local_instances(), *REMOTE_INSTANCES])
     for index in range(3):
-        fixture.answer(f"n{index}", near_load)
+        fixture.record_answer(f"n{index}", local_load)
     found = fixture.choose(priority=priority, spill=spill, timeout_s=timeout_s)
     assert (found in ("f0", "f1")) == spilled
 
@@ -225,43 +231,48 @@
 def test_empty_data_centre_spills_if_the_deadline_allows(
     spill, latency_s, found
 ):
-    fixture = Fixture(FAR)
-    fixture.answer("f0", latency_s=latency_s)
-    fixture.answer("f1", latency_s=latency_s)
+    fixture = Fixture(REMOTE_INSTANCES)
+    fixture.record_answer("f0", latency_s=latency_s)
+    fixture.record_answer("f1", latency_s=latency_s)
     assert (fixture.choose(spill=spill) is not None) == found
 
 
-@pytest.mark.parametrize(("least", "found"), [(2, False), (4, True)])
-def test_work_refused_near_may_go_far(least, found):
-    """A flood of the least urgent work in one data centre."""
-    fixture = Fixture(make_near(1) + FAR, refused_spill_priority=least)
+@pytest.mark.parametrize(("least_urgent", "found"), [(2, False), (4, True)])
+def test_calls_refused_locally_spill_by_priority(least_urgent, found):
+    """One data centre is overloaded with calls of the lowest priority."""
+    fixture = Fixture(
+        make_local_instances(1) + REMOTE_INSTANCES,
+        refused_spill_priority=least_urgent,
+    )
     chosen = fixture.choose(priority=Priority.LOW, tried={"n0"})
     assert (chosen is not None) == found
 
 
-def test_long_work_is_not_taken_for_a_long_link():
-    fixture = Fixture(FAR)
+def test_time_at_the_owner_node_is_not_link_latency():
+    fixture = Fixture(REMOTE_INSTANCES)
     for name in ("f0", "f1"):
-        fixture.answer(name, latency_s=0.5, spent_s=0.49)
+        fixture.record_answer(name, latency_s=0.5, owner_duration_s=0.49)
     assert fixture.choose() in ("f0", "f1")
 
 
-def test_call_goes_out_when_every_instance_refused_just_now():
-    fixture = Fixture(make_near(2))
+def test_calls_are_sent_if_every_instance_is_in_cooldown():
+    fixture = Fixture(make_local_instances(2))
     for name in ("n0", "n1"):
-        fixture.fail(name, NotRunError("silent", ErrorCode.UNRESPONSIVE))
+        fixture.record_error(
+            name, NotRunError("silent", ErrorCode.UNRESPONSIVE)
+        )
     assert set(fixture.count_choices()) == {"n0", "n1"}
 
 
 @pytest.mark.parametrize(
-    ("code", "held_s"),
+    ("code", "cooldown_s"),
     [(ErrorCode.DRAINING, 3.0), (ErrorCode.UNRESPONSIVE, 3.0)],
 )
-def test_draining_instance_gets_no_call_for_a_while(code, held_s):
-    fixture = Fixture(make_near(2))
-    fixture.fail("n0", NotRunError("leaving", code))
+def test_draining_instance_receives_no_calls_during_cooldown(code, cooldown_s):
+    fixture = Fixture(make_local_instances(2))
+    fixture.record_error("n0", NotRunError("leaving", code))
     assert set(fixture.count_choices()) == {"n1"}
-    fixture.clock.advance(held_s + 0.01)
+    fixture.clock.advance(cooldown_s + 0.01)
     assert set(fixture.count_choices()) == {"n0", "n1"}
 
 
@@ -275,28 +286,32 @@
         (UnknownRunError("claimed", ErrorCode.CONFLICT), False),
     ],
 )
-def test_only_failures_count_against_an_instance(error, ejected):
-    fixture = Fixture(make_near(3), ejection_failures=2)
+def test_only_failures_lead_to_ejection(error, ejected):
+    fixture = Fixture(make_local_instances(3), ejection_failures=2)
     for _ in range(4):
-        fixture.fail("n0", error)
-    usable = fixture.tracker.find_usable(list(fixture.instances.values()))
+        fixture.record_error("n0", error)
+    usable = fixture.outlier_tracker.find_usable(
+        list(fixture.instances.values())
+    )
     assert (len(usable) == 2) == ejected
 
 
-def test_failing_instance_wins_no_pair_by_being_quick():
-    fixture = Fixture(make_near(3), ejection_failures=1000)
+def test_failing_instance_is_not_preferred_for_low_latency():
+    fixture = Fixture(make_local_instances(3), ejection_failures=1000)
     for name in ("n0", "n1", "n2"):
-        fixture.answer(name)
+        fixture.record_answer(name)
     for _ in range(3):
-        fixture.answer("n0", latency_s=0.0001, status=500)
+        fixture.record_answer("n0", latency_s=0.0001, status=500)
     assert fixture.count_choices()["n0"] == 0
 
 
-def test_panic_prefers_instances_that_answer():
-    fixture = Fixture(make_near(4), ejection_failures=2, probe_grace_ms=0)
+def test_panic_mode_prefers_instances_that_answer():
+    fixture = Fixture(
+        make_local_instances(4), ejection_failures=2, probe_grace_ms=0
+    )
     for name in ("n0", "n1", "n2"):
         for _ in range(3):
-            fixture.fail(name, UnknownRunError("lost"))
+            fixture.record_error(name, UnknownRunError("lost"))
     counts = fixture.count_choices()
     assert counts["n3"] > 120
     assert sum(counts.values()) == 300
--- a/libs/traffic/auburnjunction/traffic/tests/test_call_reports.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_call_reports.py
@@ -1,9 +1,9 @@
-"""Metrics and log lines of finished calls."""
+"""Results of finished calls in metrics and log lines."""
 
 import pytest
 
 from auburnjunction.base.errors import ErrorCode
-from auburnjunction.traffic.call_reports import name_result
+from auburnjunction.traffic.call_reports import find_result
 from auburnjunction.traffic.calls import Outcome
 
 
@@ -18,4 +18,4 @@
     ],
 )
 def test_server_error_is_a_failed_call(outcome, code, result):
-    assert name_result(outcome, code) == result
+    assert find_result(outcome, code) == result
--- a/libs/traffic/auburnjunction/traffic/tests/test_ejections.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_ejections.py
@@ -1,4 +1,4 @@
-"""Ejection of failing instances, its bound, and probing back."""
+"""Ejection of failing instances, its limit, and recovery by probes."""
 
 import pytest
 from hypothesis import settings
@@ -34,7 +34,7 @@
         ([], NAMES),
         (["i0"], NAMES[1:]),
         (["i0", "i1", "i2"], NAMES[3:]),
-        # Panic: most of the service fails, so that none is left out.
+        # Panic mode: more than half are ejected, so that all stay usable.
         (["i0", "i1", "i2", "i3"], NAMES),
         (NAMES, NAMES),
     ],
@@ -50,7 +50,7 @@
     ("failures", "confirmed", "ejected"),
     [(2, True, False), (3, True, True), (9, False, False)],
 )
-def test_ejection_needs_failures_on_a_fresh_connection(
+def test_ejection_needs_failures_on_a_new_connection(
     failures, confirmed, ejected
 ):
     tracker = OutlierTracker(SETTINGS)
@@ -66,7 +66,7 @@
     assert len(tracker.find_usable(INSTANCES)) == len(INSTANCES)
 
 
-def test_single_call_probes_after_a_time_that_doubles():
+def test_single_call_probes_after_a_doubling_delay():
     tracker = OutlierTracker(SETTINGS)
     fail(tracker, "i0", 0)
     now_s = 0.0
@@ -84,7 +84,7 @@
 
 
 class TrackerMachine(RuleBasedStateMachine):
-    """Any order of outcomes and probes keeps the bounds."""
+    """Checks the invariants for any order of outcomes and probes."""
 
     def __init__(self):
         super().__init__()
--- a/libs/traffic/auburnjunction/traffic/tests/test_retries.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_retries.py
@@ -1,4 +1,4 @@
-"""The budget that bounds retries."""
+"""Retry budgets."""
 
 import pytest
 from hypothesis import given, settings
@@ -26,10 +26,10 @@
     now_s, tries, retries = 0.0, 0, 0
     for step in steps:
         if step == "try":
-            budget.record_first_try()
+            budget.record_first_attempt()
             tries += 1
         elif step == "retry":
-            retries += budget.take(now_s)
+            retries += budget.try_spend(now_s)
         else:
             now_s += step
         bound = share * tries + floor_per_s * now_s + 1
@@ -40,19 +40,19 @@
     ("tries", "wait_s", "retries"),
     [(0, 0, 1), (10, 0, 1), (20, 0, 2), (10_000, 0, 10), (0, 10, 2)],
 )
-def test_budget_grants_what_was_earned(tries, wait_s, retries):
+def test_budget_grants_accumulated_retries(tries, wait_s, retries):
     budget = RetryBudget(RoutingSettings(), 0.0)
     for _ in range(tries):
-        budget.record_first_try()
+        budget.record_first_attempt()
     granted = 0
-    while budget.take(wait_s):
+    while budget.try_spend(wait_s):
         granted += 1
     assert granted == retries
 
 
-def test_priorities_have_budgets_of_their_own():
+def test_priorities_have_separate_budgets():
     budgets = RetryBudgets(RoutingSettings())
     low = budgets.get("s", Priority.LOW, 0.0)
-    assert low.take(0.0)
-    assert not low.take(0.0)
-    assert budgets.get("s", Priority.CRITICAL, 0.0).take(0.0)
+    assert low.try_spend(0.0)
+    assert not low.try_spend(0.0)
+    assert budgets.get("s", Priority.CRITICAL, 0.0).try_spend(0.0)
