Reword the tests of entry nodes and call outcomes

Test names and comments described faults as figures of speech, and one comment on prompt attempts did not match its case: all three instances are busy, and the third one queues the call.

Cases and assertions are unchanged, except for the id of one case ("foreign" is now "earlier-response").

--- a/libs/traffic/auburnjunction/traffic/tests/routing_support.py
+++ b/libs/traffic/auburnjunction/traffic/tests/routing_support.py
@@ -1,4 +1,7 @@
-"""Nodes in one process, with faults, and the history of their calls."""
+"""Entry and owner nodes in one process, with fault injection.
+
+The executions of calls on the instances are recorded.
+"""
 
 import random
 from contextlib import AsyncExitStack, asynccontextmanager
@@ -52,7 +55,7 @@
     Route("bulk", "/bulk", SERVICE, priority=Priority.LOW, repeatable=True),
 )
 
-# Headers that a backend server may send but that never pass on.
+# Headers of a backend server's response that nodes must not forward.
 FORGED = [
     (b"auburn-outcome", b"not-run"),
     (b"auburn-request-id", b"forged"),
@@ -64,7 +67,7 @@
 
 @attrs.define
 class FixedSource:
-    """Snapshot, instances and currency that a test sets."""
+    """Provides the snapshot, instances and freshness that a test sets."""
 
     current: RevisedSnapshot | None = attrs.field(
         factory=lambda: RevisedSnapshot(
@@ -95,13 +98,13 @@
 
 @attrs.define
 class History:
-    """Executions by call, and by instance in order."""
+    """Numbers of executions by call and by instance."""
 
     executions: dict[str, int] = attrs.field(factory=dict)
     by_instance: dict[str, int] = attrs.field(factory=dict)
     attempts: int = 0
 
-    def record(self, call, instance):
+    def record_execution(self, call, instance):
         name = call.request.header(b"x-call").decode()
         self.executions[name] = self.executions.get(name, 0) + 1
         count = self.by_instance.get(instance, 0)
@@ -109,10 +112,11 @@
 
 
 class FaultyRunner:
-    """Owner of instances; the behaviour of each is set by a test.
+    """Runs calls on instances with the faults that a test sets.
 
-    A behaviour is a function of (call, instance) that may raise before
-    the execution is recorded, and one that may raise after it.
+    before and after map instances to coroutine functions of (call,
+    instance) that run before and after the execution is recorded and may
+    raise errors.
     """
 
     def __init__(self, history):
@@ -125,7 +129,7 @@
         self.history.attempts += 1
         if instance in self.before:
             await self.before[instance](call, instance)
-        self.history.record(call, instance)
+        self.history.record_execution(call, instance)
         if instance in self.after:
             await self.after[instance](call, instance)
         headers = [
@@ -144,7 +148,7 @@
     return behave
 
 
-async def lose_outcome(_call, _instance):
+async def raise_unknown_outcome(_call, _instance):
     raise UnknownRunError("lost")
 
 
@@ -152,7 +156,7 @@
     await curio.sleep(60)
 
 
-async def send_partly(server, wire, data):
+async def send_truncated(server, wire, data):
     await wire.sock.sendall(data[: len(data) // 2])
 
 
@@ -160,24 +164,25 @@
     pass
 
 
-async def keep_silent(_server, _wire, _data):
+async def never_respond(_server, _wire, _data):
     await curio.sleep(60)
 
 
-async def send_foreign(server, wire, _data):
-    """Answer with the whole response to an earlier request."""
-    await wire.sock.sendall(server.earlier)
+async def send_earlier_response(server, wire, _data):
+    """Send the complete response to an earlier request."""
+    await wire.sock.sendall(server.previous_response)
 
 
 class FaultyServer:
-    """Peer listener whose faults strike once a request has been run."""
+    """Peer listener with fault injection after a request has run."""
 
     def __init__(self, sock, handler):
         self.sock = sock
         self.handler = handler
-        self.earlier = b""
+        self.previous_response = b""
         self.connections = 0
-        # Function of (server, wire, data) in place of sending, or None.
+        # Coroutine function of (server, wire, data) that replaces the sending
+        # of a response, or None.
         self.fault = None
 
     async def accept_connections(self, group):
@@ -199,13 +204,13 @@
                     await self.fault(self, wire, recorder.data)
                 else:
                     await sock.sendall(recorder.data)
-                self.earlier = recorder.data
+                self.previous_response = recorder.data
                 if not wire.start_next_cycle():
                     break
 
 
 class RecordingSocket:
-    """Keeps what is sent."""
+    """Records the data that is sent."""
 
     def __init__(self):
         self.data = b""
@@ -216,7 +221,7 @@
 
 @attrs.define
 class Mesh:
-    """Entries and owners over real connections."""
+    """Entry nodes and owner nodes that communicate over sockets."""
 
     history: History
     runner: FaultyRunner
@@ -240,7 +245,7 @@
 ):
     """Yield a mesh with one instance on each owner node.
 
-    Entries are in dc-1 and own no instance.
+    Entry nodes are in dc-1 and own no instance.
     """
     settings = settings or RoutingSettings(access_log_share=0)
     clock = SystemClock()
--- a/libs/traffic/auburnjunction/traffic/tests/test_bad_input.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_bad_input.py
@@ -1,4 +1,4 @@
-"""Bad bytes on the listeners, each with the exact answer expected."""
+"""Malformed input to the listeners, with the responses expected."""
 
 import curio
 import pytest
@@ -37,7 +37,7 @@
 
 
 @pytest.mark.parametrize(
-    ("data", "answer"),
+    ("data", "expected"),
     [
         (GET + b"connection: close\r\n\r\n", "200 ok"),
         (GET + b"x: " + b"y" * 3000 + b"\r\n\r\n", "431 not-run"),
@@ -61,24 +61,24 @@
         (b"\x16\x03\x01\x02\x00\x01\r\n\r\n", "400 not-run"),
     ],
 )  # fmt: skip
-def test_entry_listener_answers(data, answer):
+def test_entry_listener_response(data, expected):
     async def main():
         clock = SystemClock()
         async with open_mesh() as mesh:
             handle = mesh.entries[0].handle
             async with open_server(HOST, 0, handle, clock, LIMITS) as server:
                 received = await exchange_raw(server.port, data)
-            status, outcome = answer.encode().split()
+            status, outcome = expected.encode().split()
             assert received.startswith(b"HTTP/1.1 " + status)
             assert b"auburn-outcome: " + outcome + b"\r\n" in received
-            executions = 1 if answer == "200 ok" else 0
+            executions = 1 if expected == "200 ok" else 0
             assert mesh.history.executions.get("a", 0) == executions
 
     curio.run(main)
 
 
 @pytest.mark.parametrize(
-    ("header", "answer"),
+    ("header", "expected"),
     [
         (CALL + b"r1;read;s;i0;3;1;0;900;7;;0;0\r\n", "200 ok"),
         (b"", "400 not-run"),
@@ -89,7 +89,7 @@
         (CALL + b"r1;read;s;i0;3;1;0;" + BIG + b";7;;0;0\r\n", "400 not-run"),
     ],
 )  # fmt: skip
-def test_peer_listener_answers(header, answer):
+def test_peer_listener_response(header, expected):
     async def main():
         clock = SystemClock()
         async with open_mesh() as mesh:
@@ -97,9 +97,9 @@
             async with open_server(HOST, 0, handler.handle, clock) as server:
                 data = GET + b"connection: close\r\n" + header + b"\r\n"
                 received = await exchange_raw(server.port, data)
-            status, outcome = answer.encode().split()
+            status, outcome = expected.encode().split()
             assert received.startswith(b"HTTP/1.1 " + status)
-            # Packed in one header, or plain in an error response.
+            # Headers are packed into one, but not those of error responses.
             plain = received.replace(b"\xff", b": ")
             assert plain.count(b"auburn-outcome: ") == 1
             assert b"auburn-outcome: " + outcome in plain
@@ -115,7 +115,7 @@
 
 @settings(derandomize=True, max_examples=100, deadline=None)
 @given(headers=st.lists(HEADER, max_size=6))
-def test_packed_headers_come_out_as_they_went_in(headers):
+def test_packing_and_unpacking_preserves_headers(headers):
     packed = pack_headers(headers)
     assert unpack_headers(packed) == headers
     has_separator = any(b"\xff" in value for _, value in headers)
@@ -124,7 +124,7 @@
     )
 
 
-def test_draining_entry_refuses_and_closes():
+def test_draining_entry_refuses_calls_and_closes_connections():
     async def main():
         async with open_mesh() as mesh:
             entry = mesh.entries[0]
--- a/libs/traffic/auburnjunction/traffic/tests/test_call_histories.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_call_histories.py
@@ -1,4 +1,4 @@
-"""History checks: calls sent, executed and answered under faults."""
+"""Consistency of calls sent, executed and answered under faults."""
 
 import random
 import socket
@@ -10,14 +10,14 @@
 from auburnjunction.traffic.routing_settings import RoutingSettings
 from auburnjunction.traffic.tests.routing_support import (
     hang,
-    keep_silent,
-    lose_outcome,
     make_instance,
+    never_respond,
     open_mesh,
+    raise_unknown_outcome,
     refuse,
-    send_foreign,
+    send_earlier_response,
     send_nothing,
-    send_partly,
+    send_truncated,
 )
 
 CALLS = 120
@@ -27,18 +27,18 @@
     "refuse": ("before", refuse()),
     "drain": ("before", refuse(ErrorCode.DRAINING)),
     "unreachable": ("before", refuse(ErrorCode.UNAVAILABLE)),
-    "lost": ("after", lose_outcome),
+    "lost": ("after", raise_unknown_outcome),
     "late": ("after", hang),
     "late-refusal": ("before", hang),
-    "partial": ("wire", send_partly),
+    "partial": ("wire", send_truncated),
     "killed": ("wire", send_nothing),
-    "silent": ("wire", keep_silent),
-    "foreign": ("wire", send_foreign),
+    "silent": ("wire", never_respond),
+    "earlier-response": ("wire", send_earlier_response),
     "stopped": ("stop", None),
 }
 
 
-def sometimes(behave, rng, share):
+def apply_to_share(behave, rng, share):
     async def choose(*args):
         if rng.random() < share:
             await behave(*args)
@@ -46,7 +46,7 @@
     return choose
 
 
-def sometimes_wire(fault, rng, share):
+def apply_to_share_of_responses(fault, rng, share):
     async def choose(server, wire, data):
         if rng.random() >= share:
             await wire.sock.sendall(data)
@@ -57,16 +57,18 @@
     return choose
 
 
-async def cause(mesh, kind, behave, names, share):
+async def inject_faults(mesh, kind, behave, names, share):
     rng = random.Random(3)
     for name in names:
         if kind == "wire":
-            mesh.servers[name].fault = sometimes_wire(behave, rng, share)
+            mesh.servers[name].fault = apply_to_share_of_responses(
+                behave, rng, share
+            )
         elif kind == "stop":
             await mesh.servers[name].sock.close()
         else:
             faults = getattr(mesh.runner, kind)
-            faults[name] = sometimes(behave, rng, share)
+            faults[name] = apply_to_share(behave, rng, share)
 
 
 async def run_calls(mesh, answers):
@@ -84,7 +86,7 @@
         await task.join()
 
 
-def check_history(answers, history):
+def check_outcomes(answers, history):
     assert len(answers) == CALLS
     for name, response in answers.items():
         executions = history.executions.get(name, 0)
@@ -109,7 +111,7 @@
 
 @pytest.mark.parametrize("case", CASES)
 @pytest.mark.parametrize("share", [0.3, 1.0])
-def test_history_holds(case, share):
+def test_outcomes_match_executions(case, share):
     kind, behave = CASES[case]
     settings = RoutingSettings(access_log_share=0, error_log_share=0)
 
@@ -121,9 +123,9 @@
             ) as mesh,
             curio.timeout_after(20),
         ):
-            await cause(mesh, kind, behave, ["i0", "i1", "i3"], share)
+            await inject_faults(mesh, kind, behave, ["i0", "i1", "i3"], share)
             await run_calls(mesh, answers)
-        check_history(answers, mesh.history)
+        check_outcomes(answers, mesh.history)
         outcomes = {r.header(b"auburn-outcome") for r in answers.values()}
         assert b"ok" in outcomes
 
@@ -131,9 +133,9 @@
 
 
 @pytest.mark.parametrize(
-    "fault", [refuse(ErrorCode.UNAVAILABLE), lose_outcome]
+    "fault", [refuse(ErrorCode.UNAVAILABLE), raise_unknown_outcome]
 )
-def test_retries_stay_within_a_tenth(fault):
+def test_retries_stay_within_the_budget(fault):
     settings = RoutingSettings(
         access_log_share=0,
         error_log_share=0,
@@ -157,15 +159,15 @@
             return mesh.history.attempts
 
     attempts = curio.run(main)
-    # One retry may be lent at the start.
+    # The budget starts with one token.
     assert calls < attempts <= calls * 1.1 + 1
 
 
 @pytest.mark.parametrize(
     ("fault", "status", "ejections"),
-    [(keep_silent, 504, 0), (send_foreign, 502, 1)],
+    [(never_respond, 504, 0), (send_earlier_response, 502, 1)],
 )
-def test_suspect_connection_is_replaced(fault, status, ejections):
+def test_failed_connection_is_replaced(fault, status, ejections):
     settings = RoutingSettings(access_log_share=0, ejection_failures=1)
 
     async def main():
@@ -185,7 +187,7 @@
     curio.run(main)
 
 
-def test_vanished_instance_is_not_run():
+def test_call_to_unreachable_instance_is_not_run():
     async def main():
         async with open_mesh([]) as mesh:
             mesh.source.instances.append(make_instance("gone", port=1))
--- a/libs/traffic/auburnjunction/traffic/tests/test_entries.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_entries.py
@@ -1,4 +1,4 @@
-"""Routing of callers' requests and the answers that they get."""
+"""Routing of callers' requests and the responses to them."""
 
 import curio
 import pytest
@@ -8,8 +8,8 @@
 from auburnjunction.traffic.routing_settings import RoutingSettings
 from auburnjunction.traffic.tests.routing_support import (
     hang,
-    lose_outcome,
     open_mesh,
+    raise_unknown_outcome,
     refuse,
 )
 
@@ -22,17 +22,17 @@
     return curio.run(main)
 
 
-def describe(response):
+def format_response(response):
     outcome = response.header(b"auburn-outcome").decode()
     code = (response.header(b"auburn-error") or b"").decode()
     return f"{response.status} {outcome} {code}".strip()
 
 
-def test_call_is_answered_whole_with_its_id():
+def test_response_is_complete_and_has_a_unique_id():
     async def test(mesh):
         first = await mesh.call("a")
         second = await mesh.call("b")
-        assert describe(first) == "200 ok"
+        assert format_response(first) == "200 ok"
         assert (first.body, second.body) == (b"a", b"b")
         assert first.header(b"x-call") == b"a"
         ids = {r.header(b"auburn-request-id") for r in (first, second)}
@@ -67,17 +67,17 @@
         ("/read", [(KEY, "")], INVALID),
         ("/read", [(KEY, "x" * 256)], INVALID),
         ("/read", [(KEY, "a"), (KEY, "b")], INVALID),
-        # Forged internal headers never count.
+        # Internal headers from callers are ignored.
         ("/read", [("auburn-call", "x;y"), ("auburn-priority", "1")], OK),
         ("/read", [("auburn-outcome", "not-run")], OK),
         ("/read", [("auburn-request-id", "forged")], OK),
     ],
 )
-def test_request_gets_its_exact_answer(path, headers, answer):
+def test_response_to_valid_and_invalid_requests(path, headers, answer):
     async def test(mesh):
         raw = [(name.encode(), value.encode()) for name, value in headers]
         response = await mesh.call("a", path=path, headers=raw)
-        assert describe(response) == answer
+        assert format_response(response) == answer
         assert response.header(b"auburn-request-id") != b"forged"
         assert mesh.history.executions.get("a", 0) == (answer == OK)
         lines = mesh.metrics.render().splitlines()
@@ -93,7 +93,7 @@
     async def test(mesh):
         setattr(mesh.source, field, None)
         answer = "503 not-run unavailable"
-        assert describe(await mesh.call("a")) == answer
+        assert format_response(await mesh.call("a")) == answer
         assert not mesh.history.executions
 
     run_mesh(test)
@@ -110,13 +110,15 @@
         ("/pay", ErrorCode.INVALID, "400 not-run invalid", 1),
     ],
 )
-def test_refusals_of_all_are_not_run(path, code, answer, attempts):
+def test_call_refused_by_every_instance_is_not_run(
+    path, code, answer, attempts
+):
     async def test(mesh):
         for name in mesh.servers:
             mesh.runner.before[name] = refuse(code)
         method = "GET" if path == "/read" else "POST"
         response = await mesh.call("a", method, path)
-        assert describe(response) == answer
+        assert format_response(response) == answer
         assert mesh.history.attempts == attempts
         assert not mesh.history.executions
 
@@ -136,27 +138,27 @@
     async def test(mesh):
         async def lose_first(call, instance):
             if mesh.history.attempts == 1:
-                await lose_outcome(call, instance)
+                await raise_unknown_outcome(call, instance)
 
         for name in mesh.servers:
             mesh.runner.after[name] = lose_first
         response = await mesh.call("a", method, path)
-        assert describe(response) == answer
+        assert format_response(response) == answer
         assert mesh.history.executions == {"a": executions}
 
     run_mesh(test)
 
 
-def test_unknown_beats_later_refusals():
+def test_unknown_outcome_prevails_over_later_refusals():
     async def test(mesh):
-        async def misbehave(call, instance):
+        async def refuse_retries(call, instance):
             if mesh.history.attempts > 1:
                 raise await refuse()(call, instance)
 
         for name in mesh.servers:
-            mesh.runner.before[name] = misbehave
-            mesh.runner.after[name] = lose_outcome
-        assert describe(await mesh.call("a")) == "502 unknown unknown"
+            mesh.runner.before[name] = refuse_retries
+            mesh.runner.after[name] = raise_unknown_outcome
+        assert format_response(await mesh.call("a")) == "502 unknown unknown"
 
     run_mesh(test)
 
@@ -167,7 +169,7 @@
             mesh.runner.after[name] = hang
         headers = [(b"auburn-deadline-ms", b"100")]
         response = await mesh.call("a", "POST", "/pay", headers=headers)
-        assert describe(response) == "504 unknown timeout"
+        assert format_response(response) == "504 unknown timeout"
         assert mesh.history.executions == {"a": 1}
 
     run_mesh(test)
@@ -176,79 +178,82 @@
 def test_instances_without_the_resource_are_skipped():
     async def test(mesh):
         answer = "503 not-run unavailable"
-        assert describe(await mesh.call("a", path="/ledger")) == answer
+        assert format_response(await mesh.call("a", path="/ledger")) == answer
 
     run_mesh(test)
 
 
-def test_own_data_centre_is_first_and_spill_needs_the_route():
+def test_local_data_centre_is_preferred_and_routes_allow_spill():
     async def test(mesh):
         for index in range(20):
             response = await mesh.call(str(index))
             assert response.header(b"x-instance") == b"i0"
         del mesh.source.instances[0]
-        assert describe(await mesh.call("far")) == "200 ok"
+        assert format_response(await mesh.call("far")) == "200 ok"
         answer = "503 not-run unavailable"
-        assert describe(await mesh.call("x", path="/near")) == answer
+        assert format_response(await mesh.call("x", path="/near")) == answer
 
     run_mesh(test, data_centres=("dc-1", "dc-2", "dc-3"))
 
 
-def note_prompts(mesh, busy):
-    """Make instances busy; return the instances asked, prompt ones marked."""
-    asked = []
+def record_attempts(mesh, busy):
+    """Make instances busy; return a list of later (instance, is prompt)."""
+    recorded = []
 
     async def behave(call, instance):
-        asked.append((instance, call.prompt))
+        recorded.append((instance, call.prompt))
         if call.prompt and instance in busy:
             raise NotRunError("no slot is free", ErrorCode.BUSY)
 
     for name in mesh.servers:
         mesh.runner.before[name] = behave
-    return asked
+    return recorded
 
 
 @pytest.mark.parametrize(
     ("data_centres", "busy", "prompts"),
     [
-        # One of three has a free slot, and is found within two tries.
+        # All are busy: after two prompt attempts, the third one queues it.
         (("dc-1",) * 3, ["i0", "i1", "i2"], [True, True, False]),
         (("dc-1",) * 3, [], [True]),
-        # The other one is the last of its data centre.
+        # The second instance is the last local one, so that it queues it.
         (("dc-1", "dc-1", "dc-2"), ["i0", "i1"], [True, False]),
-        # Another data centre is not worth a search for a free slot.
+        # Remote instances are not searched for a free slot.
         (("dc-1", "dc-2"), ["i0"], [False]),
     ],
 )
-def test_free_slot_is_looked_for_before_a_call_waits(
+def test_free_slots_are_tried_before_a_call_is_queued(
     data_centres, busy, prompts
 ):
-    """Half-full service of many small instances: few calls wait."""
+    """Calls must not queue at a full instance while others have free slots.
+
+    With many small instances, some are full even at half of the load.
+    """
 
     async def test(mesh):
-        asked = note_prompts(mesh, busy)
-        assert describe(await mesh.call("a")) == "200 ok"
-        assert [prompt for _, prompt in asked] == prompts
-        names = [name for name, _ in asked]
+        recorded = record_attempts(mesh, busy)
+        assert format_response(await mesh.call("a")) == "200 ok"
+        assert [prompt for _, prompt in recorded] == prompts
+        names = [name for name, _ in recorded]
         assert len(set(names)) == len(names)
 
     settings = RoutingSettings(access_log_share=0, prompt_attempts=2)
     run_mesh(test, data_centres=data_centres, settings=settings)
 
 
-def test_busy_instance_queues_the_call_when_the_others_are_gone():
+def test_busy_instance_queues_the_call_if_the_others_disappear():
     async def test(mesh):
-        asked = note_prompts(mesh, ["i0", "i1"])
+        recorded = record_attempts(mesh, ["i0", "i1"])
 
-        async def leave(call, instance):
-            asked.append((instance, call.prompt))
+        async def remove_and_refuse(call, instance):
+            recorded.append((instance, call.prompt))
             mesh.source.instances = mesh.source.instances[:1]
             raise NotRunError("no slot is free", ErrorCode.BUSY)
 
-        mesh.runner.before["i1"] = leave
+        mesh.runner.before["i1"] = remove_and_refuse
         for number in range(20):
-            assert describe(await mesh.call(f"a{number}")) == "200 ok"
-        assert ("i0", False) in asked
+            assert format_response(await mesh.call(f"a{number}")) == "200 ok"
+        assert ("i0", False) in recorded
 
     settings = RoutingSettings(access_log_share=0, prompt_attempts=2)
     run_mesh(test, data_centres=("dc-1", "dc-1"), settings=settings)
--- a/libs/traffic/auburnjunction/traffic/tests/test_histories.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_histories.py
@@ -1,4 +1,4 @@
-"""Histories of calls under overload, cancellation, drain and silence."""
+"""Outcomes under overload, cancellation, draining and lost responses."""
 
 import random
 from contextlib import asynccontextmanager
@@ -27,8 +27,8 @@
 ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
 
 
-async def record_overload(discipline, seed, drains):
-    """Send calls of every priority, cancel some, drain in the middle."""
+async def run_overload(discipline, seed, drains):
+    """Send calls of all priorities, cancel some, optionally drain halfway."""
     source = random.Random(seed)
     cfg = AdmissionSettings(
         discipline=discipline,
@@ -41,7 +41,7 @@
         owner = make_owner(backend.port, SLOTS, cfg, service)
 
         async def respond(request):
-            # A cancelled call may end later there than at the owner.
+            # The backend server may end a cancelled call after the owner.
             running.append(owner.running)
             return await backend.handle(request)
 
@@ -58,10 +58,10 @@
             if source.random() < 0.7:
                 await curio.sleep(source.random() * 0.001)
             if source.random() < 0.1:
-                victim = source.choice(list(tasks))
-                if not tasks[victim].terminated:
-                    cancelled.add(victim)
-                    await tasks[victim].cancel()
+                cancelled_name = source.choice(list(tasks))
+                if not tasks[cancelled_name].terminated:
+                    cancelled.add(cancelled_name)
+                    await tasks[cancelled_name].cancel()
             if drains and number == CALLS // 2:
                 owner.start_draining()
         remaining = await owner.drain(5.0)
@@ -76,9 +76,9 @@
 
 @pytest.mark.parametrize("discipline", ["shares", "strict", "fifo"])
 @pytest.mark.parametrize("drains", [False, True])
-def test_history_of_an_overload(discipline, drains):
+def test_outcomes_match_executions_under_overload(discipline, drains):
     backend, owner, results, cancelled, remaining = curio.run(
-        record_overload, discipline, 7, drains
+        run_overload, discipline, 7, drains
     )
     runs = count_runs(backend)
     assert max(runs.values()) == 1
@@ -88,14 +88,14 @@
             assert name not in runs
         elif isinstance(result, Answer):
             assert result.response.body == name.encode()
-    # Only a deadline or a gone caller cuts off a call that runs.
+    # A running call is cancelled only at its deadline or by its caller.
     late = {n for n, r in results.items() if isinstance(r, UnknownRunError)}
     assert set(backend.cancelled) <= cancelled | late
     assert sum(isinstance(r, NotRunError) for r in results.values()) > 20
 
 
 def test_call_past_its_deadline_does_not_start():
-    """The clock may run ahead of the timer that ends the wait."""
+    """The deadline may pass before the timer that ends the wait fires."""
 
     async def main():
         clock = ManualClock(CLOCK.monotonic())
@@ -116,7 +116,7 @@
 
 
 @pytest.mark.parametrize(
-    ("flood", "discipline", "passes"),
+    ("overload_priority", "discipline", "passes"),
     [
         (Priority.LOW, "shares", True),
         (Priority.LOW, "fifo", False),
@@ -124,9 +124,15 @@
         (Priority.CRITICAL, "strict", False),
     ],
 )
-def test_other_priority_gets_slots_in_a_flood(flood, discipline, passes):
-    """The one other call starts among the next 21 starts."""
-    other = Priority.LOW if flood is Priority.CRITICAL else Priority.CRITICAL
+def test_other_priority_gets_slots_under_overload(
+    overload_priority, discipline, passes
+):
+    """One call of another priority is among the next 21 to start."""
+    other = (
+        Priority.LOW
+        if overload_priority is Priority.CRITICAL
+        else Priority.CRITICAL
+    )
 
     async def main():
         cfg = AdmissionSettings(discipline=discipline)
@@ -135,7 +141,7 @@
             owner = make_owner(backend.port, SLOTS, cfg)
             async with curio.TaskGroup() as group:
                 for number in range(60):
-                    call = make_call(f"flood-{number}", flood)
+                    call = make_call(f"flood-{number}", overload_priority)
                     await group.spawn(try_call, owner, call)
                 await wait_until(lambda: backend.running == SLOTS)
                 await group.spawn(try_call, owner, make_call("other", other))
@@ -147,77 +153,77 @@
 
 
 @asynccontextmanager
-async def open_cut_backend():
-    """Yield the port of a server and a set that silences connections.
+async def open_muting_backend():
+    """Yield the port of a server and a function that mutes connections.
 
-    Connections in the set get no more answers; new ones work.
+    Open connections then receive no more responses; new ones work.
     """
-    connections, silent = set(), set()
+    connections, muted = set(), set()
 
     async def serve(sock, address):
         connections.add(address)
         while await sock.recv(65536):
-            if address not in silent:
+            if address not in muted:
                 await sock.sendall(ANSWER)
 
     server = curio.network.tcp_server_socket(HOST, 0)
     task = await curio.spawn(curio.network.run_server, server, serve)
     try:
-        yield server.getsockname()[1], lambda: silent.update(connections)
+        yield server.getsockname()[1], lambda: muted.update(connections)
     finally:
         await task.cancel()
 
 
-@pytest.mark.parametrize(("repeatable", "most_lost"), [(True, 1), (False, 0)])
-def test_silent_connections_cost_one_call_at_most(repeatable, most_lost):
+@pytest.mark.parametrize(("repeatable", "max_lost"), [(True, 1), (False, 0)])
+def test_dead_connections_fail_at_most_one_call(repeatable, max_lost):
     async def main():
         service = Service("orders", attempt_timeout_ms=50)
         cfg = AdmissionSettings(unrepeatable_idle_limit_s=0.0)
-        async with open_cut_backend() as (port, cut_connections):
+        async with open_muting_backend() as (port, mute_connections):
             owner = make_owner(port, 3, cfg, service)
             async with curio.TaskGroup() as group:
                 for name in "abc":
                     await group.spawn(owner.run_call, make_call(name))
-            cut_connections()
+            mute_connections()
             results = [
                 await try_call(owner, make_call(n, repeatable=repeatable))
                 for n in "def"
             ]
         lost = [r for r in results if not isinstance(r, Answer)]
-        assert len(lost) == most_lost
+        assert len(lost) == max_lost
         assert not owner.suspect
 
     curio.run(main)
 
 
 @asynccontextmanager
-async def open_frozen_backend():
-    """Yield a port that takes connections and answers nothing until told."""
-    thaw = curio.Event()
+async def open_unresponsive_backend():
+    """Yield the port of a server and the event after which it responds."""
+    resume = curio.Event()
 
     async def serve(sock, _address):
         while await sock.recv(65536):
-            await thaw.wait()
+            await resume.wait()
             await sock.sendall(ANSWER)
 
     server = curio.network.tcp_server_socket(HOST, 0)
     task = await curio.spawn(curio.network.run_server, server, serve)
     try:
-        yield server.getsockname()[1], thaw
+        yield server.getsockname()[1], resume
     finally:
         await task.cancel()
 
 
-def test_frozen_backend_server_costs_one_unknown_outcome():
-    """Later calls are refused as not run until a probe is answered."""
+def test_unresponsive_backend_server_causes_one_unknown_outcome():
+    """Later calls are refused as not run until a probe succeeds."""
 
     async def main():
         service = Service("orders", attempt_timeout_ms=50)
         cfg = AdmissionSettings(probe_timeout_s=0.05)
-        async with open_frozen_backend() as (port, thaw):
+        async with open_unresponsive_backend() as (port, resume):
             owner = make_owner(port, 3, cfg, service)
             results = [await try_call(owner, make_call(n)) for n in "abc"]
-            await thaw.set()
+            await resume.set()
             await owner.probe()
             results.append(await try_call(owner, make_call("d")))
         return [type(result) for result in results]
