--- a/libs/membership/auburnjunction/membership/errors.py
+++ b/libs/membership/auburnjunction/membership/errors.py
@@ -4,16 +4,16 @@
 
 
 class MembershipError(AuburnError):
-    """An exchange of membership that did not succeed."""
+    """Base of the errors of membership."""
 
     code = ErrorCode.UNAVAILABLE
 
 
 class PeerUnreachableError(MembershipError):
-    """A peer gave no usable answer."""
+    """A peer did not respond, or its message cannot be used."""
 
 
 class UnknownInstanceError(MembershipError, KeyError):
-    """A backend server that has not announced itself to this node."""
+    """A backend server has no lease on this node."""
 
     code = ErrorCode.NOT_FOUND
--- a/libs/membership/auburnjunction/membership/exchanges.py
+++ b/libs/membership/auburnjunction/membership/exchanges.py
@@ -1,4 +1,4 @@
-"""Protobuf messages between nodes over HTTP, and their errors."""
+"""Exchange of protobuf messages between nodes over HTTP."""
 
 from absl import logging
 from google.protobuf.message import DecodeError, Message
@@ -13,23 +13,23 @@
 
 
 def decode_records(messages) -> list[Node]:
-    """Return the records of messages; bad ones are left out."""
+    """Decode records; skip invalid ones with a warning."""
     records = []
     for message in messages:
         try:
             records.append(decode_record(message))
         except ValueError as exc:
-            logging.warning("a gossiped record is left out: %s", exc)
+            logging.warning("skipping an invalid gossip record: %s", exc)
     return records
 
 
 def encode_mark(mark: RevisionMark) -> pb.RevisionMark:
-    """Return the message of a revision mark."""
+    """Encode a revision mark as a protobuf message."""
     return pb.RevisionMark(revision=mark.revision, digest=mark.digest)
 
 
 def decode_mark(message: pb.RevisionMark) -> RevisionMark:
-    """Return the revision mark of a message."""
+    """Decode a revision mark from a protobuf message."""
     return RevisionMark(message.revision, message.digest)
 
 
@@ -41,9 +41,9 @@
     timeout_s: float,
     max_idle_s: float | None = None,
 ) -> bytes:
-    """Send a body to a node and return that of its answer.
+    """Post a body to a node and return the body of its response.
 
-    Raise PeerUnreachableError when there is no answer with status 200.
+    Raise PeerUnreachableError unless the response has status 200.
     """
     headers = [(b"host", str(address).encode())]
     request = HttpRequest(b"POST", target, headers, body)
@@ -58,7 +58,7 @@
 
 
 def parse_message(message_class, body: bytes):
-    """Read a protobuf message; raise PeerUnreachableError if bad."""
+    """Parse a protobuf message; raise PeerUnreachableError if invalid."""
     try:
         return message_class.FromString(body)
     except DecodeError as exc:
@@ -66,5 +66,5 @@
 
 
 def make_response(message: Message) -> HttpResponse:
-    """Return a message as the body of an answer."""
+    """Return a response with a message as its body."""
     return HttpResponse(200, [], message.SerializeToString())
--- a/libs/membership/auburnjunction/membership/links.py
+++ b/libs/membership/auburnjunction/membership/links.py
@@ -1,4 +1,4 @@
-"""Choice of the few nodes that link data centres."""
+"""Selection of the link nodes, which gossip with other data centres."""
 
 from collections.abc import Iterable
 
@@ -6,11 +6,11 @@
 
 
 def select_links(records: Iterable[Node], count: int) -> list[Node]:
-    """Return the nodes that link their data centre to others.
+    """Return the link nodes among the nodes of a data centre.
 
-    Rendezvous hashing over the nodes that are alive: those with the
-    same view choose the same links, and the loss of one node moves one
-    link only.
+    Rendezvous hashing over the alive nodes: nodes with the same view
+    select the same links, and the loss of a node moves at most one
+    link.
     """
     alive = [r for r in records if r.state is NodeState.ALIVE]
     alive.sort(key=lambda record: hash_text(record.node))
