Reword the cluster tests of membership

Cause: names and comments of the tests described failures figuratively. Change: names, docstrings, comments and texts of failed waits; test_lives becomes test_late_announcements. No assertion, limit or fault changed.

--- a/libs/membership/auburnjunction/membership/tests/actors.py
+++ b/libs/membership/auburnjunction/membership/tests/actors.py
@@ -1,7 +1,7 @@
-"""A process that acts while its membership is current; for tests.
+"""Process for tests of pauses; acts only while its view is current.
 
 Arguments: the address to listen on and the address of a seed. It writes a
-line for each chance to act: the monotonic time, and 1 when it acted.
+line per interval: the monotonic time, and 1 if it acted, else 0.
 """
 
 import sys
@@ -18,7 +18,7 @@
 
 
 async def act(own: str, seed: str) -> None:
-    """Act again and again until killed."""
+    """Act at a fixed interval until killed."""
     clock = SystemClock()
     cfg = attrs.evolve(FAST, seeds=(seed,))
     pools = PoolRegistry(clock)
--- a/libs/membership/auburnjunction/membership/tests/histories.py
+++ b/libs/membership/auburnjunction/membership/tests/histories.py
@@ -1,26 +1,26 @@
-"""Histories of what nodes saw, and the check of the promise on leaving."""
+"""Histories of ready backend servers per node, and checks of leaving."""
 
 import time
 
 import attrs
 import curio
 
-# A backend server that is leaving gets no new work after this time.
+# A backend server that is leaving gets no new calls after this time.
 LEAVING_LIMIT_S = 3.0
 POLL_INTERVAL_S = 0.02
 
 
 @attrs.frozen
-class Left:
-    """A backend server has begun to leave."""
+class LeaveEvent:
+    """A backend server begins to leave."""
 
     time_s: float
     instance: str
 
 
 @attrs.frozen
-class Seen:
-    """The backend servers that a node would send new work to."""
+class ReadyEvent:
+    """The backend servers that a node would route new calls to."""
 
     time_s: float
     node: str
@@ -31,64 +31,66 @@
     """Records events of a cluster while it runs."""
 
     def __init__(self, cluster):
-        self.events: list[Left | Seen] = []
+        self.events: list[LeaveEvent | ReadyEvent] = []
         self._cluster = cluster
 
-    def note_left(self, instance: str) -> None:
+    def record_leave(self, instance: str) -> None:
         """Record that a backend server begins to leave now."""
-        self.events.append(Left(time.monotonic(), instance))
+        self.events.append(LeaveEvent(time.monotonic(), instance))
 
     async def watch(self) -> None:
-        """Record what every node sees until cancelled."""
+        """Poll and record the ready backend servers until cancelled."""
         while True:
             for member in self._cluster.running:
-                seen = frozenset(member.ready())
+                ready = frozenset(member.ready())
                 now_s = time.monotonic()
-                self.events.append(Seen(now_s, member.node, seen))
+                self.events.append(ReadyEvent(now_s, member.node, ready))
             await curio.sleep(POLL_INTERVAL_S)
 
 
-def find_late_sights(
-    events: list[Left | Seen], limit_s: float = LEAVING_LIMIT_S
+def find_late_selections(
+    events: list[LeaveEvent | ReadyEvent], limit_s: float = LEAVING_LIMIT_S
 ) -> list[tuple[str, str, float]]:
-    """Return (node, instance, seconds late) of sights after the limit."""
-    left = {e.instance: e.time_s for e in events if isinstance(e, Left)}
+    """Return (node, instance, seconds late) of those still ready late."""
+    left = {e.instance: e.time_s for e in events if isinstance(e, LeaveEvent)}
     return [
         (event.node, instance, event.time_s - left[instance] - limit_s)
         for event in events
-        if isinstance(event, Seen)
+        if isinstance(event, ReadyEvent)
         for instance in event.instances & left.keys()
         if event.time_s > left[instance] + limit_s
     ]
 
 
-def find_returns(events: list[Left | Seen]) -> list[tuple[str, str]]:
-    """Return (node, instance) of those seen again after they left."""
-    left = {e.instance: e.time_s for e in events if isinstance(e, Left)}
-    unseen: set[tuple[str, str]] = set()
+def find_returns(
+    events: list[LeaveEvent | ReadyEvent],
+) -> list[tuple[str, str]]:
+    """Return (node, instance) of those ready again after leaving."""
+    left = {e.instance: e.time_s for e in events if isinstance(e, LeaveEvent)}
+    removed: set[tuple[str, str]] = set()
     returns = []
     for event in events:
-        if not isinstance(event, Seen):
+        if not isinstance(event, ReadyEvent):
             continue
         for instance, time_s in left.items():
             key = (event.node, instance)
             if event.time_s < time_s:
                 continue
             if instance not in event.instances:
-                unseen.add(key)
-            elif key in unseen:
+                removed.add(key)
+            elif key in removed:
                 returns.append(key)
     return returns
 
 
-def find_worst(events: list[Left | Seen]) -> float:
-    """Return the longest time from leaving to the last sight."""
-    left = {e.instance: e.time_s for e in events if isinstance(e, Left)}
+def find_max_delay(events: list[LeaveEvent | ReadyEvent]) -> float:
+    """Return the longest time from leaving to the last ready event."""
+    left = {e.instance: e.time_s for e in events if isinstance(e, LeaveEvent)}
     return max(
         (
             event.time_s - left[instance]
             for event in events
-            if isinstance(event, Seen)
+            if isinstance(event, ReadyEvent)
             for instance in event.instances & left.keys()
             if event.time_s > left[instance]
         ),
--- a/libs/membership/auburnjunction/membership/tests/support.py
+++ b/libs/membership/auburnjunction/membership/tests/support.py
@@ -1,4 +1,4 @@
-"""Memberships over loopback servers in one process, and their faults."""
+"""Clusters of memberships over loopback servers, with network faults."""
 
 import itertools
 from contextlib import asynccontextmanager
@@ -57,14 +57,14 @@
 
 
 class JumpingClock(SystemClock):
-    """Clock on which time passes while nothing of its node runs."""
+    """Clock that jumps, as after a pause, and may show a wrong date."""
 
     def __init__(self):
         self.offset_s = 0.0
         self.wall_offset = timedelta()
 
     def now(self) -> datetime:
-        """Return the wall-clock time plus an error."""
+        """Return the wall-clock time plus the offset."""
         return super().now() + self.wall_offset
 
     def monotonic(self) -> float:
@@ -74,7 +74,7 @@
 
 @attrs.define
 class Network:
-    """Faults of the exchanges between members."""
+    """Faults to inject into the exchanges between members."""
 
     drop_share: float = 0.0
     duplicate_share: float = 0.0
@@ -84,26 +84,26 @@
     random: Random = attrs.field(factory=lambda: Random(SEED))
 
     def cut(self, senders, receivers) -> None:
-        """Lose what some members send to others."""
+        """Drop all requests of some members to others."""
         self.cuts |= {
             (a.address, b.address) for a in senders for b in receivers
         }
 
     def cut_both_ways(self, some, others) -> None:
-        """Lose everything between two groups of members."""
+        """Drop all requests between two groups of members."""
         self.cut(some, others)
         self.cut(others, some)
 
 
 def is_urgent(request) -> bool:
-    """Tell whether a request is a push of what is leaving."""
+    """Return whether a request is an urgent push."""
     if request.path != "/gossip":
         return False
     return pb.GossipRequest.FromString(request.body).urgent
 
 
 class FaultyPools(PoolRegistry):
-    """Pools of one member, behind the faults of a network."""
+    """Pools of one member that inject the faults of a network."""
 
     def __init__(self, clock, network: Network, source: Address):
         super().__init__(clock)
@@ -111,21 +111,21 @@
         self._source = source
 
     def get(self, address):
-        """Return a pool whose exchanges suffer the faults."""
+        """Return a pool that injects the faults."""
         pool = super().get(address)
         return FaultyPool(pool, self._network, (self._source, address))
 
 
 @attrs.define
 class FaultyPool:
-    """A pool whose exchanges are lost, doubled or late."""
+    """Pool whose exchanges are dropped, duplicated or delayed."""
 
     pool: object
     network: Network
     path: tuple[Address, Address]
 
     async def exchange(self, request, timeout_s, max_idle_s=None):
-        """Exchange, with faults."""
+        """Exchange a request with the injected faults."""
         network = self.network
         draw = network.random.random
         if self.path in network.cuts or draw() < network.drop_share:
@@ -137,7 +137,7 @@
         await curio.sleep(draw() * network.max_delay_s)
         response = await self.pool.exchange(request, timeout_s, max_idle_s)
         if draw() < network.drop_share:
-            raise NotSentError("answer lost")
+            raise NotSentError("response lost")
         return response
 
     async def _repeat(self, request, timeout_s):
@@ -157,7 +157,7 @@
     task: curio.Task | None = None
 
     def state_of(self, other: "Member") -> NodeState | None:
-        """Return the state in which this member sees another."""
+        """Return the state of another member in the view of this one."""
         for node in self.membership.list_nodes():
             if node.node == other.node:
                 return node.state
@@ -176,8 +176,8 @@
         self.network = Network()
         self.table = table
         addresses = reserve_addresses(count)
-        named = tuple(str(a) for a in addresses[:seeds])
-        self.cfg = attrs.evolve(cfg, seeds=named)
+        seed_addresses = tuple(str(a) for a in addresses[:seeds])
+        self.cfg = attrs.evolve(cfg, seeds=seed_addresses)
         self.members = [
             Member(f"n{i}", DATA_CENTRES[i % 2], addresses[i])
             for i in range(count)
@@ -191,12 +191,12 @@
         """Members that are up."""
         return [m for m in self.members if m.membership is not None]
 
-    def of(self, data_centre: str) -> list[Member]:
+    def list_members(self, data_centre: str) -> list[Member]:
         """Return the members of one data centre."""
         return [m for m in self.members if m.data_centre == data_centre]
 
     async def start(self, member: Member) -> None:
-        """Start a member or start it again."""
+        """Start or restart a member."""
         ready = curio.Event()
         member.task = await curio.spawn(self._run, member, ready)
         await ready.wait()
@@ -204,24 +204,24 @@
             await member.task.join()
 
     async def kill(self, member: Member) -> None:
-        """Stop a member without a word to others."""
+        """Stop a member without announcing that it is leaving."""
         member.membership = None
         await member.task.cancel()
 
     async def wait_joined(self) -> None:
-        """Wait until all members that are up know each other."""
+        """Wait until the views of all running members contain them all."""
         names = {m.node for m in self.running}
 
-        def is_so():
+        def has_joined():
             return all(
                 {n.node for n in m.membership.list_nodes()} >= names
                 for m in self.running
             )
 
-        await wait_until(is_so, what="all members know each other")
+        await wait_until(has_joined, what="all members are in every view")
 
     async def wait_ready(self, names, limit_s=5.0) -> None:
-        """Wait until all members see just these ready servers."""
+        """Wait until every view has exactly these ready backend servers."""
         await wait_until(
             lambda: all(m.ready() == names for m in self.running),
             limit_s,
@@ -252,7 +252,7 @@
 
 @asynccontextmanager
 async def open_cluster(count=4, cfg=FAST, **options):
-    """Yield a running cluster whose members know each other."""
+    """Yield a running cluster after all members have joined."""
     cluster = Cluster(count, cfg, **options)
     try:
         for member in cluster.members:
@@ -266,7 +266,7 @@
 
 
 def run_cluster(scenario, count=4, cfg=FAST, **options):
-    """Run a scenario on a cluster."""
+    """Run a scenario against a running cluster."""
 
     async def main():
         async with open_cluster(count, cfg, **options) as cluster:
@@ -276,7 +276,7 @@
 
 
 def reserve_addresses(count: int) -> list[Address]:
-    """Return addresses of this process that were not given before."""
+    """Return addresses with ports not returned before."""
     return [Address(HOST, next(PORTS)) for _ in range(count)]
 
 
@@ -303,10 +303,12 @@
 
 
 async def wait_until(condition, limit_s=5.0, what=""):
-    """Wait until a condition holds; fail after the limit."""
+    """Wait until a condition holds; fail after limit_s."""
     try:
         async with curio.timeout_after(limit_s):
             while not condition():
                 await curio.sleep(0.01)
     except curio.TaskTimeout:
-        raise AssertionError(f"not within {limit_s} s: {what}") from None
+        raise AssertionError(
+            f"condition not met within {limit_s} s: {what}"
+        ) from None
--- a/libs/membership/auburnjunction/membership/tests/test_failures.py
+++ b/libs/membership/auburnjunction/membership/tests/test_failures.py
@@ -1,4 +1,4 @@
-"""Failures of nodes and links: suspicion, refutation, return, healing."""
+"""Node and network failures: suspicion, refutation, rejoin, repair."""
 
 from datetime import timedelta
 
@@ -14,20 +14,20 @@
     wait_until,
 )
 
-# Tombstones must not hide that a node is back.
-QUIET = attrs.evolve(FAST, suspicion_timeout_s=30.0)
+# Suspicions do not time out, so that no tombstone hides a recovery.
+LONG_SUSPICION = attrs.evolve(FAST, suspicion_timeout_s=30.0)
 
 
-def sees(observers, member, state):
+def all_see(observers, member, state):
     return lambda: all(o.state_of(member) is state for o in observers)
 
 
-def others_than(cluster, member):
+def all_except(cluster, member):
     return [m for m in cluster.running if m is not member]
 
 
-async def wait_quiet(members):
-    """Wait until nobody passes on what is known by now."""
+async def wait_gossip_settled(members):
+    """Wait until the changes so far are no longer gossiped."""
     stats = [m.membership.stats for m in members]
     ends = [s.exchanges + 12 for s in stats]
     await wait_until(
@@ -44,7 +44,7 @@
         victim.membership.announce(make_announcement("i2"))
         await cluster.wait_ready({"i2"})
         await cluster.kill(victim)
-        dead = sees(cluster.running, victim, NodeState.DEAD)
+        dead = all_see(cluster.running, victim, NodeState.DEAD)
         await wait_until(dead, what="the killed node is dead")
         await cluster.wait_ready(set())
 
@@ -56,12 +56,12 @@
     async def scenario(cluster):
         victim = cluster[2]
         await cluster.kill(victim)
-        dead = sees(cluster.running, victim, NodeState.DEAD)
+        dead = all_see(cluster.running, victim, NodeState.DEAD)
         await wait_until(dead, what="the killed node is dead")
         victim.clock.wall_offset = timedelta(seconds=clock_error_s)
         await cluster.start(victim)
         victim.membership.announce(make_announcement("i2"))
-        alive = sees(cluster.running, victim, NodeState.ALIVE)
+        alive = all_see(cluster.running, victim, NodeState.ALIVE)
         await wait_until(alive, what="the restarted node is alive")
         await cluster.wait_ready({"i2"})
 
@@ -77,7 +77,7 @@
             lambda: stats.indirect_probes >= 6, what="indirect probes"
         )
         assert stats.suspicions == 0
-        assert sees(cluster.running, two, NodeState.ALIVE)()
+        assert all_see(cluster.running, two, NodeState.ALIVE)()
 
     run_cluster(scenario, 6)
 
@@ -85,31 +85,33 @@
 def test_false_suspicion_is_refuted():
     async def scenario(cluster):
         victim = cluster[2]
-        others = others_than(cluster, victim)
+        others = all_except(cluster, victim)
         cluster.network.cut_both_ways([victim], others)
-        suspected = sees(cluster.of("helsinki")[:1], victim, NodeState.SUSPECT)
+        suspected = all_see(
+            cluster.list_members("helsinki")[:1], victim, NodeState.SUSPECT
+        )
         await wait_until(suspected, what="the node is suspected")
         cluster.network.cuts.clear()
-        alive = sees(others, victim, NodeState.ALIVE)
+        alive = all_see(others, victim, NodeState.ALIVE)
         await wait_until(alive, what="the node is alive again")
         assert victim.membership.stats.refutations >= 1
 
-    run_cluster(scenario, 6, QUIET)
+    run_cluster(scenario, 6, LONG_SUSPICION)
 
 
-def test_node_called_dead_in_error_returns():
+def test_node_falsely_marked_dead_returns():
     async def scenario(cluster):
         victim = cluster[2]
-        others = others_than(cluster, victim)
+        others = all_except(cluster, victim)
         cluster.network.cut_both_ways([victim], others)
         await wait_until(
-            sees(others, victim, NodeState.DEAD), what="the node is dead"
+            all_see(others, victim, NodeState.DEAD), what="the node is dead"
         )
-        # Cut off, it blames itself and calls nobody dead.
+        # The isolated node must not mark the other nodes dead.
         assert all(victim.state_of(o) is not NodeState.DEAD for o in others)
         cluster.network.cuts.clear()
         await wait_until(
-            sees(others, victim, NodeState.ALIVE), what="it is back"
+            all_see(others, victim, NodeState.ALIVE), what="it is back"
         )
 
     run_cluster(scenario, 6)
@@ -119,38 +121,40 @@
     async def scenario(cluster):
         victim = cluster[2]
         victim.membership.set_leaving()
-        leaving = sees(cluster.running, victim, NodeState.LEAVING)
+        leaving = all_see(cluster.running, victim, NodeState.LEAVING)
         await wait_until(leaving, what="the node is leaving")
         await cluster.kill(victim)
-        dead = sees(cluster.running, victim, NodeState.DEAD)
+        dead = all_see(cluster.running, victim, NodeState.DEAD)
         await wait_until(dead, what="the node has left")
         stats = [m.membership.stats for m in cluster.running]
         assert sum(s.suspicions for s in stats) == 0
 
-    run_cluster(scenario, 6, QUIET)
+    run_cluster(scenario, 6, LONG_SUSPICION)
 
 
 def test_node_that_missed_a_change_is_repaired():
     async def scenario(cluster):
         cut_off = cluster[4]
-        others = others_than(cluster, cut_off)
-        await wait_quiet(cluster.members)
+        others = all_except(cluster, cut_off)
+        await wait_gossip_settled(cluster.members)
         cluster.network.cut_both_ways([cut_off], others)
-        # Of a node that it does not probe, so that it asks nobody of it.
+        # On a node of the other data centre, which the cut-off node does
+        # not probe: a gossiped suspicion would bring the newer record
+        # back without a repair.
         cluster[1].membership.announce(make_announcement("i0"))
         seen = [lambda m=m: m.ready() == {"i0"} for m in others]
         await wait_until(lambda: all(f() for f in seen), what="i0 is ready")
-        await wait_quiet(others)
+        await wait_gossip_settled(others)
         cluster.network.cuts.clear()
         await cluster.wait_ready({"i0"})
 
-    run_cluster(scenario, 6, QUIET)
+    run_cluster(scenario, 6, LONG_SUSPICION)
 
 
 @pytest.mark.parametrize("both_ways", [True, False])
-def test_cut_between_data_centres_heals(both_ways):
+def test_partition_between_data_centres_heals(both_ways):
     async def scenario(cluster):
-        here, there = (cluster.of(name) for name in DATA_CENTRES)
+        here, there = (cluster.list_members(name) for name in DATA_CENTRES)
         here[0].membership.announce(make_announcement("old"))
         await cluster.wait_ready({"old"})
         cluster.network.cut(here, there)
@@ -175,13 +179,13 @@
         cluster.network.cuts.clear()
         await cluster.wait_ready({"old", "here", "there"})
         await wait_until(
-            sees(here, there[1], NodeState.ALIVE), what="all are reached"
+            all_see(here, there[1], NodeState.ALIVE), what="all are reached"
         )
 
     run_cluster(scenario, 6)
 
 
-def test_groups_of_one_data_centre_merge_again():
+def test_partition_within_data_centres_heals():
     async def scenario(cluster):
         half, rest = cluster.members[:4], cluster.members[4:]
         cluster.network.cut_both_ways(half, rest)
@@ -189,20 +193,20 @@
             observers = [
                 m for m in half if m.data_centre == member.data_centre
             ]
-            dead = sees(observers, member, NodeState.DEAD)
+            dead = all_see(observers, member, NodeState.DEAD)
             await wait_until(dead, what="the other half is dead")
         cluster.network.cuts.clear()
         for member in cluster.members:
-            alive = sees(cluster.members, member, NodeState.ALIVE)
+            alive = all_see(cluster.members, member, NodeState.ALIVE)
             await wait_until(alive, what="all are alive")
 
     run_cluster(scenario, 8)
 
 
-def test_paused_node_that_reaches_nobody_serves_its_own_in_the_end():
+def test_paused_isolated_node_becomes_current_again():
     async def scenario(cluster):
         paused = cluster[2]
-        cluster.network.cut_both_ways([paused], others_than(cluster, paused))
+        cluster.network.cut_both_ways([paused], all_except(cluster, paused))
         paused.clock.offset_s += 1.0
         assert not paused.membership.is_current
         await wait_until(
@@ -213,7 +217,7 @@
     run_cluster(scenario, 6)
 
 
-def test_node_at_the_address_of_another_does_not_answer_for_it():
+def test_node_at_the_address_of_another_does_not_respond_for_it():
     async def scenario(cluster):
         victim = cluster[2]
         await cluster.kill(victim)
@@ -222,10 +226,11 @@
         await cluster.start(successor)
         running = cluster.running
         await wait_until(
-            sees(running, victim, NodeState.DEAD), what="n2 is dead"
+            all_see(running, victim, NodeState.DEAD), what="n2 is dead"
         )
         await wait_until(
-            sees(running, successor, NodeState.ALIVE), what="n2-again lives"
+            all_see(running, successor, NodeState.ALIVE),
+            what="n2-again is alive",
         )
 
     run_cluster(scenario, 6)
@@ -235,7 +240,7 @@
     async def scenario(cluster):
         paused = cluster[2]
         assert paused.membership.is_current
-        cluster.network.cut_both_ways([paused], others_than(cluster, paused))
+        cluster.network.cut_both_ways([paused], all_except(cluster, paused))
         paused.clock.offset_s += 6.0
         assert not paused.membership.is_current
         await wait_until(
--- a/libs/membership/auburnjunction/membership/tests/test_histories.py
+++ b/libs/membership/auburnjunction/membership/tests/test_histories.py
@@ -1,4 +1,4 @@
-"""History checks: what is leaving gets no new work after 3 s."""
+"""Backend servers that are leaving get no new calls after 3 s."""
 
 import functools
 
@@ -9,8 +9,8 @@
 from auburnjunction.membership.tests.histories import (
     LEAVING_LIMIT_S,
     HistoryRecorder,
-    Left,
-    find_late_sights,
+    LeaveEvent,
+    find_late_selections,
     find_returns,
 )
 from auburnjunction.membership.tests.support import (
@@ -27,32 +27,32 @@
     """Leave the network as it is."""
 
 
-async def lose_rounds(cluster: Cluster):
-    """Lose every exchange of the rounds."""
+async def drop_rounds(cluster: Cluster):
+    """Drop every exchange except urgent pushes."""
     cluster.network.only_urgent = True
 
 
-async def lose_a_third(cluster: Cluster):
-    """Lose a third of the requests and a third of the answers."""
+async def drop_a_third(cluster: Cluster):
+    """Drop a third of the requests and a third of the responses."""
     cluster.network.drop_share = 0.33
 
 
-async def reorder_and_double(cluster: Cluster):
+async def reorder_and_duplicate(cluster: Cluster):
     """Delay exchanges at random and send half of them twice."""
     cluster.network.max_delay_s = 0.3
     cluster.network.duplicate_share = 0.5
 
 
 async def kill_one(cluster: Cluster):
-    """Kill a node, which the others do not know yet."""
+    """Kill a node, which the others have not detected yet."""
     await cluster.kill(cluster[8])
 
 
-FAULTS = (no_fault, lose_rounds, lose_a_third, reorder_and_double, kill_one)
+FAULTS = (no_fault, drop_rounds, drop_a_third, reorder_and_duplicate, kill_one)
 
 
 async def churn(cluster: Cluster, recorder: HistoryRecorder, fault):
-    """Let backend servers and nodes leave while others come."""
+    """Make backend servers and nodes leave while others start."""
 
     def announce(index, instance, **fields):
         membership = cluster[index].membership
@@ -63,20 +63,20 @@
     await cluster.wait_ready({f"i{n}" for n in range(6)}, 10.0)
     watcher = await curio.spawn(recorder.watch)
     await fault(cluster)
-    recorder.note_left("i2")
+    recorder.record_leave("i2")
     cluster[2].membership.set_leaving()
     announce(6, "i6")
-    recorder.note_left("i3")
+    recorder.record_leave("i3")
     announce(3, "i3", state="leaving")
     announce(7, "i7", state="starting")
     await curio.sleep(0.2)
     # A late "ready" of a backend server that is leaving.
     announce(3, "i3")
     announce(7, "i7")
-    recorder.note_left("i4")
+    recorder.record_leave("i4")
     cluster[4].membership.set_draining("i4", True)
     announce(4, "i4", load_percent=90)
-    recorder.note_left("i5")
+    recorder.record_leave("i5")
     announce(5, "i5", state="gone")
     await curio.sleep(LEAVING_LIMIT_S + AFTER_LIMIT_S)
     await watcher.cancel()
@@ -91,7 +91,7 @@
 
 @functools.cache
 def record_histories():
-    """Run a cluster for each fault, side by side, to save time."""
+    """Run one cluster per fault, concurrently to save time."""
     histories = {}
 
     async def main():
@@ -105,15 +105,15 @@
 
 
 @pytest.mark.parametrize("fault", FAULTS)
-def test_leaving_gets_no_new_work_after_3_s(fault):
+def test_leaving_gets_no_new_calls_after_3_s(fault):
     events = record_histories()[fault]
-    assert len([e for e in events if isinstance(e, Left)]) == 4
-    assert find_late_sights(events) == []
+    assert len([e for e in events if isinstance(e, LeaveEvent)]) == 4
+    assert find_late_selections(events) == []
     assert find_returns(events) == []
 
 
-def test_backend_server_that_comes_is_known_without_a_round():
-    """A node has restarted; its service waits for its backend server."""
+def test_new_backend_server_is_published_without_a_round():
+    """After a node restart, calls wait for its new backend server."""
 
     async def main():
         async with open_cluster(MEMBERS) as cluster:
--- a/libs/membership/auburnjunction/membership/tests/test_lives.py
+++ b/libs/membership/auburnjunction/membership/tests/test_late_announcements.py
@@ -1,4 +1,4 @@
-"""Late announcements, and lives of one backend server."""
+"""Late announcements, also across restarts of a backend server."""
 
 import pytest
 
@@ -19,7 +19,7 @@
 
 
 @pytest.mark.parametrize(
-    ("said", "shown"),
+    ("announcements", "shown"),
     [
         ([("ready", 5, 1), ("leaving", 5, 2), ("ready", 5, 1)], "leaving"),
         ([("ready", 5, 1), ("leaving", 5, 2), ("ready", 5, 3)], "leaving"),
@@ -29,8 +29,8 @@
         ([("leaving", 5, 4), ("ready", 6, 1), ("ready", 5, 9)], "ready"),
     ],
 )
-def test_a_late_announcement_changes_nothing(said, shown):
+def test_late_announcement_is_ignored(announcements, shown):
     table = LeaseTable(ManualClock())
-    for values in said:
+    for values in announcements:
         lease = table.renew(announce(*values))
     assert lease.shown_state.name.lower() == shown
--- a/libs/membership/auburnjunction/membership/tests/test_members.py
+++ b/libs/membership/auburnjunction/membership/tests/test_members.py
@@ -16,7 +16,7 @@
 from auburnjunction.model.snapshots import RevisionMark
 
 
-def test_every_node_learns_of_all_nodes_and_backend_servers():
+def test_every_view_has_all_nodes_and_backend_servers():
     async def scenario(cluster):
         for index, member in enumerate(cluster.members):
             member.membership.announce(make_announcement(f"i{index}"))
@@ -51,7 +51,7 @@
 @pytest.mark.parametrize(
     "act", [drain, announce_leaving, announce_gone, leave]
 )
-def test_leaving_is_known_everywhere(act):
+def test_leaving_is_published_to_all_nodes(act):
     async def scenario(cluster):
         cluster[0].membership.announce(make_announcement("i0"))
         cluster[1].membership.announce(make_announcement("i1"))
@@ -78,7 +78,7 @@
     run_cluster(scenario)
 
 
-def test_lapsed_lease_is_gone_everywhere():
+def test_backend_server_with_expired_lease_is_gone_everywhere():
     async def scenario(cluster):
         owner = cluster[0].membership
         owner.announce(make_announcement("i0", lease_s=0.5))
@@ -90,24 +90,24 @@
     run_cluster(scenario)
 
 
-def test_higher_revision_of_a_peer_is_heard_of():
+def test_higher_revision_of_a_peer_is_reported():
     async def scenario(cluster):
-        heard = []
+        marks = []
 
         async def on_mark(mark, address):
-            heard.append((mark, address))
+            marks.append((mark, address))
 
         mark = RevisionMark(7, b"digest")
         cluster[0].membership.on_mark = on_mark
         cluster[2].membership.mark_source = lambda: mark
-        await wait_until(lambda: heard, what="a mark is heard")
-        assert heard[0] == (mark, cluster[2].address)
+        await wait_until(lambda: marks, what="a mark is received")
+        assert marks[0] == (mark, cluster[2].address)
 
-        def is_known():
+        def has_revision():
             nodes = cluster[1].membership.list_nodes()
             return {n.node: n.revision for n in nodes}["n2"] == 7
 
-        await wait_until(is_known, what="the revision of n2 is known")
+        await wait_until(has_revision, what="n1 has the revision of n2")
 
     run_cluster(scenario)
 
@@ -145,7 +145,7 @@
     run_cluster(scenario, 1)
 
 
-def test_node_state_is_spread():
+def test_node_state_is_gossiped():
     async def scenario(cluster):
         cluster[0].membership.set_leaving()
         await wait_until(
--- a/libs/membership/auburnjunction/membership/tests/test_pauses.py
+++ b/libs/membership/auburnjunction/membership/tests/test_pauses.py
@@ -1,4 +1,4 @@
-"""A process that is stopped past the suspicion time and goes on."""
+"""A process stopped for longer than the suspicion timeout resumes."""
 
 import signal
 import subprocess
@@ -27,7 +27,7 @@
         acts.append((float(time_s), acted == "1"))
         if condition(acts):
             return
-    raise AssertionError(f"not within {MAX_LINES} lines")
+    raise AssertionError(f"condition not met within {MAX_LINES} lines")
 
 
 def find_gap(acts) -> int | None:
@@ -43,7 +43,7 @@
     return gap is not None and any(acted for _, acted in acts[gap:])
 
 
-def test_stopped_process_does_not_act_on_what_it_believed():
+def test_stopped_process_does_not_act_on_a_stale_view():
     (address,) = reserve_addresses(1)
 
     async def main():
