--- a/libs/membership/auburnjunction/membership/announcements.py
+++ b/libs/membership/auburnjunction/membership/announcements.py
@@ -1,4 +1,4 @@
-"""What a backend server tells its own node about itself."""
+"""Announcements of backend servers to the node of their host."""
 
 import attrs
 
@@ -12,13 +12,13 @@
 class Announcement:
     """Body of POST /announce, as JSON.
 
-    The backend server repeats it before the lease ends. State is one of
-    starting, ready, leaving and gone.
+    The backend server repeats it before the lease expires. State is one
+    of starting, ready, leaving and gone.
     """
 
     instance: str = attrs.field(validator=check_not_empty)
     service: str = attrs.field(validator=check_not_empty)
-    # HOST:PORT where the backend server takes requests.
+    # HOST:PORT on which the backend server accepts requests.
     address: str = attrs.field(validator=check_not_empty)
     state: str = attrs.field(
         default="ready",
@@ -32,23 +32,23 @@
     )
     load_percent: int = attrs.field(default=0, validator=check_range(0, 100))
     resources: tuple[str, ...] = ()
-    # Milliseconds since the epoch at which this life of the instance
-    # began, and the place of the announcement among those of this life;
-    # 0 where the backend server does not tell.
+    # Start of this incarnation of the backend server in milliseconds
+    # since the epoch, and the sequence number of the announcement within
+    # it; 0 if the backend server does not send them.
     born_ms: int = attrs.field(default=0, validator=check_range(0, 2**63))
     sequence: int = attrs.field(default=0, validator=check_range(0, 2**63))
-    # Time for which a backend server that has started is still slow.
+    # Warm-up time after its start, during which it is slower.
     cold_s: float = attrs.field(default=0.0, validator=check_range(0, 600))
     lease_s: float = attrs.field(
         default=10.0, validator=check_range(0.5, MAX_LEASE_S)
     )
 
     @property
-    def life(self) -> Departure:
-        """What names this life of the backend server once it is over."""
+    def departure(self) -> Departure:
+        """Key of this incarnation in the log of departures."""
         return Departure(self.instance, self.born_ms)
 
     @property
     def order(self) -> tuple[int, int]:
-        """Key by which the later of two announcements is told."""
+        """Ordering key of announcements; the later one is greater."""
         return (self.born_ms, self.sequence)
--- a/libs/membership/auburnjunction/membership/departures.py
+++ b/libs/membership/auburnjunction/membership/departures.py
@@ -1,28 +1,29 @@
-"""Lives of backend servers that are over, beyond the life of a node."""
+"""Log of departed backend servers, kept across node restarts."""
 
 from collections import OrderedDict
 from collections.abc import Iterable
 
 import attrs
 
-# One backend server runs beside a node; the rest is for replacements.
+# A host runs one backend server at a time; the others are for its
+# replacements.
 MAX_DEPARTURES = 16
 
 
 @attrs.frozen(slots=True)
 class Departure:
-    """One life of a backend server that said it was leaving."""
+    """One incarnation of a backend server that has announced leaving."""
 
     instance: str
-    # Start of that life in milliseconds since the epoch.
+    # Start of that incarnation in milliseconds since the epoch.
     born_ms: int
 
 
 class DepartureLog:
-    """Departures that this node has acknowledged, or an earlier life.
+    """Departures acknowledged by this node, also before a restart.
 
-    They are kept in the node's row of the platform's table, so that a
-    late "ready" brings no backend server back after the node has died.
+    They are saved in the node's row of the platform's table, so that a
+    late "ready" brings no backend server back after a node restart.
     """
 
     def __init__(self):
@@ -40,7 +41,7 @@
 
     @property
     def change_count(self) -> int:
-        """Number of changes so far, to be handed to note_saved."""
+        """Number of changes so far, for a later call of mark_saved."""
         return self._changes
 
     def list_all(self) -> list[Departure]:
@@ -48,22 +49,23 @@
         return list(self._departures)
 
     def add(self, departure: Departure) -> None:
-        """Note a departure; one without its time of birth says nothing.
+        """Add a departure; ignore one without born_ms.
 
-        The same backend server may then as well have started again.
+        Without it, a departed incarnation cannot be told from a new one
+        of the same backend server.
         """
         if not departure.born_ms or departure in self._departures:
             return
         self._insert(departure)
         self._changes += 1
 
-    def recall(self, departures: Iterable[Departure]) -> None:
-        """Take in what an earlier life of this node has saved."""
+    def restore(self, departures: Iterable[Departure]) -> None:
+        """Add departures that this node saved before a restart."""
         for departure in departures:
             self._insert(departure)
 
-    def note_saved(self, change_count: int) -> None:
-        """Note that the table holds the departures up to a change."""
+    def mark_saved(self, change_count: int) -> None:
+        """Record that the table holds all changes up to a change count."""
         self._saved_changes = max(self._saved_changes, change_count)
 
     def _insert(self, departure: Departure) -> None:
--- a/libs/membership/auburnjunction/membership/instances.py
+++ b/libs/membership/auburnjunction/membership/instances.py
@@ -1,35 +1,35 @@
-"""The own record kept in step with the backend servers of this host."""
+"""Publication of local backend servers in this node's record."""
 
 from auburnjunction.membership.announcements import Announcement
+from auburnjunction.membership.cluster_states import ClusterState
 from auburnjunction.membership.errors import UnknownInstanceError
 from auburnjunction.membership.leases import Lease, LeaseTable, round_load
-from auburnjunction.membership.rosters import Roster
 from auburnjunction.model.services import Instance, InstanceState
 
-# A change of load or revision waits for this long times the number of
-# nodes, so that all nodes together make 20 such changes a second.
-QUIET_INTERVAL_S = 0.05
+# Minimum interval between updates of load or revision, per node of the
+# view: all nodes together make at most 20 such updates per second.
+LOAD_UPDATE_INTERVAL_S = 0.05
 
 
 class LocalInstances:
-    """Backend servers of this host and how they are announced."""
+    """Keeps this node's record up to date with the leases of its host."""
 
-    def __init__(self, roster: Roster):
-        self._roster = roster
-        self._leases = LeaseTable(roster.clock, roster.departures)
-        self._quiet_s = 0.0
+    def __init__(self, cluster: ClusterState):
+        self._cluster = cluster
+        self._leases = LeaseTable(cluster.clock, cluster.departures)
+        self._next_load_update_s = 0.0
 
     def announce(self, announcement: Announcement) -> Lease:
-        """Take in an announcement and spread what it changes."""
+        """Renew the lease of a backend server and publish any change."""
         lease = self._leases.renew(announcement)
-        self._roster.shortest_lease_s = self._leases.shortest_s
+        self._cluster.shortest_lease_s = self._leases.shortest_s
         self._publish()
         return lease
 
     def set_draining(self, instance: str, draining: bool) -> None:
-        """Show a backend server as leaving until undrained.
+        """Start or end draining, which is published as leaving.
 
-        Raise UnknownInstanceError when it has no lease.
+        Raise UnknownInstanceError if it has no lease.
         """
         lease = self._leases.get(instance)
         if lease is None:
@@ -40,37 +40,39 @@
         self._publish()
 
     def check(self, revision: int) -> None:
-        """Let leases lapse and spread quiet changes that are due."""
-        is_recalled = self._leases.recall_departures()
-        if self._leases.lapse() or is_recalled:
-            self._roster.shortest_lease_s = self._leases.shortest_s
+        """Expire leases; publish changes of load or revision when due."""
+        has_departures = self._leases.apply_restored_departures()
+        if self._leases.expire() or has_departures:
+            self._cluster.shortest_lease_s = self._leases.shortest_s
             self._publish()
-        own = self._roster.own
+        own = self._cluster.own_record
         instances = self._list_instances()
         if instances == own.instances and revision == own.revision:
             return
-        now_s = self._roster.clock.monotonic()
-        if now_s < self._quiet_s:
+        now_s = self._cluster.clock.monotonic()
+        if now_s < self._next_load_update_s:
             return
-        self._quiet_s = now_s + QUIET_INTERVAL_S * len(self._roster.view)
-        self._roster.renew_own(instances=instances, revision=revision)
+        self._next_load_update_s = now_s + LOAD_UPDATE_INTERVAL_S * len(
+            self._cluster.view
+        )
+        self._cluster.update_own_record(instances=instances, revision=revision)
 
     def _publish(self) -> None:
-        before = self._roster.own
+        before = self._cluster.own_record
         instances = self._list_instances()
         if _without_load(instances) == _without_load(before.instances):
             return
-        self._roster.renew_own(instances=instances)
+        self._cluster.update_own_record(instances=instances)
         if _list_ready(before.instances) != _list_ready(instances):
-            self._roster.mark_urgent(self._roster.own)
+            self._cluster.queue_urgent_push(self._cluster.own_record)
 
     def _list_instances(self) -> tuple[Instance, ...]:
         return tuple(
-            self._describe(lease) for lease in self._leases.list_all()
+            self._make_instance(lease) for lease in self._leases.list_all()
         )
 
-    def _describe(self, lease: Lease) -> Instance:
-        own = self._roster.own
+    def _make_instance(self, lease: Lease) -> Instance:
+        own = self._cluster.own_record
         announcement = lease.announcement
         return Instance(
             instance=announcement.instance,
@@ -94,6 +96,6 @@
 
 
 def _list_ready(instances: tuple[Instance, ...]) -> set[str]:
-    """Return the names of the backend servers that take work."""
+    """Return the names of the ready backend servers."""
     ready = InstanceState.READY
     return {i.instance for i in instances if i.state is ready}
--- a/libs/membership/auburnjunction/membership/joins.py
+++ b/libs/membership/auburnjunction/membership/joins.py
@@ -1,227 +1,244 @@
-"""Joining: contact with seeds from settings and the table."""
+"""Joining through seeds from the settings and the table."""
 
 from auburnjunction.base.logs import log_event
 from auburnjunction.http.clients import Address
+from auburnjunction.membership.cluster_states import ClusterState
 from auburnjunction.membership.errors import PeerUnreachableError
 from auburnjunction.membership.records import NodeState
 from auburnjunction.membership.repairs import ViewRepair
-from auburnjunction.membership.rosters import Roster
 from auburnjunction.membership.seeds import MAX_SEEDS, SeedTable
 from auburnjunction.membership.senders import GossipSender
 from auburnjunction.storage.tables import PlatformError, Table
 
-# Nodes of a data centre that read the table in one refresh interval.
+# Average number of nodes of a data centre that read the table in one
+# refresh interval.
 READERS_PER_REFRESH = 2
-# Least and greatest wait between reads of the table by a lone node.
-TABLE_WAITS_S = (2.0, 60.0)
-# Time over which a herd of restarted nodes spreads its reads: 200 nodes
-# with two each stay below 2000 in a second.
+# Minimum and maximum backoff of table reads by a node without peers.
+TABLE_BACKOFF_S = (2.0, 60.0)
+# Jitter of the first table reads after a restart: 200 nodes restarting
+# together, with two reads each, stay below 2000 reads per second.
 REJOIN_SPREAD_S = 0.2
-# Share of the refresh interval over which a herd of starting nodes
-# spreads its first writes.
+# Jitter of the first table write of nodes that start together, as a
+# share of the refresh interval.
 FIRST_WRITE_SHARE = 1 / 6
 
 
 class Backoff:
-    """Jittered waits that double from a least to a greatest."""
+    """Exponential backoff with jitter between a minimum and a maximum."""
 
-    def __init__(self, roster: Roster, min_s: float, max_s: float):
-        self._roster = roster
+    def __init__(self, cluster: ClusterState, min_s: float, max_s: float):
+        self._cluster = cluster
         self._min_s = min_s
         self._max_s = max_s
         self._wait_s = min_s
         self._next_s = 0.0
 
-    def is_due(self) -> bool:
-        """Tell whether the wait is over; if so begin a longer one."""
-        now_s = self._roster.clock.monotonic()
+    def start_if_due(self) -> bool:
+        """Return whether the wait is over; if so, start the next one."""
+        now_s = self._cluster.clock.monotonic()
         if now_s < self._next_s:
             return False
-        jitter = self._roster.random.uniform(0.5, 1.5)
+        jitter = self._cluster.random.uniform(0.5, 1.5)
         self._next_s = now_s + self._wait_s * jitter
         self._wait_s = min(self._wait_s * 2, self._max_s)
         return True
 
     def reset(self) -> None:
-        """Begin with the least wait again."""
+        """Reset the next wait to the minimum."""
         self._wait_s = self._min_s
 
 
 class Joiner:
-    """Contacts seeds at the start, when alone and now and then."""
+    """Contacts seeds at start, without peers and at random intervals."""
 
     def __init__(
         self,
-        roster: Roster,
+        cluster: ClusterState,
         sender: GossipSender,
         repair: ViewRepair,
         table: Table | None,
     ):
-        self._roster = roster
+        self._cluster = cluster
         self._sender = sender
         self._repair = repair
-        self._rows = SeedTable(roster, table) if table is not None else None
-        self._seed_backoff = Backoff(roster, 0.5, 2.0)
-        self._table_backoff = Backoff(roster, *TABLE_WAITS_S)
-        self._reads_own = False
-        self._recheck_backoff = Backoff(roster, 0.5, 2.0)
-        self._search_backoff = Backoff(roster, 2.0, 60.0)
-        self._save_backoff = Backoff(roster, 0.5, 8.0)
+        self._seed_table = (
+            SeedTable(cluster, table) if table is not None else None
+        )
+        self._seed_backoff = Backoff(cluster, 0.5, 2.0)
+        self._table_backoff = Backoff(cluster, *TABLE_BACKOFF_S)
+        self._reads_own_data_centre = False
+        self._pause_backoff = Backoff(cluster, 0.5, 2.0)
+        self._discovery_backoff = Backoff(cluster, 2.0, 60.0)
+        self._save_backoff = Backoff(cluster, 0.5, 8.0)
 
     async def join(self) -> None:
-        """Contact a few seeds; read the table if none answers.
+        """Contact a few seeds; read more from the table if all fail.
 
-        Reads of the table, of the own data centre and of all in turn,
-        back off, so that a herd of lone nodes stays within what the
-        platform bears.
+        Reads alternate between the rows of this data centre and those
+        of all. They back off, so that many nodes without peers do not
+        exceed the read limit of the platform.
         """
-        if not self._seed_backoff.is_due():
+        if not self._seed_backoff.start_if_due():
             return
-        if await self._contact(self._roster.cfg.seed_addresses):
+        if await self._contact_seeds(self._cluster.cfg.seed_addresses):
             return
-        if self._rows is None or not self._table_backoff.is_due():
+        if self._seed_table is None or not self._table_backoff.start_if_due():
             return
-        await self._wait(self._roster.cfg.table_spread_s)
-        self._reads_own = not self._reads_own
+        await self._wait_at_random(self._cluster.cfg.table_spread_s)
+        self._reads_own_data_centre = not self._reads_own_data_centre
         try:
-            if self._reads_own:
-                await self._contact(await self._read_own())
+            if self._reads_own_data_centre:
+                await self._contact_seeds(await self._read_own_data_centre())
             else:
-                await self._contact(await self._rows.read_any())
+                await self._contact_seeds(await self._seed_table.read_any())
         except PlatformError as exc:
-            log_event("the table gives no seeds", error=exc.message)
+            log_event(
+                "cannot read seeds from the table; will retry",
+                error=exc.message,
+            )
 
-    def note_peer(self) -> None:
-        """Note that this node has a peer, so the next join is prompt."""
+    def reset_backoffs(self) -> None:
+        """Reset the join backoffs once this node has a peer."""
         self._seed_backoff.reset()
         self._table_backoff.reset()
 
     async def refresh(self) -> None:
-        """Write the own row; as one of a few, look for unknown nodes."""
-        if self._rows is not None and not await self.check_table():
+        """Write this node's row; on few nodes, also discover new nodes."""
+        if self._seed_table is not None and not await self.write_own_row():
             return
-        count = 1 + len(self._roster.peers)
-        if self._roster.random.random() < READERS_PER_REFRESH / count:
-            await self._search()
+        count = 1 + len(self._cluster.peers)
+        if self._cluster.random.random() < READERS_PER_REFRESH / count:
+            await self._discover_nodes()
 
-    async def search_others(self) -> None:
-        """Look for other data centres while none is known."""
-        if self._search_backoff.is_due():
-            await self._search()
+    async def discover_data_centres(self) -> None:
+        """Discover other data centres while none is known, with backoff."""
+        if self._discovery_backoff.start_if_due():
+            await self._discover_nodes()
 
     async def start(self) -> None:
-        """Join, then write the own row for the first time."""
-        cfg = self._roster.cfg
+        """Join, then write this node's row for the first time."""
+        cfg = self._cluster.cfg
         if await self._rejoin():
-            await self.check_table()
+            await self.write_own_row()
             return
         if cfg.first_write_spread_s:
-            # The others find this node in the table when they read it.
-            await self._wait(cfg.first_write_spread_s)
-            await self.check_table()
+            # Other nodes discover this one from its row when they read
+            # the table.
+            await self._wait_at_random(cfg.first_write_spread_s)
+            await self.write_own_row()
             await self.join()
             return
         await self.join()
-        await self._wait(cfg.table_refresh_s * FIRST_WRITE_SHARE)
-        await self.check_table()
+        await self._wait_at_random(cfg.table_refresh_s * FIRST_WRITE_SHARE)
+        await self.write_own_row()
 
     async def _rejoin(self) -> bool:
         """Contact nodes of every data centre after a restart.
 
-        Tell if one answered. The rows of an earlier life's peers stand in
-        the table, so that there is no need to wait for them.
+        Return whether one responded. The table still holds the peers'
+        rows from before the restart, so there is no need to wait until
+        they are written.
         """
-        if self._rows is None:
+        if self._seed_table is None:
             return False
-        await self._wait(REJOIN_SPREAD_S)
+        await self._wait_at_random(REJOIN_SPREAD_S)
         try:
-            if not await self._rows.find_own():
+            if not await self._seed_table.find_own_row():
                 return False
-            fleet = await self._rows.read_fleet()
+            fleet = await self._seed_table.read_fleet()
         except PlatformError as exc:
-            log_event("the table gives no seeds", error=exc.message)
+            log_event(
+                "cannot read peers from the table; joining through seeds",
+                error=exc.message,
+            )
             return False
-        near = fleet.pop(self._roster.own.data_centre, [])
-        answered = await self._contact(near)
+        local_addresses = fleet.pop(self._cluster.own_record.data_centre, [])
+        responded = await self._contact_seeds(local_addresses)
         for addresses in fleet.values():
-            address = self._roster.random.choice(addresses)
-            answered = await self._contact([address]) or answered
-        return answered
+            address = self._cluster.random.choice(addresses)
+            responded = await self._contact_seeds([address]) or responded
+        return responded
 
-    async def check_table(self) -> bool:
-        """Write the own row; tell whether the table answered."""
-        if self._rows is None:
+    async def write_own_row(self) -> bool:
+        """Write this node's row; return whether the write succeeded."""
+        if self._seed_table is None:
             return False
         try:
-            await self._rows.write_own()
+            await self._seed_table.write_own_row()
         except PlatformError as exc:
-            log_event("the own row is not written", error=exc.message)
+            log_event(
+                "cannot write this node's row to the table; will retry",
+                error=exc.message,
+            )
             return False
         return True
 
     async def save_departures(self) -> None:
-        """Write departures into the own row that it does not hold yet."""
-        if self._save_backoff.is_due() and await self.check_table():
+        """Write unsaved departures into this node's row, with backoff."""
+        if self._save_backoff.start_if_due() and await self.write_own_row():
             self._save_backoff.reset()
 
-    async def recheck(self) -> None:
-        """After a pause and alone, ask the table or the seeds."""
-        if self._recheck_backoff.is_due():
-            await self.check_table()
-            await self._contact(self._roster.cfg.seed_addresses)
+    async def contact_after_pause(self) -> None:
+        """Contact table and seeds after a pause without peers."""
+        if self._pause_backoff.start_if_due():
+            await self.write_own_row()
+            await self._contact_seeds(self._cluster.cfg.seed_addresses)
 
     def draw_refresh_interval(self) -> float:
-        """Return the seconds until the next refresh."""
-        interval_s = self._roster.cfg.table_refresh_s
-        return interval_s * self._roster.random.uniform(0.5, 1.5)
-
-    async def _search(self) -> None:
-        """Contact seeds whose address is of no live node in the view."""
-        addresses = list(self._roster.cfg.seed_addresses)
-        if self._rows is not None:
+        """Return a random delay until the next refresh, in seconds."""
+        interval_s = self._cluster.cfg.table_refresh_s
+        return interval_s * self._cluster.random.uniform(0.5, 1.5)
+
+    async def _discover_nodes(self) -> None:
+        """Contact seeds that are not addresses of known nodes."""
+        addresses = list(self._cluster.cfg.seed_addresses)
+        if self._seed_table is not None:
             try:
-                addresses += await self._read_own()
-                addresses += await self._rows.read_others()
+                addresses += await self._read_own_data_centre()
+                addresses += await self._seed_table.read_all_data_centres()
             except PlatformError as exc:
-                log_event("the table gives no seeds", error=exc.message)
+                log_event(
+                    "cannot read seeds from the table; using those found",
+                    error=exc.message,
+                )
         known = {
             record.address
-            for record in self._roster.view.list_nodes()
+            for record in self._cluster.view.list_nodes()
             if record.state is not NodeState.DEAD
         }
-        await self._contact([a for a in addresses if a not in known])
+        await self._contact_seeds([a for a in addresses if a not in known])
 
-    async def _wait(self, limit_s: float) -> None:
-        """Wait at random up to a limit in seconds."""
-        await self._roster.clock.sleep(
-            self._roster.random.uniform(0.0, limit_s)
+    async def _wait_at_random(self, limit_s: float) -> None:
+        """Wait for a random time of at most limit_s."""
+        await self._cluster.clock.sleep(
+            self._cluster.random.uniform(0.0, limit_s)
         )
 
-    async def _read_own(self) -> list[Address]:
-        own = self._roster.own.data_centre
-        return await self._rows.read_data_centre(own)
+    async def _read_own_data_centre(self) -> list[Address]:
+        own = self._cluster.own_record.data_centre
+        return await self._seed_table.read_data_centre(own)
 
-    async def _contact(self, addresses: list[Address]) -> bool:
-        """Exchange views with a few addresses; tell if one answered."""
-        own = self._roster.own.address
+    async def _contact_seeds(self, addresses: list[Address]) -> bool:
+        """Exchange views with a few nodes; return whether one responded."""
+        own = self._cluster.own_record.address
         others = [a for a in addresses if a != own]
         count = min(len(others), MAX_SEEDS)
-        answered = False
-        for address in self._roster.random.sample(others, count):
+        responded = False
+        for address in self._cluster.random.sample(others, count):
             try:
                 await self._exchange_views(address)
-                answered = True
+                responded = True
             except PeerUnreachableError:
-                self._roster.stats.failed_exchanges += 1
-        return answered
+                self._cluster.stats.failed_exchanges += 1
+        return responded
 
     async def _exchange_views(self, address: Address) -> None:
-        roster = self._roster
-        if len(roster.view) == 1:
-            await self._sender.pull_all(address, cross=True)
+        cluster = self._cluster
+        if len(cluster.view) == 1:
+            await self._sender.pull_view(address, cross=True)
             return
         response = await self._sender.send_records(
-            address, [roster.own], cross=True
+            address, [cluster.own_record], cross=True
         )
-        if response.view_digest != roster.view.digest:
+        if response.view_digest != cluster.view.digest:
             await self._repair.compare(address, cross=True)
--- a/libs/membership/auburnjunction/membership/leases.py
+++ b/libs/membership/auburnjunction/membership/leases.py
@@ -1,4 +1,4 @@
-"""Backend servers of this node, held by leases that they renew."""
+"""Leases of the backend servers of this host."""
 
 import math
 
@@ -10,26 +10,27 @@
 from auburnjunction.membership.departures import DepartureLog
 from auburnjunction.model.services import InstanceState
 
-GONE_KEEP_S = 30.0
+GONE_RETENTION_S = 30.0
 LOAD_STEP_PERCENT = 25
-# A leaving backend server only starts anew or goes.
-_AFTER_LEAVING = (InstanceState.STARTING, InstanceState.GONE)
+# The only states that may follow leaving within one incarnation.
+_STATES_AFTER_LEAVING = (InstanceState.STARTING, InstanceState.GONE)
 
 
 @attrs.define(slots=True)
 class Lease:
-    """One local backend server and the end of its lease."""
+    """State of one local backend server and the expiry of its lease."""
 
     announcement: Announcement
     state: InstanceState
-    end_s: float
+    expires_s: float
     draining: bool = False
-    # Whether it went for want of announcements, not by its own word.
-    has_lapsed: bool = False
+    # Whether it is gone because its lease expired, not because it
+    # announced that it was leaving or gone.
+    has_expired: bool = False
 
     @property
     def shown_state(self) -> InstanceState:
-        """State as spread: a drained backend server is leaving."""
+        """State to publish: leaving while draining."""
         live = (InstanceState.STARTING, InstanceState.READY)
         if self.draining and self.state in live:
             return InstanceState.LEAVING
@@ -37,7 +38,7 @@
 
 
 class LeaseTable:
-    """Leases of the backend servers that announce to this node."""
+    """Leases of the backend servers that announce themselves here."""
 
     def __init__(self, clock: Clock, departures: DepartureLog | None = None):
         self._clock = clock
@@ -45,11 +46,11 @@
         self._leases: dict[str, Lease] = {}
 
     def renew(self, announcement: Announcement) -> Lease:
-        """Take an announcement in.
+        """Renew the lease of the announced backend server.
 
         A late "ready" does not bring back a backend server that is
-        leaving or gone; it starts anew with "starting" or in a later
-        life. An announcement older than one taken in changes nothing.
+        leaving or gone; only "starting" or a later incarnation does. An
+        announcement older than the last one is ignored.
         """
         state = InstanceState[announcement.state.upper()]
         lease = self._leases.get(announcement.instance)
@@ -60,53 +61,60 @@
         elif announcement.order < lease.announcement.order:
             return lease
         elif announcement.born_ms == lease.announcement.born_ms:
-            state = _keep_leaving(lease, state)
+            state = _resolve_state(lease, state)
         lease.announcement = announcement
         lease.state = self._apply_departure(announcement, state)
-        lease.has_lapsed = False
-        lease.end_s = now_s + announcement.lease_s
+        lease.has_expired = False
+        lease.expires_s = now_s + announcement.lease_s
         if lease.state is InstanceState.GONE:
-            lease.end_s = now_s + GONE_KEEP_S
+            lease.expires_s = now_s + GONE_RETENTION_S
         return lease
 
-    def recall_departures(self) -> bool:
-        """Apply departures that were read back; tell if one counted."""
+    def apply_restored_departures(self) -> bool:
+        """Apply departures read from the table to ready backend servers.
+
+        Return whether any of them has left.
+        """
         ready = [
             lease
             for lease in self._leases.values()
             if lease.state is InstanceState.READY
-            and lease.announcement.life in self._departures
+            and lease.announcement.departure in self._departures
         ]
         for lease in ready:
             lease.state = InstanceState.LEAVING
-            _log_recalled(lease.announcement)
+            _log_prior_departure(lease.announcement)
         return bool(ready)
 
     def _apply_departure(
         self, announcement: Announcement, state: InstanceState
     ) -> InstanceState:
-        """Return the state, given what is known of this life's end."""
+        """Return the state after checking it against logged departures.
+
+        Leaving and gone add a departure; "ready" of an incarnation that
+        has departed becomes leaving.
+        """
         if state in (InstanceState.LEAVING, InstanceState.GONE):
-            self._departures.add(announcement.life)
+            self._departures.add(announcement.departure)
         elif (
             state is InstanceState.READY
-            and announcement.life in self._departures
+            and announcement.departure in self._departures
         ):
-            _log_recalled(announcement)
+            _log_prior_departure(announcement)
             return InstanceState.LEAVING
         return state
 
     def get(self, instance: str) -> Lease | None:
-        """Return the lease of a backend server, if there is one."""
+        """Return the lease of a backend server, or None."""
         return self._leases.get(instance)
 
     def list_all(self) -> list[Lease]:
-        """Return every lease, those lately gone included."""
+        """Return all leases, including those of servers recently gone."""
         return list(self._leases.values())
 
     @property
     def shortest_s(self) -> float:
-        """Shortest lease that is held, in seconds."""
+        """Duration of the shortest unexpired lease, in seconds."""
         held = (
             lease.announcement.lease_s
             for lease in self._leases.values()
@@ -114,24 +122,27 @@
         )
         return min(held, default=math.inf)
 
-    def lapse(self) -> list[Lease]:
-        """Turn leases that have ended to gone and return them."""
+    def expire(self) -> list[Lease]:
+        """Mark backend servers with expired leases gone; return the leases.
+
+        Leases already gone are removed after GONE_RETENTION_S.
+        """
         now_s = self._clock.monotonic()
-        lapsed = []
+        expired = []
         for instance, lease in list(self._leases.items()):
-            if now_s < lease.end_s:
+            if now_s < lease.expires_s:
                 continue
             if lease.state is InstanceState.GONE:
                 del self._leases[instance]
                 continue
-            lease.has_lapsed = lease.state is not InstanceState.LEAVING
+            lease.has_expired = lease.state is not InstanceState.LEAVING
             lease.state = InstanceState.GONE
-            lease.end_s = now_s + GONE_KEEP_S
-            lapsed.append(lease)
-        return lapsed
+            lease.expires_s = now_s + GONE_RETENTION_S
+            expired.append(lease)
+        return expired
 
 
-def _log_recalled(announcement: Announcement) -> None:
+def _log_prior_departure(announcement: Announcement) -> None:
     log_event(
         "backend server has left before",
         instance=announcement.instance,
@@ -140,12 +151,12 @@
     )
 
 
-def _keep_leaving(lease: Lease, state: InstanceState) -> InstanceState:
-    """Return the state that an announcement of the same life leads to."""
-    has_left = lease.state in (InstanceState.LEAVING, InstanceState.GONE)
-    if not has_left or state in _AFTER_LEAVING or lease.has_lapsed:
+def _resolve_state(lease: Lease, state: InstanceState) -> InstanceState:
+    """Return the state after an announcement of the same incarnation."""
+    is_departing = lease.state in (InstanceState.LEAVING, InstanceState.GONE)
+    if not is_departing or state in _STATES_AFTER_LEAVING or lease.has_expired:
         return state
-    # Without its time of birth this may be a new life.
+    # Without born_ms this may be a new incarnation.
     is_gone = lease.state is InstanceState.GONE
     if is_gone and not lease.announcement.born_ms:
         return state
@@ -153,6 +164,6 @@
 
 
 def round_load(load_percent: int) -> int:
-    """Return the load in coarse steps, so that few changes spread."""
+    """Round a load to coarse steps to limit the changes gossiped."""
     steps = round(load_percent / LOAD_STEP_PERCENT)
     return steps * LOAD_STEP_PERCENT
--- a/libs/membership/auburnjunction/membership/members.py
+++ b/libs/membership/auburnjunction/membership/members.py
@@ -1,4 +1,4 @@
-"""Membership of one node: its backend servers and its view of all."""
+"""Membership of one node: local backend servers, gossip and view."""
 
 import random
 from contextlib import asynccontextmanager
@@ -13,6 +13,7 @@
 from auburnjunction.http.clients import Address, PoolRegistry, parse_address
 from auburnjunction.http.messages import HttpRequest, HttpResponse
 from auburnjunction.membership.announcements import Announcement
+from auburnjunction.membership.cluster_states import ClusterState, Listener
 from auburnjunction.membership.errors import PeerUnreachableError
 from auburnjunction.membership.exchanges import make_response
 from auburnjunction.membership.instances import LocalInstances
@@ -22,7 +23,6 @@
 from auburnjunction.membership.receivers import GossipReceiver
 from auburnjunction.membership.records import Node, NodeState
 from auburnjunction.membership.repairs import ViewRepair
-from auburnjunction.membership.rosters import Listener, Roster
 from auburnjunction.membership.rounds import CrossRounds, GossipRounds
 from auburnjunction.membership.senders import (
     GossipSender,
@@ -31,15 +31,15 @@
     ignore_mark,
 )
 from auburnjunction.membership.settings import MembershipSettings
-from auburnjunction.membership.spreads import UrgentSpread
 from auburnjunction.membership.suspicions import SuspicionTimers
+from auburnjunction.membership.urgent_pushers import UrgentPusher
 from auburnjunction.model.services import Instance
 from auburnjunction.model.snapshots import RevisionMark
 from auburnjunction.storage.tables import Table
 
 
 class Membership:
-    """What this node knows of nodes and backend servers, and tells."""
+    """Maintains the view of all nodes and gossips this node's record."""
 
     def __init__(
         self,
@@ -55,52 +55,54 @@
         self.on_mark: MarkListener = ignore_mark
         self._cfg = cfg
         self._clock = clock
-        self._roster = Roster(cfg, node, data_centre, address, clock, random)
-        self._sender = GossipSender(self._roster, pools)
-        self._sender.heard_mark = self._hear_mark
-        self._receiver = GossipReceiver(self._roster, self._sender)
-        self._locals = LocalInstances(self._roster)
-        self._prober = Prober(self._roster, pools)
-        self._suspicions = SuspicionTimers(self._roster)
-        repair = ViewRepair(self._roster, self._sender)
-        self._joiner = Joiner(self._roster, self._sender, repair, table)
+        self._cluster = ClusterState(
+            cfg, node, data_centre, address, clock, random
+        )
+        self._sender = GossipSender(self._cluster, pools)
+        self._sender.on_peer_mark = self._queue_mark
+        self._receiver = GossipReceiver(self._cluster, self._sender)
+        self._locals = LocalInstances(self._cluster)
+        self._prober = Prober(self._cluster, pools)
+        self._suspicions = SuspicionTimers(self._cluster)
+        repair = ViewRepair(self._cluster, self._sender)
+        self._joiner = Joiner(self._cluster, self._sender, repair, table)
         self._rounds = GossipRounds(
-            self._roster,
+            self._cluster,
             self._sender,
             self._prober,
             self._joiner,
             self._spawn,
         )
         self._cross_rounds = CrossRounds(
-            self._roster, self._sender, self._joiner, self._spawn
+            self._cluster, self._sender, self._joiner, self._spawn
         )
-        self._spread = UrgentSpread(self._roster, self._sender)
+        self._urgent_pusher = UrgentPusher(self._cluster, self._sender)
         self._group: curio.TaskGroup | None = None
-        self._heard: dict[RevisionMark, Address] = {}
-        self.stats = self._roster.stats
+        self._queued_marks: dict[RevisionMark, Address] = {}
+        self.stats = self._cluster.stats
 
     @property
     def is_current(self) -> bool:
-        """False after a pause of this process.
+        """Whether the view is current; False after a pause of this process.
 
-        It turns true again when an exchange with a peer has succeeded
-        since; see PauseDetector.
+        It is True again after a successful exchange that began after the
+        pause, or once the node counts as isolated; see PauseDetector.
         """
-        return self._roster.pauses.is_current
+        return self._cluster.pause_detector.is_current
 
     @property
     def pause_count(self) -> int:
-        """Pauses of this process noticed since the start."""
-        return self._roster.pauses.pauses
+        """Number of pauses of this process detected since the start."""
+        return self._cluster.pause_detector.pause_count
 
     @property
     def unreachable_data_centres(self) -> frozenset[str]:
-        """Data centres that the links of this one do not reach."""
-        return self._roster.contacts.unreachable
+        """Data centres that no link node of this one reaches."""
+        return self._cluster.reachability.unreachable
 
     @property
     def mark_source(self) -> MarkSource:
-        """Function that returns the revision in force here."""
+        """Function that returns the mark of the revision in force here."""
         return self._sender.mark_source
 
     @mark_source.setter
@@ -108,109 +110,111 @@
         self._sender.mark_source = source
 
     def announce(self, announcement: Announcement) -> Lease:
-        """Take in the announcement of a backend server of this host."""
+        """Renew the lease of a backend server of this host."""
         return self._locals.announce(announcement)
 
     async def save_departures(self) -> None:
-        """Have the table keep departures that it does not hold yet.
+        """Write departures that are not saved yet to the table.
 
-        Give up after the limit of the settings, as a departure also
-        holds without the table; the attempt is then repeated later.
+        Return after departure_save_limit_s even if the write has not
+        succeeded: a departure is in force without the table, and the
+        periodic check retries the write.
         """
-        if self._roster.departures.is_saved:
+        if self._cluster.departures.is_saved:
             return
         async with curio.ignore_after(self._cfg.departure_save_limit_s):
-            await self._joiner.check_table()
+            await self._joiner.write_own_row()
 
     def set_draining(self, instance: str, draining: bool) -> None:
-        """Show a local backend server as leaving until undrained.
+        """Start or end the draining of a local backend server.
 
-        Raise UnknownInstanceError, a KeyError, when it has not
-        announced itself here.
+        While draining it is published as leaving. Raise
+        UnknownInstanceError, a KeyError, if it has no lease here.
         """
         self._locals.set_draining(instance, draining)
 
     def set_leaving(self) -> None:
         """Announce that this node is leaving."""
-        self._roster.renew_own(state=NodeState.LEAVING)
-        self._roster.mark_urgent(self._roster.own)
+        self._cluster.update_own_record(state=NodeState.LEAVING)
+        self._cluster.queue_urgent_push(self._cluster.own_record)
 
     def find_instances(self, service: str) -> tuple[Instance, ...]:
         """Return the ready backend servers of a service.
 
-        They are on nodes that are neither leaving nor dead, in every
-        data centre.
+        All data centres are included; nodes that are leaving or dead
+        are not.
         """
-        return self._roster.view.find_ready(service)
+        return self._cluster.view.find_ready(service)
 
     def find_instance(self, instance: str) -> Instance | None:
-        """Return a backend server in whatever state it is.
+        """Return a backend server in any state, or None if unknown.
 
-        One of this host comes before one that another node names.
+        This node's own record takes precedence over those of others.
         """
-        for item in self._roster.own.instances:
+        for item in self._cluster.own_record.instances:
             if item.instance == instance:
                 return item
-        return self._roster.view.find_instance(instance)
+        return self._cluster.view.find_instance(instance)
 
     def list_nodes(self, data_centre: str | None = None) -> list[Node]:
         """Return all known nodes, or those of one data centre.
 
-        Nodes of a data centre that is not reached are suspect.
+        Alive nodes of an unreachable data centre are returned as
+        suspect.
         """
-        unreachable = self._roster.contacts.unreachable
+        unreachable = self._cluster.reachability.unreachable
         return [
-            _doubt_unreached(record, unreachable)
-            for record in self._roster.view.list_nodes(data_centre)
+            _suspect_if_unreachable(record, unreachable)
+            for record in self._cluster.view.list_nodes(data_centre)
         ]
 
     def list_instances(self) -> list[Instance]:
-        """Return every known backend server in whatever state it is."""
-        return self._roster.view.list_instances()
+        """Return every known backend server in any state."""
+        return self._cluster.view.list_instances()
 
     def subscribe(self, listener: Listener) -> None:
-        """Call a function after changes of backend servers or nodes."""
-        self._roster.add_listener(listener)
+        """Register a function to call after each change of the view."""
+        self._cluster.add_listener(listener)
 
     async def handle_gossip(self, request: HttpRequest) -> HttpResponse:
-        """Answer POST /gossip."""
+        """Handle POST /gossip."""
         try:
-            answer = self._receiver.answer(request.body)
+            body = self._receiver.handle_request(request.body)
         except PeerUnreachableError as exc:
-            return _refuse(exc)
-        return HttpResponse(200, [], answer)
+            return _make_bad_request(exc)
+        return HttpResponse(200, [], body)
 
     async def handle_probe(self, request: HttpRequest) -> HttpResponse:
-        """Answer POST /probe."""
+        """Handle POST /probe."""
         try:
-            response = await self._prober.answer(request.body)
+            response = await self._prober.handle_request(request.body)
         except PeerUnreachableError as exc:
-            return _refuse(exc)
+            return _make_bad_request(exc)
         return make_response(response)
 
     async def handle_announce(self, request: HttpRequest) -> HttpResponse:
-        """Answer POST /announce with the state and the lease as JSON."""
+        """Handle POST /announce; respond with state and lease as JSON."""
         try:
             announcement = parse_settings(request.body, Announcement)
             _check_address(announcement)
         except SettingsError as exc:
-            fault = {
+            error = {
                 "code": exc.code,
                 "field": exc.field,
                 "problem": exc.problem,
                 "mend": exc.mend,
             }
-            return _make_json(400, fault)
+            return _make_json(400, error)
         lease = self.announce(announcement)
-        answer = {
+        content = {
             "instance": announcement.instance,
             "state": lease.shown_state.name.lower(),
             "lease_s": announcement.lease_s,
         }
-        return _make_json(200, answer)
+        return _make_json(200, content)
 
     async def run(self, group: curio.TaskGroup) -> None:
-        """Start the tasks of this membership in a group."""
+        """Start the periodic tasks of this membership in a group."""
         self._group = group
         clock = self._clock
         draw_s = self._rounds.draw_interval
@@ -218,51 +222,51 @@
             (self._rounds.run_round, draw_s),
             (self._cross_rounds.run_round, draw_s),
             (self._joiner.refresh, self._joiner.draw_refresh_interval),
-            (self._check, self._cfg.check_interval_s),
+            (self._run_checks, self._cfg.check_interval_s),
         ):
             await group.spawn(run_forever, step, clock, interval_s)
         await self._spawn(self._joiner.start)
 
     async def _spawn(self, func, *args) -> None:
-        # The group keeps results of tasks that are not daemons.
+        # Daemon tasks only: a group stores the results of all others.
         await self._group.spawn(func, *args, daemon=True)
 
-    async def _check(self) -> None:
-        """Do what is due: leases, suspicions, pauses, urgent records."""
+    async def _run_checks(self) -> None:
+        """Process expired leases and suspicions, pauses and urgent pushes."""
         self._locals.check(self.mark_source().revision)
         self._suspicions.check()
-        self._roster.pauses.tick()
-        if not self._roster.departures.is_saved:
+        self._cluster.pause_detector.tick()
+        if not self._cluster.departures.is_saved:
             await self._spawn(self._joiner.save_departures)
-        self.stats.pauses = self._roster.pauses.pauses
-        if not self._roster.pauses.is_current:
-            await self._recheck()
-        for job in self._spread.take_jobs():
-            await self._spawn(job)
-        while self._heard:
-            mark, address = self._heard.popitem()
+        self.stats.pauses = self._cluster.pause_detector.pause_count
+        if not self._cluster.pause_detector.is_current:
+            await self._recover_from_pause()
+        for push in self._urgent_pusher.take_pushes():
+            await self._spawn(push)
+        while self._queued_marks:
+            mark, address = self._queued_marks.popitem()
             await self._spawn(self.on_mark, mark, address)
 
-    async def _recheck(self) -> None:
-        """After a pause, find someone to make an exchange with."""
-        roster = self._roster
-        if not roster.peers:
-            await self._spawn(self._joiner.recheck)
-        roster.end_isolation()
+    async def _recover_from_pause(self) -> None:
+        """After a pause, contact table and seeds if there are no peers."""
+        cluster = self._cluster
+        if not cluster.peers:
+            await self._spawn(self._joiner.contact_after_pause)
+        cluster.end_pause_if_isolated()
 
-    def _hear_mark(self, mark: RevisionMark, address: Address) -> None:
+    def _queue_mark(self, mark: RevisionMark, address: Address) -> None:
         if mark.revision > self.mark_source().revision:
-            self._heard[mark] = address
+            self._queued_marks[mark] = address
 
 
-def _doubt_unreached(record: Node, unreachable: frozenset[str]) -> Node:
+def _suspect_if_unreachable(record: Node, unreachable: frozenset[str]) -> Node:
     is_alive = record.state is NodeState.ALIVE
     if not is_alive or record.data_centre not in unreachable:
         return record
     return attrs.evolve(record, state=NodeState.SUSPECT)
 
 
-def _refuse(exc: PeerUnreachableError) -> HttpResponse:
+def _make_bad_request(exc: PeerUnreachableError) -> HttpResponse:
     return HttpResponse(400, [], exc.message.encode() + b"\n")
 
 
@@ -290,7 +294,7 @@
     table: Table | None,
     random: random.Random,
 ):
-    """Yield a Membership whose tasks run until the block ends."""
+    """Yield a Membership whose periodic tasks run inside the block."""
     membership = Membership(
         cfg, node, data_centre, address, clock, pools, table, random
     )
--- a/libs/membership/auburnjunction/membership/pauses.py
+++ b/libs/membership/auburnjunction/membership/pauses.py
@@ -6,52 +6,52 @@
 
 
 class PauseDetector:
-    """Tells whether this process may trust what it believes.
+    """Detects pauses of this process, after which its view is stale.
 
-    After a gap between its own ticks above the limit it may not, until
-    it has ticked again and an exchange that began after the gap was
-    noticed has succeeded.
+    A pause is a gap between two ticks above the limit. The view is
+    current again after the next tick and a successful exchange that
+    began after the pause was detected.
     """
 
-    def __init__(self, clock: Clock, limit: Callable[[], float]):
+    def __init__(self, clock: Clock, limit_s: Callable[[], float]):
         self._clock = clock
-        self._limit = limit
+        self._limit_s = limit_s
         self._tick_s = clock.monotonic()
-        self._stale_s: float | None = None
-        self._ticked = True
-        self.pauses = 0
+        self._pause_detected_s: float | None = None
+        self._has_ticked = True
+        self.pause_count = 0
 
     @property
     def is_current(self) -> bool:
-        """False from a pause until a later exchange."""
-        self._notice()
-        return self._stale_s is None
+        """Whether the view is current; False from a pause to an exchange."""
+        self._detect_pause()
+        return self._pause_detected_s is None
 
     def tick(self) -> None:
-        """Note that this process runs and has checked its leases."""
-        self._notice()
+        """Record that this process runs and has checked its leases."""
+        self._detect_pause()
         self._tick_s = self._clock.monotonic()
-        self._ticked = True
+        self._has_ticked = True
 
-    def note_exchange(self, started_s: float) -> None:
-        """Note a success of an exchange that began at started_s."""
-        self._notice()
-        if self._stale_s is None or not self._ticked:
+    def record_exchange(self, started_s: float) -> None:
+        """Record the success of an exchange that began at started_s."""
+        self._detect_pause()
+        if self._pause_detected_s is None or not self._has_ticked:
             return
-        if started_s >= self._stale_s:
-            self._stale_s = None
+        if started_s >= self._pause_detected_s:
+            self._pause_detected_s = None
 
     @property
     def stale_for_s(self) -> float:
-        """Seconds since the pause was noticed; 0 when current."""
-        if self._stale_s is None:
+        """Seconds since the pause was detected; 0 if current."""
+        if self._pause_detected_s is None:
             return 0.0
-        return self._clock.monotonic() - self._stale_s
+        return self._clock.monotonic() - self._pause_detected_s
 
-    def _notice(self) -> None:
+    def _detect_pause(self) -> None:
         now_s = self._clock.monotonic()
-        if now_s - self._tick_s > self._limit():
-            self.pauses += 1
-            self._stale_s = now_s
+        if now_s - self._tick_s > self._limit_s():
+            self.pause_count += 1
+            self._pause_detected_s = now_s
             self._tick_s = now_s
-            self._ticked = False
+            self._has_ticked = False
--- a/libs/membership/auburnjunction/membership/probes.py
+++ b/libs/membership/auburnjunction/membership/probes.py
@@ -1,80 +1,85 @@
-"""Probes of peers that did not answer, directly and through others."""
+"""Direct and indirect probes of peers that failed an exchange."""
 
 import attrs
 import curio
 
 from auburnjunction.base.logs import log_event
 from auburnjunction.http.clients import Address, PoolRegistry
+from auburnjunction.membership.cluster_states import ClusterState
 from auburnjunction.membership.errors import PeerUnreachableError
 from auburnjunction.membership.exchanges import parse_message, post
-from auburnjunction.membership.records import Node, NodeState, bury_record
-from auburnjunction.membership.rosters import Roster
+from auburnjunction.membership.records import Node, NodeState, make_tombstone
 from auburnjunction.schema import control_pb2 as pb
 
-MAX_CHECKS = 16
-# A helper needs its own time to reach the target.
-HELPER_TIMEOUTS = 2
+MAX_CONCURRENT_CHECKS = 16
+# An indirect probe includes the relay's own probe of the target.
+INDIRECT_TIMEOUT_FACTOR = 2
 
 
 class Prober:
-    """Finds out whether a peer is down or only hard to reach."""
+    """Probes peers and suspects those that cannot be reached."""
 
-    def __init__(self, roster: Roster, pools: PoolRegistry):
-        self._roster = roster
+    def __init__(self, cluster: ClusterState, pools: PoolRegistry):
+        self._cluster = cluster
         self._pools = pools
         self._checking: set[str] = set()
 
     async def check(self, peer: Node) -> None:
-        """Suspect a peer that neither this node nor others reach.
+        """Suspect a peer if direct and indirect probes of it all fail.
 
-        A leaving peer that is not reached has left.
+        A leaving peer that fails them is marked dead at once.
         """
-        if peer.node in self._checking or len(self._checking) >= MAX_CHECKS:
+        if (
+            peer.node in self._checking
+            or len(self._checking) >= MAX_CONCURRENT_CHECKS
+        ):
             return
         self._checking.add(peer.node)
         try:
-            if not await self._is_reached(peer):
-                self._doubt(peer)
+            if not await self._is_reachable(peer):
+                self._mark_unreachable(peer)
         finally:
             self._checking.discard(peer.node)
 
-    async def answer(self, body: bytes) -> pb.ProbeResponse:
-        """Answer a probe, or probe the target that it names."""
+    async def handle_request(self, body: bytes) -> pb.ProbeResponse:
+        """Respond to a probe; if it names an address, probe that target."""
         request = parse_message(pb.ProbeRequest, body)
         if not request.host:
-            reached = request.target == self._roster.own.node
+            reached = request.target == self._cluster.own_record.node
             return pb.ProbeResponse(reached=reached)
         address = Address(request.host, request.peer_port)
         return pb.ProbeResponse(
             reached=await self._probe(request.target, address)
         )
 
-    async def _is_reached(self, peer: Node) -> bool:
+    async def _is_reachable(self, peer: Node) -> bool:
         if await self._probe(peer.node, peer.address):
             return True
-        helpers = [p for p in self._roster.peers if p.node != peer.node]
-        count = min(len(helpers), self._roster.cfg.indirect_probes)
-        helpers = self._roster.random.sample(helpers, count)
+        relays = [p for p in self._cluster.peers if p.node != peer.node]
+        count = min(len(relays), self._cluster.cfg.indirect_probes)
+        relays = self._cluster.random.sample(relays, count)
         async with curio.TaskGroup() as group:
-            for helper in helpers:
-                await group.spawn(self._ask, helper, peer)
-        return any(group.results) if helpers else False
+            for relay in relays:
+                await group.spawn(self._probe_through, relay, peer)
+        return any(group.results) if relays else False
 
-    async def _ask(self, helper: Node, peer: Node) -> bool:
+    async def _probe_through(self, relay: Node, peer: Node) -> bool:
         request = pb.ProbeRequest(
             target=peer.node,
             host=peer.address.host,
             peer_port=peer.address.port,
         )
-        self._roster.stats.indirect_probes += 1
-        timeout_s = self._roster.cfg.exchange_timeout_s * HELPER_TIMEOUTS
-        return await self._send(helper.address, request, timeout_s)
+        self._cluster.stats.indirect_probes += 1
+        timeout_s = (
+            self._cluster.cfg.exchange_timeout_s * INDIRECT_TIMEOUT_FACTOR
+        )
+        return await self._send(relay.address, request, timeout_s)
 
     async def _probe(self, node: str, address: Address) -> bool:
-        self._roster.stats.probes += 1
+        self._cluster.stats.probes += 1
         request = pb.ProbeRequest(target=node)
-        timeout_s = self._roster.cfg.exchange_timeout_s
-        # A fresh connection: the pooled one may have gone silent.
+        timeout_s = self._cluster.cfg.exchange_timeout_s
+        # Idle pooled connections may be broken, so open a new one.
         return await self._send(address, request, timeout_s, max_idle_s=0.0)
 
     async def _send(
@@ -85,25 +90,25 @@
         max_idle_s: float | None = None,
     ) -> bool:
         body = request.SerializeToString()
-        started_s = self._roster.clock.monotonic()
+        started_s = self._cluster.clock.monotonic()
         try:
-            answer = await post(
+            response_body = await post(
                 self._pools, address, b"/probe", body, timeout_s, max_idle_s
             )
-            response = parse_message(pb.ProbeResponse, answer)
+            response = parse_message(pb.ProbeResponse, response_body)
         except PeerUnreachableError:
             return False
-        self._roster.note_contact(started_s)
+        self._cluster.record_peer_response(started_s)
         return response.reached
 
-    def _doubt(self, peer: Node) -> None:
-        current = self._roster.view.get(peer.node)
+    def _mark_unreachable(self, peer: Node) -> None:
+        current = self._cluster.view.get(peer.node)
         if current is None or current.incarnation != peer.incarnation:
             return
         if current.state is NodeState.LEAVING:
-            self._roster.take([bury_record(current)])
+            self._cluster.merge([make_tombstone(current)])
         elif current.state is NodeState.ALIVE:
-            self._roster.stats.suspicions += 1
+            self._cluster.stats.suspicions += 1
             log_event("suspects a peer", peer=current.node)
             suspect = attrs.evolve(current, state=NodeState.SUSPECT)
-            self._roster.take([suspect])
+            self._cluster.merge([suspect])
--- a/libs/membership/auburnjunction/membership/contacts.py
+++ b/libs/membership/auburnjunction/membership/reachabilities.py
@@ -1,71 +1,71 @@
-"""Which other data centres the links of this one reach."""
+"""Reachability of other data centres from this one's link nodes."""
 
 import attrs
 
 from auburnjunction.base.clocks import Clock
 from auburnjunction.schema import control_pb2 as pb
 
-# What links saw is passed on for this long.
-KEEP_S = 30.0
+# Observations of link nodes are gossiped for this long.
+OBSERVATION_KEEP_S = 30.0
 MIN_FAILURES = 3
 
 
 @attrs.define(slots=True)
-class Contact:
-    """Exchanges of this node with one data centre."""
+class ExchangeHistory:
+    """Last success and failures since, of exchanges with a data centre."""
 
-    success_s: float
+    last_success_s: float
     failures: int = 0
 
 
 @attrs.frozen(slots=True)
 class Observation:
-    """What a link saw of a data centre, by the local clock."""
+    """Reachability that a link observed at a time of the local clock."""
 
     reached: bool
     time_s: float
 
 
-class ContactTable:
-    """Reachability of data centres, as seen by links and passed on."""
+class ReachabilityTable:
+    """Observations of own exchanges and those gossiped by peers."""
 
     def __init__(self, clock: Clock, unreachable_after_s: float):
         self._clock = clock
         self._unreachable_after_s = unreachable_after_s
-        self._contacts: dict[str, Contact] = {}
+        self._histories: dict[str, ExchangeHistory] = {}
         self._observations: dict[str, Observation] = {}
 
     @property
     def unreachable(self) -> frozenset[str]:
-        """Data centres that no link was seen to reach lately."""
-        oldest_s = self._clock.monotonic() - KEEP_S
+        """Data centres whose latest observation is a recent failure."""
+        oldest_s = self._clock.monotonic() - OBSERVATION_KEEP_S
         return frozenset(
             name
             for name, observation in self._observations.items()
             if not observation.reached and observation.time_s >= oldest_s
         )
 
-    def note(self, data_centre: str, reached: bool) -> None:
-        """Note the outcome of an exchange of this link."""
+    def record_exchange(self, data_centre: str, reached: bool) -> None:
+        """Record the outcome of an exchange with a data centre."""
         now_s = self._clock.monotonic()
-        contact = self._contacts.get(data_centre)
-        if contact is None:
-            contact = self._contacts[data_centre] = Contact(now_s)
+        history = self._histories.get(data_centre)
+        if history is None:
+            history = self._histories[data_centre] = ExchangeHistory(now_s)
         if reached:
-            contact.success_s = now_s
-            contact.failures = 0
+            history.last_success_s = now_s
+            history.failures = 0
             if data_centre in self._observations:
                 self._observe(data_centre, Observation(True, now_s))
             return
-        contact.failures += 1
-        silent_s = now_s - contact.success_s
-        if contact.failures >= MIN_FAILURES and (
-            silent_s >= self._unreachable_after_s
+        history.failures += 1
+        unreached_s = now_s - history.last_success_s
+        if history.failures >= MIN_FAILURES and (
+            unreached_s >= self._unreachable_after_s
         ):
             self._observe(data_centre, Observation(False, now_s))
 
-    def take(self, messages) -> None:
-        """Take in what a peer of the data centre passes on."""
+    def merge(self, messages) -> None:
+        """Merge the observations gossiped by a peer."""
         now_s = self._clock.monotonic()
         for message in messages:
             time_s = now_s - message.age_ms / 1000
@@ -73,11 +73,14 @@
                 message.data_centre, Observation(message.reached, time_s)
             )
 
-    def list_messages(self) -> list[pb.Reachability]:
-        """Return what is to be passed on; mostly nothing."""
+    def encode_observations(self) -> list[pb.Reachability]:
+        """Return the observations to gossip, without expired ones.
+
+        There are none until a data centre becomes unreachable.
+        """
         now_s = self._clock.monotonic()
         for name, observation in list(self._observations.items()):
-            if now_s - observation.time_s > KEEP_S:
+            if now_s - observation.time_s > OBSERVATION_KEEP_S:
                 del self._observations[name]
         return [
             pb.Reachability(
--- a/libs/membership/auburnjunction/membership/receivers.py
+++ b/libs/membership/auburnjunction/membership/receivers.py
@@ -1,75 +1,79 @@
-"""Answers to gossip."""
+"""Handling of gossip requests."""
 
+from auburnjunction.membership.cluster_states import ClusterState
 from auburnjunction.membership.exchanges import (
     decode_mark,
     decode_records,
     encode_mark,
     parse_message,
 )
-from auburnjunction.membership.parts import fill_parts
 from auburnjunction.membership.records import (
     Node,
     NodeState,
     encode_record,
 )
-from auburnjunction.membership.rosters import Roster
 from auburnjunction.membership.senders import GossipSender
+from auburnjunction.membership.view_differences import add_differing_parts
 from auburnjunction.membership.views import PART_COUNT
 from auburnjunction.schema import control_pb2 as pb
 
-PAGE_RECORDS = 500
-MAX_WANTED = 500
+MAX_PAGE_RECORDS = 500
+MAX_WANTED_RECORDS = 500
 
 
 class GossipReceiver:
-    """Answers gossip requests."""
+    """Merges the records of gossip requests and makes the responses."""
 
-    def __init__(self, roster: Roster, sender: GossipSender):
-        self._roster = roster
+    def __init__(self, cluster: ClusterState, sender: GossipSender):
+        self._cluster = cluster
         self._sender = sender
 
-    def answer(self, body: bytes) -> bytes:
-        """Take in a request and return the bytes of its answer.
+    def handle_request(self, body: bytes) -> bytes:
+        """Merge a request's records and return the encoded response.
 
-        Raise PeerUnreachableError when the body is no request.
+        Raise PeerUnreachableError if the body is not a request.
         """
         request = parse_message(pb.GossipRequest, body)
         records = decode_records(request.records)
-        news = self._roster.take(records)
+        new_indexes = self._cluster.merge(records)
         if request.urgent:
-            self._forward_urgent(records, news)
-        known = self._roster.view.get(request.sender)
+            self._forward_urgent(records, new_indexes)
+        sender = self._cluster.view.get(request.sender)
         response = pb.GossipResponse(
-            sender=self._roster.own.node,
+            sender=self._cluster.own_record.node,
             mark=encode_mark(self._sender.mark_source()),
-            news=news,
-            sender_unknown=known is None,
+            news=new_indexes,
+            sender_unknown=sender is None,
         )
         self._add_records(request, records, response)
-        response.view_digest = self._roster.view.digest
-        if known is not None:
-            self._hear_sender(known, request, response)
-        answer = response.SerializeToString()
-        own = self._roster.own.data_centre
-        cross = known is not None and known.data_centre != own
-        self._roster.stats.count_answer(len(answer), cross)
-        return answer
+        response.view_digest = self._cluster.view.digest
+        if sender is not None:
+            self._handle_sender(sender, request, response)
+        encoded = response.SerializeToString()
+        own = self._cluster.own_record.data_centre
+        cross = sender is not None and sender.data_centre != own
+        self._cluster.stats.count_response(len(encoded), cross)
+        return encoded
 
-    def _hear_sender(
+    def _handle_sender(
         self,
-        known: Node,
+        sender: Node,
         request: pb.GossipRequest,
         response: pb.GossipResponse,
     ) -> None:
-        roster = self._roster
-        self._sender.heard_mark(decode_mark(request.mark), known.address)
-        if known.data_centre == roster.own.data_centre:
-            roster.contacts.take(request.reachability)
-            response.reachability.extend(roster.contacts.list_messages())
+        cluster = self._cluster
+        self._sender.on_peer_mark(decode_mark(request.mark), sender.address)
+        if sender.data_centre == cluster.own_record.data_centre:
+            cluster.reachability.merge(request.reachability)
+            response.reachability.extend(
+                cluster.reachability.encode_observations()
+            )
 
-    def _forward_urgent(self, records: list[Node], news: list[int]) -> None:
-        for index in news:
-            self._roster.mark_urgent(records[index])
+    def _forward_urgent(
+        self, records: list[Node], new_indexes: list[int]
+    ) -> None:
+        for index in new_indexes:
+            self._cluster.queue_urgent_push(records[index])
 
     def _add_records(
         self,
@@ -77,50 +81,52 @@
         received: list[Node],
         response: pb.GossipResponse,
     ) -> None:
-        roster = self._roster
-        if request.full and request.view_digest == roster.view.digest:
+        cluster = self._cluster
+        if request.full and request.view_digest == cluster.view.digest:
             chosen = []
         elif request.full:
             chosen, response.more = self._select_page(request.after)
         elif request.wanted:
-            chosen = self._find_records(request.wanted[:MAX_WANTED])
+            chosen = self._find_records(request.wanted[:MAX_WANTED_RECORDS])
         elif request.part_digests:
             chosen = []
-            first = roster.random.randrange(PART_COUNT)
-            fill_parts(roster.view, request.part_digests, response, first)
+            first = cluster.random.randrange(PART_COUNT)
+            add_differing_parts(
+                cluster.view, request.part_digests, response, first
+            )
         elif request.urgent:
             chosen = []
         else:
-            chosen = self._select_rumors(received)
+            chosen = self._select_gossip(received)
         response.records.extend(encode_record(record) for record in chosen)
 
     def _select_page(self, after: str) -> tuple[list[Node], bool]:
         names = sorted(
             record.node
-            for record in self._roster.view.list_nodes()
+            for record in self._cluster.view.list_nodes()
             if record.node > after and record.state is not NodeState.DEAD
         )
-        page = self._find_records(names[:PAGE_RECORDS])
-        return page, len(names) > PAGE_RECORDS
+        page = self._find_records(names[:MAX_PAGE_RECORDS])
+        return page, len(names) > MAX_PAGE_RECORDS
 
     def _find_records(self, names) -> list[Node]:
-        found = (self._roster.view.get(name) for name in names)
+        found = (self._cluster.view.get(name) for name in names)
         return [record for record in found if record is not None]
 
-    def _select_rumors(self, received: list[Node]) -> list[Node]:
-        """Return changed records that the request did not bring.
+    def _select_gossip(self, received: list[Node]) -> list[Node]:
+        """Return queued records that are not in the request.
 
-        Where the request's record is older, ours goes back.
+        Also return the newer record where the request's one is older.
         """
-        view = self._roster.view
+        view = self._cluster.view
         chosen = {}
         for record in received:
             current = view.get(record.node)
             if current is not None and current.order > record.order:
                 chosen[record.node] = current
         seen = {record.node for record in received}
-        for record in self._roster.rumors.select():
+        for record in self._cluster.gossip_queue.select():
             if record.node not in seen:
                 chosen[record.node] = record
-                self._roster.rumors.mark_unneeded(record)
+                self._cluster.gossip_queue.count_redundant(record)
         return list(chosen.values())
--- a/libs/membership/auburnjunction/membership/records.py
+++ b/libs/membership/auburnjunction/membership/records.py
@@ -25,11 +25,10 @@
 
 @attrs.frozen(slots=True)
 class Node:
-    """One node and its backend servers, as some node has seen it.
+    """Record of a node and its backend servers.
 
-    Only the node itself raises incarnation and version. Others may
-    only turn its state to suspect or dead, which leaves both as they
-    are.
+    Only the node itself raises incarnation and version. Other nodes may
+    only set its state to suspect or dead, without changing either.
     """
 
     node: str
@@ -40,30 +39,30 @@
     version: int
     revision: int = 0
     instances: tuple[Instance, ...] = ()
-    # Bandwidth of the host's link in Mbit/s; 0 where that is not known.
+    # Bandwidth of the host's network link in Mbit/s; 0 if unknown.
     link_mbps: int = 0
 
     @property
     def order(self) -> tuple[int, bool, int, NodeState]:
-        """Key by which the newer of two records is told.
+        """Ordering key of the node's records; the newer one is greater.
 
         Dead outranks every version of the same incarnation, so that a
-        late record cannot bring a dead node back.
+        delayed record cannot bring a dead node back.
         """
         is_dead = self.state is NodeState.DEAD
         return (self.incarnation, is_dead, self.version, self.state)
 
     @property
     def is_usable(self) -> bool:
-        """Whether new work may go to this node's backend servers."""
+        """Whether new calls may go to this node's backend servers."""
         return self.state in (NodeState.ALIVE, NodeState.SUSPECT)
 
     @property
     def digest(self) -> int:
-        """A 64-bit hash of what identifies this record.
+        """64-bit hash of the fields that identify this version.
 
-        Dead records count as nothing, so that dropping one changes no
-        digest.
+        It is 0 for a dead record, so that removing a tombstone leaves
+        the digest of the view unchanged.
         """
         if self.state is NodeState.DEAD:
             return 0
@@ -79,7 +78,8 @@
 def merge_records(first: Node, second: Node) -> Node:
     """Return the newer of two records of one node.
 
-    The revision is the highest seen in the newer record's life.
+    Its revision is the highest that either record has for the newer
+    one's incarnation.
     """
     newer, older = first, second
     if second.order > first.order:
@@ -91,13 +91,13 @@
     return newer
 
 
-def bury_record(record: Node) -> Node:
-    """Return the record of the same life of a node, now dead."""
+def make_tombstone(record: Node) -> Node:
+    """Return the dead record of the same incarnation of a node."""
     return attrs.evolve(record, state=NodeState.DEAD, instances=())
 
 
 def encode_instance(instance: Instance) -> pb.InstanceRecord:
-    """Return the message of a backend server."""
+    """Encode a backend server as a protobuf message."""
     return pb.InstanceRecord(
         instance=instance.instance,
         service=instance.service,
@@ -109,7 +109,7 @@
 
 
 def encode_record(record: Node) -> pb.NodeRecord:
-    """Return the message of a node."""
+    """Encode a record as a protobuf message."""
     return pb.NodeRecord(
         node=record.node,
         data_centre=record.data_centre,
@@ -125,12 +125,16 @@
 
 
 def decode_record(message: pb.NodeRecord) -> Node:
-    """Return the node of a message.
+    """Decode a record from a protobuf message.
 
-    Raise ValueError when it names no node or an unknown state.
+    Raise ValueError if the node or data centre is empty or a state is
+    unknown.
     """
     if not message.node or not message.data_centre:
-        raise ValueError("a record names no node or no data centre")
+        raise ValueError(
+            f"record without node or data centre: node={message.node!r}, "
+            f"data_centre={message.data_centre!r}"
+        )
     return Node(
         node=message.node,
         data_centre=message.data_centre,
--- a/libs/membership/auburnjunction/membership/seeds.py
+++ b/libs/membership/auburnjunction/membership/seeds.py
@@ -1,12 +1,12 @@
-"""Rows of the platform's table by which nodes find each other."""
+"""Rows of the platform's table through which nodes discover peers."""
 
 from google.protobuf.message import DecodeError
 
 from auburnjunction.base.logs import log_event
 from auburnjunction.http.clients import Address
+from auburnjunction.membership.cluster_states import ClusterState
 from auburnjunction.membership.departures import Departure
 from auburnjunction.membership.records import Node
-from auburnjunction.membership.rosters import Roster
 from auburnjunction.schema import control_pb2 as pb
 from auburnjunction.storage.tables import (
     Row,
@@ -14,74 +14,74 @@
 )
 
 ROW_PREFIX = "nodes/"
-# Sorts behind every key of a data centre's rows.
+# Sorts after the keys of all rows of a data centre.
 AFTER_SEPARATOR = chr(ord("/") + 1)
 MAX_ROWS = 200
 MAX_SEEDS = 3
 MAX_DATA_CENTRES = 64
-# A row outlives this many refreshes that fail.
-ROW_REFRESHES = 5
+# A row expires after this many refresh intervals without a write.
+ROW_LIFETIME_REFRESHES = 5
 
 
 class SeedTable:
-    """Rows of nodes in the platform's table."""
+    """Reads and writes the rows of nodes in the platform's table."""
 
-    def __init__(self, roster: Roster, table: Table):
-        self._roster = roster
+    def __init__(self, cluster: ClusterState, table: Table):
+        self._cluster = cluster
         self._table = table
         self._version: int | None = None
 
-    async def write_own(self) -> None:
-        """Refresh this node's row; raise PlatformError if that fails.
+    async def write_own_row(self) -> None:
+        """Write this node's row; raise PlatformError if that fails.
 
-        After a failure the row's version is read again.
+        The next write after a failure reads the row's version again.
         """
-        roster = self._roster
-        own = roster.own
+        cluster = self._cluster
+        own = cluster.own_record
         key = make_key(own)
-        timeout_s = roster.cfg.table_timeout_s
-        started_s = roster.clock.monotonic()
+        timeout_s = cluster.cfg.table_timeout_s
+        started_s = cluster.clock.monotonic()
         version, self._version = self._version, None
         if version is None:
             version = await self._read_version(key)
-        change_count = roster.departures.change_count
+        change_count = cluster.departures.change_count
         value = self._make_row().SerializeToString()
-        roster.stats.table_writes += 1
+        cluster.stats.table_writes += 1
         row = await self._table.put_if(key, value, version, timeout_s)
         self._version = row.version
-        roster.departures.note_saved(change_count)
-        roster.note_table(started_s)
+        cluster.departures.mark_saved(change_count)
+        cluster.record_table_response(started_s)
 
     async def _read_version(self, key: str) -> int:
-        """Return the version that an earlier life or write left.
+        """Return the version of this node's row, 0 if there is none.
 
-        The departures that it saved are known again from then on.
+        The departures in the row are restored into the departure log.
         """
-        self._roster.stats.table_reads += 1
-        row = await self._table.get(key, self._roster.cfg.table_timeout_s)
+        self._cluster.stats.table_reads += 1
+        row = await self._table.get(key, self._cluster.cfg.table_timeout_s)
         if row is None:
             return 0
         message = _parse_row(row)
         if message is not None:
-            self._roster.departures.recall(
+            self._cluster.departures.restore(
                 Departure(item.instance, item.born_ms)
                 for item in message.departures
             )
         return row.version
 
-    async def find_own(self) -> bool:
-        """Tell whether an earlier life of this node left a row.
+    async def find_own_row(self) -> bool:
+        """Return whether this node has a row from before its restart.
 
-        Raise PlatformError if the table does not answer.
+        Raise PlatformError if the table does not respond.
         """
-        own = self._roster.own
+        own = self._cluster.own_record
         self._version = await self._read_version(make_key(own))
         return self._version != 0
 
     async def read_fleet(self) -> dict[str, list[Address]]:
-        """Return addresses by data centre; none if one page is too small.
+        """Return all other nodes' addresses by data centre, in one read.
 
-        One read finds all nodes of a small fleet.
+        Return none if the rows do not fit into one page.
         """
         rows = await self._scan(ROW_PREFIX, "", MAX_ROWS)
         fleet: dict[str, list[Address]] = {}
@@ -93,15 +93,15 @@
         return fleet
 
     async def read_data_centre(self, data_centre: str) -> list[Address]:
-        """Return addresses of one data centre's rows."""
+        """Return addresses of nodes of one data centre."""
         prefix = f"{ROW_PREFIX}{data_centre}/"
         return self._read_addresses(await self._scan(prefix, "", MAX_ROWS))
 
     async def read_any(self) -> list[Address]:
-        """Return addresses of nodes of whatever data centre."""
+        """Return addresses of nodes of any data centre."""
         return self._read_addresses(await self._scan(ROW_PREFIX, "", MAX_ROWS))
 
-    async def read_others(self) -> list[Address]:
+    async def read_all_data_centres(self) -> list[Address]:
         """Return addresses of a few nodes of every data centre."""
         addresses = []
         after = ""
@@ -115,20 +115,20 @@
         return addresses
 
     async def _scan(self, prefix: str, after: str, limit: int) -> list[Row]:
-        roster = self._roster
-        started_s = roster.clock.monotonic()
-        roster.stats.table_reads += 1
+        cluster = self._cluster
+        started_s = cluster.clock.monotonic()
+        cluster.stats.table_reads += 1
         rows = await self._table.scan(
-            prefix, after, limit, roster.cfg.table_timeout_s
+            prefix, after, limit, cluster.cfg.table_timeout_s
         )
-        roster.note_table(started_s)
+        cluster.record_table_response(started_s)
         return rows
 
     def _make_row(self) -> pb.NodeRow:
-        roster = self._roster
-        own = roster.own
-        keep_s = roster.cfg.table_refresh_s * ROW_REFRESHES
-        expires_s = roster.clock.now().timestamp() + keep_s
+        cluster = self._cluster
+        own = cluster.own_record
+        keep_s = cluster.cfg.table_refresh_s * ROW_LIFETIME_REFRESHES
+        expires_s = cluster.clock.now().timestamp() + keep_s
         return pb.NodeRow(
             node=own.node,
             data_centre=own.data_centre,
@@ -137,7 +137,7 @@
             expires_ms=int(expires_s * 1000),
             departures=[
                 pb.DepartureRecord(instance=d.instance, born_ms=d.born_ms)
-                for d in roster.departures.list_all()
+                for d in cluster.departures.list_all()
             ],
         )
 
@@ -149,8 +149,8 @@
 
     def _parse_rows(self, rows: list[Row]) -> list[pb.NodeRow]:
         """Return the rows of other nodes that have not expired."""
-        now_ms = self._roster.clock.now().timestamp() * 1000
-        own = self._roster.own.node
+        now_ms = self._cluster.clock.now().timestamp() * 1000
+        own = self._cluster.own_record.node
         messages = (_parse_row(row) for row in rows)
         return [
             message
@@ -170,5 +170,5 @@
     try:
         return pb.NodeRow.FromString(row.value)
     except DecodeError:
-        log_event("a row of a node is unreadable", key=row.key)
+        log_event("cannot parse the row of a node; skipping it", key=row.key)
         return None
--- a/libs/membership/auburnjunction/membership/senders.py
+++ b/libs/membership/auburnjunction/membership/senders.py
@@ -1,8 +1,9 @@
-"""Sending of gossip: requests with changed records, and answers."""
+"""Sending of gossip requests and merging of their responses."""
 
 from collections.abc import Awaitable, Callable
 
 from auburnjunction.http.clients import Address, PoolRegistry
+from auburnjunction.membership.cluster_states import ClusterState
 from auburnjunction.membership.errors import PeerUnreachableError
 from auburnjunction.membership.exchanges import (
     decode_mark,
@@ -16,7 +17,6 @@
     NodeState,
     encode_record,
 )
-from auburnjunction.membership.rosters import Roster
 from auburnjunction.model.snapshots import NO_REVISION, RevisionMark
 from auburnjunction.schema import control_pb2 as pb
 
@@ -25,40 +25,40 @@
 
 
 async def ignore_mark(_mark: RevisionMark, _address: Address) -> None:
-    """Do nothing about a peer's higher revision."""
+    """Ignore the higher revision of a peer."""
 
 
 def no_revision() -> RevisionMark:
-    """Return the mark of a node without a configuration."""
+    """Return the revision mark of a node without a configuration."""
     return NO_REVISION
 
 
 class GossipSender:
-    """Sends gossip requests and takes in their answers."""
+    """Sends gossip requests and merges the records of responses."""
 
-    def __init__(self, roster: Roster, pools: PoolRegistry):
-        self._roster = roster
+    def __init__(self, cluster: ClusterState, pools: PoolRegistry):
+        self._cluster = cluster
         self._pools = pools
         self.mark_source: MarkSource = no_revision
-        self.heard_mark: Callable[[RevisionMark, Address], None] = (
+        self.on_peer_mark: Callable[[RevisionMark, Address], None] = (
             lambda _mark, _address: None
         )
 
-    async def exchange_rumors(
+    async def exchange_gossip(
         self, address: Address, target: Node
     ) -> pb.GossipResponse:
-        """Exchange changed records with a peer.
+        """Exchange queued records with a peer.
 
-        Raise PeerUnreachableError when it gives no usable answer.
+        Raise PeerUnreachableError if there is no usable response.
         """
-        records = self._roster.rumors.select()
+        records = self._cluster.gossip_queue.select()
         if target.state in (NodeState.SUSPECT, NodeState.DEAD):
             records = [*(r for r in records if r.node != target.node), target]
         response = await self.send_records(address, records, target=target)
-        news = set(response.news)
+        new_indexes = set(response.news)
         for index, record in enumerate(records):
-            if index not in news:
-                self._roster.rumors.mark_unneeded(record)
+            if index not in new_indexes:
+                self._cluster.gossip_queue.count_redundant(record)
         return response
 
     async def send_records(
@@ -70,23 +70,26 @@
         urgent: bool = False,
         cross: bool = False,
     ) -> pb.GossipResponse:
-        """Send records and take in those of the answer."""
+        """Send records and merge those of the response."""
         request = self.make_request()
         request.records.extend(encode_record(r) for r in records)
         request.urgent = urgent
         if not cross:
-            messages = self._roster.contacts.list_messages()
+            messages = self._cluster.reachability.encode_observations()
             request.reachability.extend(messages)
         response = await self.send(address, request, cross=cross)
         if target is not None and response.sender != target.node:
-            raise PeerUnreachableError(f"{address} is not {target.node}")
+            raise PeerUnreachableError(
+                f"{address}: response is from {response.sender}, "
+                f"not {target.node}"
+            )
         return response
 
-    async def pull_all(self, address: Address, cross: bool = False) -> None:
+    async def pull_view(self, address: Address, cross: bool = False) -> None:
         """Fetch every record that a peer holds, page by page."""
-        self._roster.stats.full_syncs += 1
+        self._cluster.stats.full_syncs += 1
         request = self.make_request()
-        request.records.append(encode_record(self._roster.own))
+        request.records.append(encode_record(self._cluster.own_record))
         request.full = True
         response = await self.send(address, request, cross=cross)
         while response.more and response.records:
@@ -96,30 +99,32 @@
             response = await self.send(address, request, cross=cross)
 
     def make_request(self) -> pb.GossipRequest:
-        """Return a request with what every request carries."""
+        """Return a request with the fields that are common to all."""
         return pb.GossipRequest(
-            sender=self._roster.own.node,
+            sender=self._cluster.own_record.node,
             mark=encode_mark(self.mark_source()),
-            view_digest=self._roster.view.digest,
+            view_digest=self._cluster.view.digest,
         )
 
     async def send(
         self, address: Address, request: pb.GossipRequest, cross: bool = False
     ) -> pb.GossipResponse:
-        """Send one request and take in its answer."""
-        roster = self._roster
+        """Send one request and merge its response."""
+        cluster = self._cluster
         body = request.SerializeToString()
-        roster.stats.count_request(len(body), cross)
-        timeout_s = roster.cfg.exchange_timeout_s
+        cluster.stats.count_request(len(body), cross)
+        timeout_s = cluster.cfg.exchange_timeout_s
         if cross:
-            timeout_s = roster.cfg.cross_timeout_s
-        started_s = roster.clock.monotonic()
-        answer = await post(self._pools, address, b"/gossip", body, timeout_s)
-        response = parse_message(pb.GossipResponse, answer)
-        roster.note_contact(started_s)
-        roster.contacts.take(response.reachability)
-        roster.take(decode_records(response.records))
+            timeout_s = cluster.cfg.cross_timeout_s
+        started_s = cluster.clock.monotonic()
+        response_body = await post(
+            self._pools, address, b"/gossip", body, timeout_s
+        )
+        response = parse_message(pb.GossipResponse, response_body)
+        cluster.record_peer_response(started_s)
+        cluster.reachability.merge(response.reachability)
+        cluster.merge(decode_records(response.records))
         if response.sender_unknown:
-            roster.rumors.add(roster.own)
-        self.heard_mark(decode_mark(response.mark), address)
+            cluster.gossip_queue.add(cluster.own_record)
+        self.on_peer_mark(decode_mark(response.mark), address)
         return response
--- a/libs/membership/auburnjunction/membership/stats.py
+++ b/libs/membership/auburnjunction/membership/stats.py
@@ -1,13 +1,13 @@
-"""Counts of what membership does."""
+"""Counters of membership."""
 
 import attrs
 
 
 @attrs.define(slots=True)
 class MembershipStats:
-    """Counts since the start.
+    """Counters since the start of the process.
 
-    Bytes are those of the bodies of requests and answers that were
+    Bytes are those of the bodies of requests and responses that were
     sent; cross means between data centres.
     """
 
@@ -38,8 +38,8 @@
             self.exchanges += 1
             self.bytes_sent += size
 
-    def count_answer(self, size: int, cross: bool) -> None:
-        """Count the bytes of an answer."""
+    def count_response(self, size: int, cross: bool) -> None:
+        """Count the bytes of a response."""
         if cross:
             self.cross_bytes_sent += size
         else:
--- a/libs/membership/auburnjunction/membership/tests/test_departures.py
+++ b/libs/membership/auburnjunction/membership/tests/test_departures.py
@@ -1,4 +1,4 @@
-"""Departures that outlive the node that acknowledged them."""
+"""Departures that are kept across restarts of the node."""
 
 import random
 
@@ -8,13 +8,13 @@
 
 from auburnjunction.base.clocks import ManualClock
 from auburnjunction.http.clients import Address
+from auburnjunction.membership.cluster_states import ClusterState
 from auburnjunction.membership.departures import (
     MAX_DEPARTURES,
     Departure,
     DepartureLog,
 )
 from auburnjunction.membership.instances import LocalInstances
-from auburnjunction.membership.rosters import Roster
 from auburnjunction.membership.seeds import SeedTable
 from auburnjunction.membership.tests.support import (
     FAST,
@@ -28,23 +28,23 @@
 
 
 @attrs.define
-class NodeLife:
-    """One life of a node's process, with its row in a table."""
+class NodeProcess:
+    """One process of a node, with its row in a table."""
 
     table: MemoryTable
     clock: ManualClock = attrs.field(factory=ManualClock)
-    roster: Roster = attrs.field(init=False)
+    cluster: ClusterState = attrs.field(init=False)
     instances: LocalInstances = attrs.field(init=False)
     rows: SeedTable = attrs.field(init=False)
 
     def __attrs_post_init__(self):
         address = Address(HOST, 9001)
         source = random.Random(1)
-        self.roster = Roster(
+        self.cluster = ClusterState(
             FAST, "n0", "helsinki", address, self.clock, source
         )
-        self.instances = LocalInstances(self.roster)
-        self.rows = SeedTable(self.roster, self.table)
+        self.instances = LocalInstances(self.cluster)
+        self.rows = SeedTable(self.cluster, self.table)
 
     def announce(self, state, born_ms=BORN_MS, sequence=1):
         announcement = make_announcement(
@@ -59,61 +59,61 @@
     ("born_ms", "shown"),
     [
         (BORN_MS, InstanceState.LEAVING),
-        # It has started again since.
+        # The backend server has restarted since.
         (BORN_MS + 1, InstanceState.READY),
-        # Nothing tells its lives apart.
+        # Without born_ms, its incarnations cannot be distinguished.
         (0, InstanceState.READY),
     ],
 )
-def test_late_ready_after_the_node_died(last, is_read_first, born_ms, shown):
+def test_late_ready_after_a_node_restart(last, is_read_first, born_ms, shown):
     async def main():
         table = MemoryTable()
-        before = NodeLife(table)
+        before = NodeProcess(table)
         first_born_ms = born_ms and BORN_MS
         before.announce("ready", first_born_ms, 1)
         before.announce(last, first_born_ms, 3)
-        await before.rows.write_own()
-        after = NodeLife(table)
+        await before.rows.write_own_row()
+        after = NodeProcess(table)
         if is_read_first:
-            await after.rows.write_own()
+            await after.rows.write_own_row()
             state = after.announce("ready", born_ms, 2)
         else:
             after.announce("ready", born_ms, 2)
-            await after.rows.write_own()
+            await after.rows.write_own_row()
             after.instances.check(0)
-            state = after.roster.own.instances[0].state
+            state = after.cluster.own_record.instances[0].state
         assert state is shown
 
     curio.run(main)
 
 
-def test_row_of_the_next_life_still_holds_departures():
+def test_departures_are_kept_across_two_restarts():
     async def main():
         table = MemoryTable()
-        first = NodeLife(table)
+        first = NodeProcess(table)
         first.announce("leaving")
-        await first.rows.write_own()
-        await NodeLife(table).rows.write_own()
-        third = NodeLife(table)
-        await third.rows.write_own()
+        await first.rows.write_own_row()
+        await NodeProcess(table).rows.write_own_row()
+        third = NodeProcess(table)
+        await third.rows.write_own_row()
         assert third.announce("ready") is InstanceState.LEAVING
 
     curio.run(main)
 
 
-def test_saved_only_up_to_what_was_written():
+def test_departures_are_saved_up_to_the_written_change():
     log = DepartureLog()
     assert log.is_saved
     log.add(Departure("a-1", BORN_MS))
     count = log.change_count
     log.add(Departure("a-2", BORN_MS))
-    log.note_saved(count)
+    log.mark_saved(count)
     assert not log.is_saved
-    log.note_saved(log.change_count)
+    log.mark_saved(log.change_count)
     assert log.is_saved
 
 
-def test_log_keeps_the_latest():
+def test_log_keeps_the_latest_departures():
     log = DepartureLog()
     for number in range(MAX_DEPARTURES + 3):
         log.add(Departure(f"a-{number}", BORN_MS))
--- a/libs/membership/auburnjunction/membership/tests/test_leases.py
+++ b/libs/membership/auburnjunction/membership/tests/test_leases.py
@@ -4,7 +4,7 @@
 
 from auburnjunction.base.clocks import ManualClock
 from auburnjunction.membership.leases import (
-    GONE_KEEP_S,
+    GONE_RETENTION_S,
     LeaseTable,
     round_load,
 )
@@ -37,20 +37,20 @@
     assert lease.shown_state.name.lower() == shown
 
 
-def test_lease_lapses_unless_it_is_renewed():
+def test_lease_expires_unless_it_is_renewed():
     clock = ManualClock()
     leases = LeaseTable(clock)
     leases.renew(make_announcement("a", lease_s=5))
     leases.renew(make_announcement("b", lease_s=9))
     assert leases.shortest_s == 5
     clock.advance(4.9)
-    assert leases.lapse() == []
+    assert leases.expire() == []
     leases.renew(make_announcement("b", lease_s=9))
     clock.advance(0.2)
-    assert [x.announcement.instance for x in leases.lapse()] == ["a"]
+    assert [x.announcement.instance for x in leases.expire()] == ["a"]
     assert leases.shortest_s == 9
-    clock.advance(GONE_KEEP_S)
-    leases.lapse()
+    clock.advance(GONE_RETENTION_S)
+    leases.expire()
     assert leases.get("a") is None
 
 
@@ -58,7 +58,7 @@
     ("load_percent", "shown"),
     [(0, 0), (12, 0), (13, 25), (40, 50), (99, 100)],
 )
-def test_load_is_shown_in_coarse_steps(load_percent, shown):
+def test_load_is_rounded_to_coarse_steps(load_percent, shown):
     assert round_load(load_percent) == shown
 
 
@@ -75,28 +75,28 @@
         detector.tick()
 
 
-@pytest.mark.parametrize("looks_first", [True, False])
-def test_pause_ends_with_a_later_exchange(looks_first):
+@pytest.mark.parametrize("checks_before_tick", [True, False])
+def test_pause_ends_with_a_later_exchange(checks_before_tick):
     clock, detector = make_detector()
     began_s = clock.monotonic()
     clock.advance(LIMIT_S + 0.1)
-    if looks_first:
+    if checks_before_tick:
         assert not detector.is_current
     detector.tick()
-    # Its answer lay in the socket while the process was paused.
-    detector.note_exchange(began_s)
+    # The response was in the socket buffer during the pause.
+    detector.record_exchange(began_s)
     assert not detector.is_current
-    detector.note_exchange(clock.monotonic())
+    detector.record_exchange(clock.monotonic())
     assert detector.is_current
-    assert detector.pauses == 1
+    assert detector.pause_count == 1
 
 
 def test_pause_does_not_end_before_leases_are_checked():
     clock, detector = make_detector()
     clock.advance(LIMIT_S + 0.1)
     assert not detector.is_current
-    detector.note_exchange(clock.monotonic())
+    detector.record_exchange(clock.monotonic())
     assert not detector.is_current
     detector.tick()
-    detector.note_exchange(clock.monotonic())
+    detector.record_exchange(clock.monotonic())
     assert detector.is_current
--- a/libs/membership/auburnjunction/membership/tests/test_records.py
+++ b/libs/membership/auburnjunction/membership/tests/test_records.py
@@ -15,16 +15,19 @@
 
 from auburnjunction.base.clocks import ManualClock
 from auburnjunction.http.clients import Address
-from auburnjunction.membership.parts import compare_keys, fill_parts
+from auburnjunction.membership.cluster_states import ClusterState
 from auburnjunction.membership.records import (
     NodeState,
-    bury_record,
     decode_record,
     encode_record,
+    make_tombstone,
     merge_records,
 )
-from auburnjunction.membership.rosters import Roster
 from auburnjunction.membership.tests.support import FAST, make_record
+from auburnjunction.membership.view_differences import (
+    add_differing_parts,
+    compare_keys,
+)
 from auburnjunction.membership.views import View
 from auburnjunction.model.services import Instance, InstanceState
 from auburnjunction.schema import control_pb2 as pb
@@ -39,7 +42,7 @@
 
 
 def make_version(node, incarnation, version, state, revision=0):
-    """Return the one record that an order stands for."""
+    """Return the record that an order determines."""
     instance_state = InstanceState(1 + version % 4)
     instances = (make_instance(node, instance_state),)
     record = make_record(
@@ -50,7 +53,7 @@
         revision=revision,
         instances=instances,
     )
-    return bury_record(record) if state is NodeState.DEAD else record
+    return make_tombstone(record) if state is NodeState.DEAD else record
 
 
 records = st.builds(
@@ -65,7 +68,7 @@
 
 @settings(derandomize=True)
 @given(records, records, records)
-def test_merge_is_a_join(a, b, c):
+def test_merge_is_commutative_associative_and_idempotent(a, b, c):
     assert merge_records(a, b) == merge_records(b, a)
     left = merge_records(merge_records(a, b), c)
     assert left == merge_records(a, merge_records(b, c))
@@ -105,7 +108,7 @@
     assert merge_records(new, old) is new
 
 
-def test_record_survives_its_message():
+def test_record_round_trips_through_protobuf():
     record = make_version("n0", 3, 1, NodeState.ALIVE, 7)
     assert decode_record(encode_record(record)) == record
 
@@ -118,20 +121,20 @@
         pb.NodeRecord(node="a", data_centre="a", state=0),
     ],
 )
-def test_bad_message_is_refused(message):
+def test_invalid_message_is_rejected(message):
     with pytest.raises(ValueError, match="record|NodeState"):
         decode_record(message)
 
 
 class ViewMachine(RuleBasedStateMachine):
-    """Owners change records; messages arrive late, twice or never."""
+    """Nodes change records; copies are delivered late, twice or never."""
 
     def __init__(self):
         super().__init__()
         self.view = View()
         self.owned = {name: make_record(name) for name in NAMES}
         self.sent = list(self.owned.values())
-        self.left: dict[str, tuple] = {}
+        self.leaving_orders: dict[str, tuple] = {}
 
     def publish(self, name, **changes):
         record = attrs.evolve(self.owned[name], **changes)
@@ -161,11 +164,11 @@
         )
 
     @precondition(lambda self: self.sent)
-    @rule(data=st.data(), state=st.sampled_from(["suspect", "bury"]))
-    def doubt(self, data, state):
+    @rule(data=st.data(), state=st.sampled_from(["suspect", "dead"]))
+    def suspect_or_kill(self, data, state):
         record = data.draw(st.sampled_from(self.sent))
-        if state == "bury":
-            self.sent.append(bury_record(record))
+        if state == "dead":
+            self.sent.append(make_tombstone(record))
         elif record.state is NodeState.ALIVE:
             suspect = attrs.evolve(record, state=NodeState.SUSPECT)
             self.sent.append(suspect)
@@ -174,17 +177,17 @@
     def deliver(self, data):
         record = data.draw(st.sampled_from(self.sent))
         before = self.view.get(record.node)
-        news = self.view.merge(record)
+        is_newer = self.view.merge(record)
         after = self.view.get(record.node)
-        assert news == (before is None or record.order > before.order)
+        assert is_newer == (before is None or record.order > before.order)
         if before is not None:
             assert after.order >= before.order
         if after.state is NodeState.LEAVING:
-            self.left[record.node] = after.order
+            self.leaving_orders[record.node] = after.order
 
     @invariant()
     def leaving_is_never_undone_by_an_older_record(self):
-        for name, order in self.left.items():
+        for name, order in self.leaving_orders.items():
             record = self.view.get(name)
             assert record.order >= order
             if record.is_usable:
@@ -230,12 +233,12 @@
     view.merge(moved.pop(first))
     view.merge(moved.popitem()[1])
     assert view.find_instance("i0").node == "n1"
-    view.merge(bury_record(view.get("n1")))
+    view.merge(make_tombstone(view.get("n1")))
     found = view.find_instance("i0")
     assert (found and found.state) == old_state
 
 
-def test_parts_that_differ_name_what_each_side_lacks():
+def test_differing_parts_give_the_newer_records_of_both_views():
     one, two = View(), View()
     for index in range(40):
         one.merge(make_record(f"n{index}"))
@@ -244,17 +247,17 @@
     two.merge(make_record("n2", version=2))
     one.merge(make_record("only-one"))
     two.merge(make_record("only-two"))
-    one.merge(bury_record(make_record("n3")))
-    two.drop("n3")
+    one.merge(make_tombstone(make_record("n3")))
+    two.remove("n3")
     response = pb.GossipResponse()
-    fill_parts(two, one.part_digests, response, 0)
+    add_differing_parts(two, one.part_digests, response, 0)
     newer, wanted = compare_keys(one, response.parts, response.keys)
     assert {r.node for r in newer} == {"n1", "only-one"}
     assert set(wanted) == {"n2", "only-two"}
 
 
 def test_changes_are_listed_in_batches_without_a_loss():
-    roster = Roster(
+    cluster = ClusterState(
         FAST,
         "own",
         "helsinki",
@@ -262,11 +265,11 @@
         ManualClock(),
         Random(1),
     )
-    roster.take(make_record(f"n{i}") for i in range(20))
-    roster.take([make_record("x", "espoo"), make_record("n3", version=2)])
+    cluster.merge(make_record(f"n{i}") for i in range(20))
+    cluster.merge([make_record("x", "espoo"), make_record("n3", version=2)])
     listed, after = [], 0
     for _ in range(4):
-        records, after = roster.list_changes(after, 8)
+        records, after = cluster.list_changes(after, 8)
         listed += [(r.node, r.version) for r in records]
     assert listed[-1] == ("n3", 2)
     assert {name for name, _ in listed} == {
@@ -274,15 +277,15 @@
         *(f"n{i}" for i in range(20)),
     }
     assert len(listed) == 21
-    roster.take([make_record("n5", version=2)])
-    records, _ = roster.list_changes(after, 8)
+    cluster.merge([make_record("n5", version=2)])
+    records, _ = cluster.list_changes(after, 8)
     assert [r.node for r in records] == ["n5"]
 
 
-def test_dropped_tombstone_changes_no_digest():
+def test_removed_tombstone_changes_no_digest():
     view = View()
     view.merge(make_record("n0"))
-    view.merge(bury_record(make_record("n0")))
+    view.merge(make_tombstone(make_record("n0")))
     assert view.digest == View().digest
-    view.drop("n0")
+    view.remove("n0")
     assert view.digest == View().digest
--- a/libs/membership/auburnjunction/membership/tests/test_seeds.py
+++ b/libs/membership/auburnjunction/membership/tests/test_seeds.py
@@ -1,4 +1,4 @@
-"""Seeds in the table, and its outages."""
+"""Discovery of nodes through the table, also during outages."""
 
 import random
 
@@ -8,8 +8,8 @@
 
 from auburnjunction.base.clocks import ManualClock, SystemClock
 from auburnjunction.http.clients import Address
-from auburnjunction.membership.joins import TABLE_WAITS_S, Backoff
-from auburnjunction.membership.rosters import Roster
+from auburnjunction.membership.cluster_states import ClusterState
+from auburnjunction.membership.joins import TABLE_BACKOFF_S, Backoff
 from auburnjunction.membership.seeds import MAX_ROWS, SeedTable
 from auburnjunction.membership.settings import MembershipSettings
 from auburnjunction.membership.tests.support import (
@@ -24,8 +24,8 @@
 from auburnjunction.storage.tables import PlatformError
 
 FLEET = 3000
-# What the platform bears, less two reads for each head reading that the
-# distribution may make.
+# Read limit of the platform, less two reads for each of the head reads
+# that the distribution may make per second.
 READS_PER_S = 2000 - 2 * 300
 ADDRESS = Address(HOST, 9001)
 CFG = attrs.evolve(FAST, table_refresh_s=0.5, table_spread_s=0.02)
@@ -35,17 +35,17 @@
     clock = clock or ManualClock()
     address = Address(HOST, port)
     source = random.Random(1)
-    roster = Roster(FAST, node, data_centre, address, clock, source)
-    return SeedTable(roster, table)
+    cluster = ClusterState(FAST, node, data_centre, address, clock, source)
+    return SeedTable(cluster, table)
 
 
 async def write_row(member, table):
-    """Write the row that an earlier life of a member left."""
+    """Write the row of a member as if before a restart."""
     clock = SystemClock()
     address, source = member.address, random.Random(1)
     name, data_centre = member.node, member.data_centre
-    roster = Roster(FAST, name, data_centre, address, clock, source)
-    await SeedTable(roster, table).write_own()
+    cluster = ClusterState(FAST, name, data_centre, address, clock, source)
+    await SeedTable(cluster, table).write_own_row()
 
 
 def test_rows_are_read_by_data_centre_until_they_expire():
@@ -56,16 +56,17 @@
             for index in range(5):
                 name = f"{data_centre}-{index}"
                 rows = make_rows(table, name, data_centre, port, clock)
-                await rows.write_own()
+                await rows.write_own_row()
                 port += 1
         reader = make_rows(table, "espoo-0", "espoo", 9001, clock)
         found = await reader.read_data_centre("helsinki")
         assert found == [Address(HOST, p) for p in range(9006, 9011)]
-        ports = {a.port for a in await reader.read_others()}
+        ports = {a.port for a in await reader.read_all_data_centres()}
         assert ports >= {9006, 9011}
         assert 9001 not in ports
-        # One for each row at first, one for the data centre, then one
-        # for each of three data centres and one that finds no more.
+        # One read before the first write of each row, one of the data
+        # centre, then one for each of three data centres and a last one
+        # that finds no more rows.
         assert table.reads == 15 + 1 + 4
         clock.advance(5 * FAST.table_refresh_s + 1)
         assert await reader.read_data_centre("helsinki") == []
@@ -73,16 +74,16 @@
     curio.run(main)
 
 
-def test_row_of_an_earlier_life_is_replaced():
+def test_row_from_before_a_restart_is_replaced():
     async def main():
         table = MemoryTable()
-        await make_rows(table).write_own()
+        await make_rows(table).write_own_row()
         second = make_rows(table, port=9002)
-        await second.write_own()
+        await second.write_own_row()
         table.lost_answers = 1
         with pytest.raises(PlatformError):
-            await second.write_own()
-        await second.write_own()
+            await second.write_own_row()
+        await second.write_own_row()
         reader = make_rows(table, "n1")
         found = await reader.read_data_centre("helsinki")
         assert found == [Address(HOST, 9002)]
@@ -90,7 +91,7 @@
     curio.run(main)
 
 
-def test_nodes_without_seeds_meet_through_the_table():
+def test_nodes_without_seeds_join_through_the_table():
     async def scenario(cluster):
         await wait_until(
             lambda: cluster.table.writes >= 4, what="each wrote its row"
@@ -100,8 +101,8 @@
 
 
 @pytest.mark.parametrize("restarts", [False, True])
-def test_herd_that_returns_finds_itself_at_once(restarts):
-    """All nodes return together; none waits for rows that are there."""
+def test_nodes_that_restart_together_join_at_once(restarts):
+    """Restarted nodes use the rows in the table without a delay."""
 
     async def main():
         table = MemoryTable()
@@ -130,7 +131,7 @@
     async def main():
         table, clock = MemoryTable(), ManualClock()
         for index in range(MAX_ROWS):
-            await make_rows(table, f"n{index}", clock=clock).write_own()
+            await make_rows(table, f"n{index}", clock=clock).write_own_row()
             reader = make_rows(table, "reader", clock=clock)
             if index in (3, MAX_ROWS - 1):
                 fleet = await reader.read_fleet()
@@ -139,7 +140,7 @@
     curio.run(main)
 
 
-def test_lone_nodes_read_a_dead_table_at_a_bounded_rate():
+def test_nodes_without_peers_read_a_failed_table_at_a_bounded_rate():
     async def main():
         table = MemoryTable()
         table.available = False
@@ -147,8 +148,8 @@
         for member in cluster.members:
             await cluster.start(member)
         await curio.sleep(1.0)
-        # A node joins at 0 and 1 s at the soonest, looks for other data
-        # centres once, and reads its row up to five times.
+        # Each node joins at 0 and 1 s at the earliest, discovers other
+        # data centres once, and reads its row up to five times.
         assert table.reads <= (2 + 1 + 5) * 4
         table.available = True
         await cluster.wait_joined()
@@ -158,26 +159,30 @@
     curio.run(main)
 
 
-def test_herd_of_lone_nodes_stays_within_the_reads_of_the_table():
+def test_nodes_without_peers_stay_within_the_read_limit():
     clock, share = ManualClock(), 10
-    herd = []
+    backoffs = []
     for index in range(FLEET // share):
         source = random.Random(index)
-        roster = Roster(MembershipSettings(), "n", "d", ADDRESS, clock, source)
-        start_s = source.uniform(0, roster.cfg.table_spread_s)
-        herd.append(
-            (clock.monotonic() + start_s, Backoff(roster, *TABLE_WAITS_S))
+        cluster = ClusterState(
+            MembershipSettings(), "n", "d", ADDRESS, clock, source
+        )
+        start_s = source.uniform(0, cluster.cfg.table_spread_s)
+        backoffs.append(
+            (clock.monotonic() + start_s, Backoff(cluster, *TABLE_BACKOFF_S))
         )
     for _ in range(120):
         clock.advance(1.0)
         now_s = clock.monotonic()
         reads = sum(
-            backoff.is_due() for start_s, backoff in herd if start_s <= now_s
+            backoff.start_if_due()
+            for start_s, backoff in backoffs
+            if start_s <= now_s
         )
         assert reads * share <= READS_PER_S
 
 
-def test_lone_node_is_current_after_an_exchange_with_the_table():
+def test_node_without_peers_is_current_after_a_table_exchange():
     async def main():
         table = MemoryTable()
         cfg = attrs.evolve(CFG, suspicion_timeout_s=5.0)
--- /dev/null
+++ b/libs/membership/auburnjunction/membership/urgent_pushers.py
@@ -0,0 +1,84 @@
+"""Immediate pushes of urgent records outside the gossip rounds."""
+
+from collections.abc import Callable
+from functools import partial
+
+from auburnjunction.membership.cluster_states import ClusterState
+from auburnjunction.membership.errors import PeerUnreachableError
+from auburnjunction.membership.records import Node, NodeState
+from auburnjunction.membership.senders import GossipSender
+
+MAX_ATTEMPTS = 3
+
+
+class UrgentPusher:
+    """Pushes urgent records to peers without waiting for a round.
+
+    A record is urgent if the ready backend servers of a node change or
+    the node is leaving. Each node that receives one as new forwards it
+    within its data centre; the node that owns the record also pushes it
+    to one node of every other data centre.
+    """
+
+    def __init__(self, cluster: ClusterState, sender: GossipSender):
+        self._cluster = cluster
+        self._sender = sender
+
+    def take_pushes(self) -> list[Callable]:
+        """Clear the urgent records; return their pushes as functions."""
+        urgent = list(self._cluster.urgent_records.values())
+        self._cluster.urgent_records.clear()
+        if not urgent:
+            return []
+        own = self._cluster.own_record
+        pushes = [
+            partial(self._push, nodes, urgent, False)
+            for nodes in self._draw_peers()
+        ]
+        own_records = [r for r in urgent if r.node == own.node]
+        if own_records:
+            pushes += [
+                partial(self._push, nodes, own_records, True)
+                for nodes in self._list_remote_nodes()
+            ]
+        return pushes
+
+    def _draw_peers(self) -> list[list[Node]]:
+        """Return random groups of peers; a push goes to one of each group."""
+        peers = self._cluster.peers
+        self._cluster.random.shuffle(peers)
+        count = min(len(peers), self._cluster.cfg.urgent_fanout)
+        return [peers[i::count][:MAX_ATTEMPTS] for i in range(count)]
+
+    def _list_remote_nodes(self) -> list[list[Node]]:
+        view = self._cluster.view
+        groups = []
+        for name in view.list_data_centres():
+            if name == self._cluster.own_record.data_centre:
+                continue
+            nodes = [
+                record
+                for record in view.list_nodes(name)
+                if record.state is not NodeState.DEAD
+            ]
+            count = min(len(nodes), MAX_ATTEMPTS)
+            groups.append(self._cluster.random.sample(nodes, count))
+        return groups
+
+    async def _push(
+        self, targets: list[Node], records: list[Node], cross: bool
+    ) -> None:
+        """Push records to the first target that responds."""
+        for target in targets:
+            self._cluster.stats.urgent_pushes += 1
+            try:
+                await self._sender.send_records(
+                    target.address,
+                    records,
+                    target=target,
+                    urgent=True,
+                    cross=cross,
+                )
+                return
+            except PeerUnreachableError:
+                continue
--- a/libs/membership/auburnjunction/membership/parts.py
+++ b/libs/membership/auburnjunction/membership/view_differences.py
@@ -1,16 +1,16 @@
-"""Parts of the view: which differ from a peer's, and in what."""
+"""Comparison of the hash parts of two views for anti-entropy."""
 
 from auburnjunction.membership.records import Node, NodeState
 from auburnjunction.membership.views import View
 from auburnjunction.schema import control_pb2 as pb
 
-# A comparison stops at the part in which this many keys are passed,
-# which bounds its bytes whatever the number of nodes.
+# A response takes no further parts once it has this many keys, which
+# bounds its size for any number of nodes.
 MAX_KEYS = 64
 
 
 def compare_keys(view: View, parts, keys) -> tuple[list[Node], list[str]]:
-    """Return records that a peer lacks and nodes whose records it has.
+    """Return newer own records and nodes whose newer records to request.
 
     The keys are those of all of the peer's records in the parts.
     """
@@ -20,7 +20,7 @@
     for key in keys:
         named.add(key.node)
         current = view.get(key.node)
-        order = _order_of(key)
+        order = _make_order(key)
         if current is None or current.order < order:
             wanted.append(key.node)
         elif current.order > order:
@@ -34,12 +34,13 @@
     return newer, wanted
 
 
-def fill_parts(
+def add_differing_parts(
     view: View, part_digests, response: pb.GossipResponse, first: int
 ) -> None:
-    """Add the parts that differ, and their keys, to an answer.
+    """Add parts with different digests and their keys to a response.
 
-    The search begins at the part first, so that all get their turn.
+    The comparison starts at the part `first`; callers pass a random one,
+    so that every part is compared in the end despite MAX_KEYS.
     """
     count = len(view.part_digests)
     if len(part_digests) != count:
@@ -63,6 +64,6 @@
     )
 
 
-def _order_of(key: pb.RecordKey) -> tuple:
+def _make_order(key: pb.RecordKey) -> tuple:
     is_dead = key.state == NodeState.DEAD
     return (key.incarnation, is_dead, key.version, key.state)
--- a/libs/membership/auburnjunction/membership/views.py
+++ b/libs/membership/auburnjunction/membership/views.py
@@ -1,4 +1,4 @@
-"""The view: what this node knows of all nodes and backend servers."""
+"""Indexed view of all nodes and their backend servers."""
 
 from collections.abc import Iterable
 
@@ -18,8 +18,8 @@
 class View:
     """Records by node, indexed by data centre and by service.
 
-    A change costs no more than the record that changed, whatever the
-    number of nodes.
+    The cost of a change depends on the size of the changed record, not
+    on the number of nodes.
     """
 
     def __init__(self):
@@ -36,7 +36,7 @@
         return len(self._records)
 
     def get(self, node: str) -> Node | None:
-        """Return the record of a node, if it is known."""
+        """Return the record of a node, or None if there is none."""
         return self._records.get(node)
 
     def list_nodes(self, data_centre: str | None = None) -> Iterable[Node]:
@@ -46,38 +46,41 @@
         return self._data_centres.get(data_centre, {}).values()
 
     def list_data_centres(self) -> list[str]:
-        """Return the data centres with a record, in order."""
+        """Return the sorted names of data centres with a record."""
         return sorted(self._data_centres)
 
     def merge(self, record: Node) -> bool:
-        """Take in a record if it is newer; tell whether it was."""
+        """Store a record if it is newer; return whether it was.
+
+        The higher revision is kept if the record is not newer.
+        """
         current = self._records.get(record.node)
         if current is None:
             self._add_indexes(record)
             return True
         if record.order <= current.order:
-            self.note_revision(record)
+            self.update_revision(record)
             return False
         self._remove_indexes(current)
         self._add_indexes(merge_records(current, record))
         return True
 
-    def note_revision(self, record: Node) -> None:
-        """Keep a higher revision that an old record shows."""
+    def update_revision(self, record: Node) -> None:
+        """Keep the higher revision of an older record."""
         current = self._records[record.node]
         merged = merge_records(current, record)
         if merged is not current:
             self._remove_indexes(current)
             self._add_indexes(merged)
 
-    def drop(self, node: str) -> None:
-        """Forget a node."""
+    def remove(self, node: str) -> None:
+        """Remove the record of a node."""
         record = self._records.get(node)
         if record is not None:
             self._remove_indexes(record)
 
     def list_part(self, part: int) -> list[Node]:
-        """Return the records of one part of the view."""
+        """Return the records of one hash part of the view."""
         return [self._records[node] for node in self._parts[part]]
 
     def find_ready(self, service: str) -> tuple[Instance, ...]:
@@ -89,10 +92,10 @@
         return ready
 
     def find_instance(self, instance: str) -> Instance | None:
-        """Return a backend server in whatever state it is.
+        """Return a backend server in any state, or None if unknown.
 
-        When several nodes name it, as after a move, the most usable
-        one is returned.
+        If several nodes report it, as after a move, the one in the most
+        usable state is returned, see INSTANCE_RANKS.
         """
         found = [
             item
@@ -103,7 +106,7 @@
         return min(found, key=_rank_instance, default=None)
 
     def list_instances(self) -> list[Instance]:
-        """Return every backend server in whatever state it is."""
+        """Return every backend server in any state."""
         return [i for r in self._records.values() for i in r.instances]
 
     def _collect_ready(self, service: str) -> Iterable[Instance]:
@@ -152,7 +155,7 @@
 
 
 def part_of(node: str) -> int:
-    """Return the part of the view to which a node belongs."""
+    """Return the index of the hash part that holds a node."""
     return hash_text(node) % PART_COUNT
 
 
