--- a/libs/distribution/auburnjunction/distribution/__init__.py
+++ b/libs/distribution/auburnjunction/distribution/__init__.py
@@ -1,1 +1,1 @@
-"""Commits, head readers, fan-out and the snapshot in force."""
+"""Commit log, head readers, push tree, pulls and snapshot in force."""
--- a/libs/distribution/auburnjunction/distribution/commit_attempts.py
+++ b/libs/distribution/auburnjunction/distribution/commit_attempts.py
@@ -1,4 +1,4 @@
-"""One change on its way into the head row."""
+"""Attempt to commit one change to the head row."""
 
 from contextlib import suppress
 
@@ -35,14 +35,17 @@
 
 RETRY_DELAY_S = 0.05
 
-TRY_AGAIN = "try again with the same operation id"
-ASK_AFTER = "ask with 'auburnctl operation', or repeat with the same id"
-USE_HEAD = "read the head, make the change on it and apply it again"
+RETRY_REMEDY = "retry with the same operation id"
+LOOKUP_REMEDY = (
+    "look the operation up with 'auburnctl operation', "
+    "or retry with the same operation id"
+)
+REBASE_REMEDY = "read the head, redo the change on top of it and apply it"
 
 
 @attrs.frozen
 class Change:
-    """What an operator asks to be committed."""
+    """A change that an operator submits for commit."""
 
     operation_id: str
     base_revision: int
@@ -53,7 +56,7 @@
 
 
 class CommitAttempt:
-    """One change on its way into the head row, until a deadline."""
+    """Commits one change to the head row before a deadline."""
 
     def __init__(
         self,
@@ -61,114 +64,125 @@
         objects: ObjectStore,
         clock: Clock,
         change: Change,
-        end_s: float,
+        deadline_s: float,
     ):
         self._table = table
         self._objects = objects
         self._reader = CommitReader(table, objects)
         self._clock = clock
         self._change = change
-        self._end_s = end_s
+        self._deadline_s = deadline_s
 
     async def run(self) -> Commit:
         """Commit the change; see CommitLog.apply."""
         try:
             head = await self._reader.fetch_head(self._remaining_s())
-            done = await self._find_done(head)
-            if done is not None:
-                return done
+            existing = await self._find_existing(head)
+            if existing is not None:
+                return existing
             if head.revision != self._change.base_revision:
-                raise self._fail_conflict(head)
+                raise self._make_conflict_error(head)
             await self._store_content()
-            await self._record_head(head)
+            await self._index_head(head)
         except PlatformError as exc:
-            raise self._fail_unavailable(exc) from exc
+            raise self._make_unavailable_error(exc) from exc
         return await self._replace_head(head)
 
     async def _store_content(self) -> None:
-        await self._repeat(
+        await self._retry_write(
             lambda: self._objects.put(
-                self._change.digest, self._change.content, self._call_s()
+                self._change.digest,
+                self._change.content,
+                self._call_timeout_s(),
             )
         )
 
-    async def _record_head(self, head: Head) -> None:
-        """Make sure that the head can be found once it is replaced."""
+    async def _index_head(self, head: Head) -> None:
+        """Insert the rows that index the head, before it is replaced."""
         if head.commit is None:
             return
         value = dump_commit(head.commit)
-        await self._insert(revision_key(head.revision), value)
-        await self._insert(operation_key(head.commit.operation_id), value)
+        await self._insert_row(revision_key(head.revision), value)
+        await self._insert_row(operation_key(head.commit.operation_id), value)
 
-    async def _insert(self, key: str, value: bytes) -> None:
+    async def _insert_row(self, key: str, value: bytes) -> None:
         with suppress(VersionConflictError):
             await insert_once(
-                self._table, self._clock, key, value, 2 * self._call_s()
+                self._table,
+                self._clock,
+                key,
+                value,
+                2 * self._call_timeout_s(),
             )
 
-    async def _repeat(self, write) -> None:
-        """Run an idempotent write again while its answer is lost."""
+    async def _retry_write(self, write) -> None:
+        """Retry an idempotent write while its outcome is unknown."""
         while True:
             try:
                 await write()
                 return
             except UnknownOutcomeError:
-                if self._is_late():
+                if self._is_past_deadline():
                     raise
             await self._clock.sleep(RETRY_DELAY_S)
 
     async def _replace_head(self, head: Head) -> Commit:
-        """Write the head until the outcome is known or time is up.
+        """Retry the compare-and-set of the head until its outcome is known.
 
-        Each try expects the same version, so at most one takes effect.
+        Every try expects the same version, so at most one takes effect.
+        Raise CommitUnknownError at the deadline.
         """
         commit = self._make_commit(head)
         value = dump_commit(commit)
-        in_doubt = False
+        outcome_unknown = False
         while True:
             try:
                 await self._table.put_if(
-                    HEAD_KEY, value, head.version, self._call_s()
+                    HEAD_KEY, value, head.version, self._call_timeout_s()
                 )
                 return commit
             except VersionConflictError:
                 return await self._resolve_conflict()
             except UnknownOutcomeError:
-                in_doubt = True
+                outcome_unknown = True
             except UnavailableError as exc:
-                if not in_doubt:
-                    raise self._fail_unavailable(exc) from exc
-            if self._is_late():
-                raise self._fail_unknown()
+                if not outcome_unknown:
+                    raise self._make_unavailable_error(exc) from exc
+            if self._is_past_deadline():
+                raise self._make_unknown_error()
             await self._clock.sleep(RETRY_DELAY_S)
 
     async def _resolve_conflict(self) -> Commit:
-        """Tell whether it was this operation that replaced the head."""
+        """Return the commit if this operation was the one that won.
+
+        Otherwise raise CommitConflictError, or CommitUnknownError if the
+        platform cannot be read before the deadline.
+        """
         while True:
             try:
                 head = await self._reader.fetch_head(self._remaining_s())
-                done = await self._find_done(head)
+                existing = await self._find_existing(head)
                 break
             except PlatformError as exc:
-                if self._is_late():
-                    raise self._fail_unknown() from exc
+                if self._is_past_deadline():
+                    raise self._make_unknown_error() from exc
             await self._clock.sleep(RETRY_DELAY_S)
-        if done is None:
-            raise self._fail_conflict(head)
-        return done
+        if existing is None:
+            raise self._make_conflict_error(head)
+        return existing
 
-    async def _find_done(self, head: Head) -> Commit | None:
-        done = await self._reader.fetch_operation(
+    async def _find_existing(self, head: Head) -> Commit | None:
+        existing = await self._reader.fetch_operation(
             self._change.operation_id, head, self._remaining_s()
         )
-        if done is not None and done.digest != self._change.digest:
+        if existing is not None and existing.digest != self._change.digest:
             raise InvalidCommitError(
-                f"operation id {done.operation_id} has already committed "
-                f"other content as revision {done.revision}",
+                f"operation id {existing.operation_id} was already used to "
+                f"commit other content as revision {existing.revision}",
                 "use a new operation id for each change",
-                done.operation_id,
+                existing.operation_id,
             )
-        return done
+        return existing
 
     def _make_commit(self, head: Head) -> Commit:
         return Commit(
@@ -182,35 +196,38 @@
         )
 
     def _remaining_s(self) -> float:
-        return max(self._end_s - self._clock.monotonic(), RETRY_DELAY_S)
+        return max(self._deadline_s - self._clock.monotonic(), RETRY_DELAY_S)
 
-    def _call_s(self) -> float:
+    def _call_timeout_s(self) -> float:
         return min(self._remaining_s(), CALL_TIMEOUT_S)
 
-    def _is_late(self) -> bool:
+    def _is_past_deadline(self) -> bool:
         return self._remaining_s() <= RETRY_DELAY_S
 
-    def _fail_conflict(self, head: Head) -> CommitConflictError:
+    def _make_conflict_error(self, head: Head) -> CommitConflictError:
         base = self._change.base_revision
         return CommitConflictError(
             f"the change is based on revision {base}, "
             f"but the head is revision {head.revision}",
-            USE_HEAD,
+            REBASE_REMEDY,
             self._change.operation_id,
             base,
             head.revision,
         )
 
-    def _fail_unavailable(self, exc: PlatformError) -> CommitUnavailableError:
+    def _make_unavailable_error(
+        self, exc: PlatformError
+    ) -> CommitUnavailableError:
         return CommitUnavailableError(
-            f"this attempt changed nothing: {exc.message}",
-            TRY_AGAIN,
+            f"this attempt committed nothing: {exc.message}",
+            RETRY_REMEDY,
             self._change.operation_id,
         )
 
-    def _fail_unknown(self) -> CommitUnknownError:
+    def _make_unknown_error(self) -> CommitUnknownError:
         return CommitUnknownError(
-            "the platform's answer was lost; the change may be applied",
-            ASK_AFTER,
+            "the platform's response was lost; "
+            "the change may have been committed",
+            LOOKUP_REMEDY,
             self._change.operation_id,
         )
--- a/libs/distribution/auburnjunction/distribution/commit_readers.py
+++ b/libs/distribution/auburnjunction/distribution/commit_readers.py
@@ -1,4 +1,4 @@
-"""Reading of commits from the platform's table and object store."""
+"""Lookup of commits in the platform's table and object store."""
 
 from contextlib import contextmanager
 
@@ -27,22 +27,22 @@
 
 @attrs.frozen
 class Head:
-    """The head row's commit and the version to replace it at."""
+    """The commit in the head row, and the row version for compare-and-set."""
 
     commit: Commit | None
     version: int
 
     @property
     def revision(self) -> int:
-        """Revision of the head; 0 when nothing was ever committed."""
+        """Revision of the head; 0 before the first commit."""
         return self.commit.revision if self.commit else 0
 
 
 class CommitReader:
-    """Looks commits up.
+    """Looks up commits.
 
-    Public methods raise CommitUnavailableError when the platform cannot
-    be read; those named fetch raise the platform's own errors.
+    Public methods raise CommitUnavailableError if the platform cannot be
+    read, except that fetch_head and fetch_operation raise PlatformError.
     """
 
     def __init__(self, table: Table, objects: ObjectStore):
@@ -50,8 +50,8 @@
         self._objects = objects
 
     async def read_head(self) -> Commit | None:
-        """Return the head; None when nothing was ever committed."""
-        with _explain_reading():
+        """Return the head commit; None before the first commit."""
+        with _convert_platform_errors():
             return (await self.fetch_head(CALL_TIMEOUT_S)).commit
 
     async def get(self, revision: int) -> CommittedSnapshot:
@@ -60,7 +60,7 @@
         Raise RevisionNotFoundError, CommitUnavailableError or
         BadContentError.
         """
-        with _explain_reading():
+        with _convert_platform_errors():
             commit = await self._find_revision(revision)
             revised = await fetch_content(
                 self._objects, commit.mark, CALL_TIMEOUT_S
@@ -68,8 +68,11 @@
         return CommittedSnapshot(commit, revised.snapshot)
 
     async def history(self, before: int, limit: int) -> list[Commit]:
-        """Return commits from revision before down; 0 means the head."""
-        with _explain_reading():
+        """Return at most limit and MAX_HISTORY commits, newest first.
+
+        The first one has the revision before; 0 means the head.
+        """
+        with _convert_platform_errors():
             head = await self.fetch_head(CALL_TIMEOUT_S)
             if head.commit is None or limit < 1:
                 return []
@@ -83,10 +86,10 @@
     async def find_operation(self, operation_id: str) -> Commit | None:
         """Return the commit of an operation id, or None.
 
-        None means that it was not applied yet; a write still on its way
-        may land later.
+        None means that it was not committed so far; a delayed write may
+        still take effect later.
         """
-        with _explain_reading():
+        with _convert_platform_errors():
             head = await self.fetch_head(CALL_TIMEOUT_S)
             return await self.fetch_operation(
                 operation_id, head, CALL_TIMEOUT_S
@@ -102,7 +105,7 @@
     async def fetch_operation(
         self, operation_id: str, head: Head, timeout_s: float
     ) -> Commit | None:
-        """Look an operation up in a head read before, then below it."""
+        """Return an operation's commit from the given head or its own row."""
         if head.commit and head.commit.operation_id == operation_id:
             return head.commit
         row = await self._table.get(
@@ -114,7 +117,8 @@
         head = await self.fetch_head(CALL_TIMEOUT_S)
         if head.commit is None:
             raise RevisionNotFoundError(
-                "there is no configuration yet", "create one first"
+                "no configuration has been committed yet",
+                "apply one first",
             )
         if revision in (0, head.revision):
             return head.commit
@@ -122,7 +126,7 @@
         if row is None:
             raise RevisionNotFoundError(
                 f"revision {revision} does not exist",
-                f"name one from 1 to {head.revision}",
+                f"use a revision from 1 to {head.revision}",
             )
         return load_commit(row.value)
 
@@ -139,10 +143,10 @@
 
 
 @contextmanager
-def _explain_reading():
+def _convert_platform_errors():
     try:
         yield
     except PlatformError as exc:
         raise CommitUnavailableError(
-            f"the platform cannot be read: {exc.message}", "try again"
+            f"reading from the platform failed: {exc.message}", "retry"
         ) from exc
--- a/libs/distribution/auburnjunction/distribution/commits.py
+++ b/libs/distribution/auburnjunction/distribution/commits.py
@@ -1,9 +1,9 @@
-"""The log of commits, kept in the platform's table and object store.
+"""Commit log in the platform's table and object store.
 
-One head row is replaced by compare-and-set. Before a commit replaces
-the head, it makes sure that the old head's rows by revision and by
-operation id exist. So each commit below the head can be found by both,
-whenever a committer stops.
+A commit replaces the single head row by compare-and-set. Before that, it
+makes sure that the rows which index the old head by revision and by
+operation id exist. So each commit below the head can be looked up by
+both, even if a committer crashes at any point.
 """
 
 from auburnjunction.base.clocks import Clock
@@ -20,7 +20,7 @@
 from auburnjunction.storage.objects import ObjectStore
 from auburnjunction.storage.tables import Table
 
-# Below the body limit of a node's listener.
+# Must stay below the body size limit of a node's listener.
 MAX_CONTENT_BYTES = 3 * 1024 * 1024
 
 
@@ -40,16 +40,16 @@
         comment: str,
         timeout_s: float,
     ) -> Commit:
-        """Commit a snapshot on its base and return the commit.
+        """Commit a snapshot on top of its base and return the commit.
 
-        An operation id that was applied before returns its commit.
-        Raise InvalidCommitError, CommitConflictError or
-        CommitUnavailableError when this call applied nothing, and
-        CommitUnknownError when that cannot be told.
+        Idempotent: if the operation id was committed before with the same
+        content, return that commit. Raise InvalidCommitError,
+        CommitConflictError or CommitUnavailableError if this call applied
+        nothing, and CommitUnknownError if the outcome is unknown.
         """
-        _require_usable(operation_id, snapshot)
+        _require_valid_change(operation_id, snapshot)
         content = dump_snapshot(snapshot)
-        _require_size(operation_id, content)
+        _require_size_within_limit(operation_id, content)
         change = Change(
             operation_id,
             base_revision,
@@ -58,9 +58,9 @@
             operator,
             comment,
         )
-        end_s = self._clock.monotonic() + timeout_s
+        deadline_s = self._clock.monotonic() + timeout_s
         attempt = CommitAttempt(
-            self._table, self._objects, self._clock, change, end_s
+            self._table, self._objects, self._clock, change, deadline_s
         )
         return await attempt.run()
 
@@ -73,23 +73,23 @@
         comment: str,
         timeout_s: float,
     ) -> Commit:
-        """Commit the content of an old revision again; see apply."""
-        old = await self.get(revision)
+        """Commit the content of an earlier revision again; see apply."""
+        earlier = await self.get(revision)
         return await self.apply(
             operation_id,
             base_revision,
-            old.snapshot,
+            earlier.snapshot,
             operator,
-            comment or f"rollback to revision {old.commit.revision}",
+            comment or f"rollback to revision {earlier.commit.revision}",
             timeout_s,
         )
 
 
-def _require_usable(operation_id: str, snapshot: Snapshot) -> None:
+def _require_valid_change(operation_id: str, snapshot: Snapshot) -> None:
     if not OPERATION_ID_PATTERN.fullmatch(operation_id):
         raise InvalidCommitError(
-            f"operation id {operation_id!r} is not usable",
-            "use 1 to 120 letters, digits, dots, dashes, underscores",
+            f"invalid operation id {operation_id!r}",
+            "use 1 to 120 letters, digits, dots, dashes or underscores",
         )
     problems = validate_snapshot(snapshot)
     if problems:
@@ -101,10 +101,10 @@
         )
 
 
-def _require_size(operation_id: str, content: bytes) -> None:
+def _require_size_within_limit(operation_id: str, content: bytes) -> None:
     if len(content) > MAX_CONTENT_BYTES:
         raise InvalidCommitError(
-            f"the configuration takes {len(content)} bytes",
-            f"keep it within {MAX_CONTENT_BYTES} bytes",
+            f"the configuration is too large: {len(content)} bytes",
+            f"reduce it to at most {MAX_CONTENT_BYTES} bytes",
             operation_id,
         )
--- a/libs/distribution/auburnjunction/distribution/compressions.py
+++ b/libs/distribution/auburnjunction/distribution/compressions.py
@@ -7,33 +7,36 @@
 
 ENCODING_HEADER = b"content-encoding"
 DEFLATE = b"deflate"
-# Smaller messages gain less than the work costs.
-LEAST_BYTES = 1024
-# Routes repeat names and paths; higher levels save little more of them.
-LEVEL = 1
-# Largest message taken: 64 times that of 2,000 routes.
-MOST_BYTES = 32 * 1024 * 1024
+# Compressing smaller bodies costs more CPU time than it saves bandwidth.
+MIN_COMPRESSED_BYTES = 1024
+# Names and paths of routes repeat, so level 1 compresses them nearly as
+# well as higher levels.
+COMPRESSION_LEVEL = 1
+# Limit for a decompressed body: 64 times a message of 2,000 routes.
+MAX_BODY_BYTES = 32 * 1024 * 1024
 
 
 def compress_body(body: bytes) -> tuple[Headers, bytes]:
-    """Return the headers that tell of the encoding, and the body."""
-    if len(body) < LEAST_BYTES:
+    """Return the content-encoding header, if any, and the encoded body."""
+    if len(body) < MIN_COMPRESSED_BYTES:
         return [], body
-    return [(ENCODING_HEADER, DEFLATE)], zlib.compress(body, LEVEL)
+    return [(ENCODING_HEADER, DEFLATE)], zlib.compress(body, COMPRESSION_LEVEL)
 
 
 def decompress_body(headers: Headers, body: bytes) -> bytes:
-    """Return the body as it was; raise PeerError if it is damaged."""
+    """Return the decompressed body; raise PeerError if it is invalid."""
     encoding = find_header(headers, ENCODING_HEADER)
     if encoding is None:
         return body
     if encoding != DEFLATE:
-        raise PeerError(f"unknown content-encoding {encoding!r}")
+        raise PeerError(f"unsupported content-encoding {encoding!r}")
     decoder = zlib.decompressobj()
     try:
-        plain = decoder.decompress(body, MOST_BYTES)
+        plain = decoder.decompress(body, MAX_BODY_BYTES)
     except zlib.error as exc:
-        raise PeerError(f"a body that cannot be decompressed: {exc}") from exc
+        raise PeerError(f"body cannot be decompressed: {exc}") from exc
     if not decoder.eof:
-        raise PeerError(f"a body cut short or above {MOST_BYTES} bytes")
+        raise PeerError(
+            f"body truncated or larger than {MAX_BODY_BYTES} bytes"
+        )
     return plain
--- a/libs/distribution/auburnjunction/distribution/errors.py
+++ b/libs/distribution/auburnjunction/distribution/errors.py
@@ -9,19 +9,19 @@
 
 
 class BadContentError(DistributionError):
-    """Content that is missing, corrupt or not valid; never applied."""
+    """Content that is missing, corrupt or invalid; it is never adopted."""
 
     code = ErrorCode.INVALID
 
 
 class PeerError(DistributionError):
-    """A peer that could not be reached or gave no usable answer."""
+    """A peer that could not be reached or sent an invalid message."""
 
     code = ErrorCode.UNAVAILABLE
 
 
 class CommitError(DistributionError):
-    """A write of an operator that was not accepted."""
+    """A commit or a lookup of an operator that failed."""
 
     def __init__(self, message: str, mend: str, operation_id: str = ""):
         super().__init__(message)
@@ -30,7 +30,7 @@
 
 
 class InvalidCommitError(CommitError):
-    """A write that breaks a rule; it was not applied."""
+    """The change is invalid; it was not applied."""
 
     code = ErrorCode.INVALID
 
@@ -46,7 +46,7 @@
 
 
 class CommitConflictError(CommitError):
-    """A write based on a revision that is not the head; not applied."""
+    """The base revision is not the head; the change was not applied."""
 
     code = ErrorCode.CONFLICT
 
@@ -64,18 +64,18 @@
 
 
 class CommitUnavailableError(CommitError):
-    """The platform could not be reached; the write was not applied."""
+    """The platform was unavailable; the attempt applied nothing."""
 
     code = ErrorCode.UNAVAILABLE
 
 
 class CommitUnknownError(CommitError):
-    """The write may or may not have been applied."""
+    """The change may or may not have been applied."""
 
     code = ErrorCode.UNKNOWN
 
 
 class RevisionNotFoundError(CommitError):
-    """No such revision was ever committed."""
+    """The revision was never committed."""
 
     code = ErrorCode.NOT_FOUND
--- a/libs/distribution/auburnjunction/distribution/records.py
+++ b/libs/distribution/auburnjunction/distribution/records.py
@@ -1,4 +1,4 @@
-"""Records of commits and the table rows that hold them."""
+"""Commits and their encoding in table rows."""
 
 import re
 from datetime import UTC, datetime
@@ -19,7 +19,7 @@
 
 @attrs.frozen
 class Commit:
-    """One accepted change of the configuration."""
+    """One committed change of the configuration."""
 
     revision: int
     digest: bytes
@@ -31,7 +31,7 @@
 
     @property
     def mark(self) -> RevisionMark:
-        """The revision with its digest."""
+        """Revision and digest of the commit."""
         return RevisionMark(self.revision, self.digest)
 
 
@@ -44,7 +44,10 @@
 
 
 def revision_key(revision: int) -> str:
-    """Return the key of a revision's row; keys sort by revision."""
+    """Return the key of a revision's row.
+
+    Digits are zero-padded, so keys sort by revision.
+    """
     return f"{REVISION_PREFIX}{revision:0{REVISION_DIGITS}d}"
 
 
@@ -54,7 +57,7 @@
 
 
 def encode_commit(commit: Commit) -> pb.Commit:
-    """Return the message of a commit."""
+    """Return a commit as a protobuf message."""
     return pb.Commit(
         revision=commit.revision,
         digest=commit.digest,
@@ -67,7 +70,7 @@
 
 
 def decode_commit(message: pb.Commit) -> Commit:
-    """Return the commit of a message."""
+    """Return the commit in a protobuf message."""
     return Commit(
         revision=message.revision,
         digest=message.digest,
@@ -80,13 +83,15 @@
 
 
 def dump_commit(commit: Commit) -> bytes:
-    """Return a commit as the value of a row."""
+    """Return a commit encoded as the value of a row."""
     return encode_commit(commit).SerializeToString()
 
 
 def load_commit(value: bytes) -> Commit:
-    """Read a commit from a row; raise BadContentError if it is none."""
+    """Decode a row's value; raise BadContentError if it is no commit."""
     try:
         return decode_commit(pb.Commit.FromString(value))
     except (DecodeError, OverflowError, ValueError) as exc:
-        raise BadContentError(f"a row holds no commit: {exc}") from exc
+        raise BadContentError(
+            f"table row is not a valid commit: {exc}"
+        ) from exc
--- a/libs/distribution/auburnjunction/distribution/sources.py
+++ b/libs/distribution/auburnjunction/distribution/sources.py
@@ -1,4 +1,4 @@
-"""Where the newest configuration is read from."""
+"""Sources that the head of the configuration is read from."""
 
 from typing import Protocol
 
@@ -17,7 +17,7 @@
 
 
 class HeadSource(Protocol):
-    """Place where the newest accepted configuration stands.
+    """Source of the newest committed configuration.
 
     Its methods raise PlatformError, DistributionError or
     BadContentError.
@@ -28,8 +28,8 @@
     ) -> RevisionMark:
         """Return the mark of the newest revision.
 
-        A source that can tell of changes waits up to wait_s for a
-        revision above the held one.
+        A source that supports long polls waits up to wait_s for a revision
+        above the held one.
         """
 
     async def fetch(self, mark: RevisionMark) -> RevisedSnapshot:
@@ -37,17 +37,17 @@
 
 
 class CommittedHead:
-    """Head of the commits in the platform's table and object store."""
+    """Head of the commit log in the platform's table and object store."""
 
     def __init__(self, table: Table, objects: ObjectStore):
-        self._commits = CommitReader(table, objects)
+        self._commit_reader = CommitReader(table, objects)
         self._objects = objects
 
     async def read_mark(
         self, held: RevisionMark, wait_s: float
     ) -> RevisionMark:
-        """Return the head at once; the table does not tell of changes."""
-        commit = await self._commits.read_head()
+        """Return the head without waiting: the table has no long polls."""
+        commit = await self._commit_reader.read_head()
         return commit.mark if commit else NO_REVISION
 
     async def fetch(self, mark: RevisionMark) -> RevisedSnapshot:
--- a/libs/distribution/auburnjunction/distribution/statistics.py
+++ b/libs/distribution/auburnjunction/distribution/statistics.py
@@ -1,13 +1,13 @@
-"""Counts of what the distribution of revisions costs a node."""
+"""Counters of the distribution of revisions."""
 
 import attrs
 
 
 @attrs.define
 class DistributionStats:
-    """Counts since the start; bytes are those sent and received.
+    """Counts since the start; bytes include those sent and received.
 
-    Each exchange is counted by the node that asks.
+    Each exchange is counted only by the node that sends the request.
     """
 
     pushes: int = 0
--- a/libs/distribution/auburnjunction/distribution/tests/test_large_contents.py
+++ b/libs/distribution/auburnjunction/distribution/tests/test_large_contents.py
@@ -7,7 +7,7 @@
 from auburnjunction.distribution.compressions import (
     DEFLATE,
     ENCODING_HEADER,
-    LEAST_BYTES,
+    MIN_COMPRESSED_BYTES,
     compress_body,
     decompress_body,
 )
@@ -44,7 +44,7 @@
 
 
 @pytest.mark.parametrize(
-    ("routes", "most_bytes"), [(0, LEAST_BYTES), (2200, NARROW_BYTES)]
+    ("routes", "most_bytes"), [(0, MIN_COMPRESSED_BYTES), (2200, NARROW_BYTES)]
 )
 def test_body_comes_out_as_it_went_in(routes, most_bytes):
     content = dump_snapshot(make_snapshot(routes))
