Describe the faults that the distribution tests inject

Names such as cut, land, late and herd didn't say which fault a test injects. The module stepped becomes stepped_tables. Rules of the property test keep their order by name.

--- a/libs/distribution/auburnjunction/distribution/tests/stepped.py
+++ b/libs/distribution/auburnjunction/distribution/tests/stepped_tables.py
@@ -1,4 +1,4 @@
-"""A platform whose every operation a test runs when and how it likes."""
+"""A table whose operations a test schedules one by one with faults."""
 
 from enum import Enum, auto
 
@@ -17,21 +17,21 @@
 
 
 class Fault(Enum):
-    """How one operation of the table goes."""
+    """Outcome of one operation of the table."""
 
     NONE = auto()
-    # The operation has no effect, and the caller is told so.
-    DOWN = auto()
-    # The write takes effect, but its answer is lost.
-    LOST = auto()
-    # The answer is lost, and the write may take effect later.
-    LATE = auto()
-    # The write takes effect now and arrives once more later.
-    DOUBLED = auto()
+    # The operation has no effect and raises UnavailableError.
+    UNAVAILABLE = auto()
+    # The write takes effect, but its response is lost.
+    RESPONSE_LOST = auto()
+    # The response is lost, and the write may take effect later.
+    DELAYED = auto()
+    # The write takes effect and is delivered once more later.
+    DUPLICATED = auto()
 
 
 class Pause:
-    """Waits until the test goes on with the operation."""
+    """Suspends an operation until the test resumes it with a fault."""
 
     def __await__(self):
         fault = yield
@@ -39,32 +39,32 @@
 
 
 class SteppedTable(MemoryTable):
-    """Table whose operations wait for the test to say how they go."""
+    """Table whose operations wait until the test resumes them."""
 
     def __init__(self):
         super().__init__()
         self.applied: list[Commit] = []
-        self.late: list = []
+        self.delayed_writes: list = []
 
     async def get(self, key, timeout_s):
-        """Return the row, or fail as the test says."""
+        """Return the row, or raise the error of the injected fault."""
         if await Pause() is not Fault.NONE:
-            raise UnavailableError("no answer")
+            raise UnavailableError("no response")
         return await super().get(key, timeout_s)
 
     async def put_if(self, key, value, expected_version, timeout_s):
-        """Write the row, or fail as the test says."""
+        """Write the row, with the effect and error of the injected fault."""
         fault = await Pause()
         write = (key, value, expected_version)
-        if fault is Fault.DOWN:
+        if fault is Fault.UNAVAILABLE:
             raise UnavailableError("the table is unavailable")
-        if fault in (Fault.LATE, Fault.DOUBLED):
-            self.late.append(write)
-        if fault is Fault.LATE:
-            raise UnknownOutcomeError("the answer was lost")
+        if fault in (Fault.DELAYED, Fault.DUPLICATED):
+            self.delayed_writes.append(write)
+        if fault is Fault.DELAYED:
+            raise UnknownOutcomeError("the response was lost")
         row = await self.write(*write)
-        if fault is Fault.LOST:
-            raise UnknownOutcomeError("the answer was lost")
+        if fault is Fault.RESPONSE_LOST:
+            raise UnknownOutcomeError("the response was lost")
         return row
 
     async def write(self, key, value, expected_version):
@@ -74,9 +74,9 @@
             self.applied.append(load_commit(value))
         return row
 
-    def land(self, index: int) -> None:
-        """Let a late write arrive."""
-        coroutine = self.write(*self.late.pop(index))
+    def perform_delayed_write(self, index: int) -> None:
+        """Apply a delayed write; it fails if its version is outdated."""
+        coroutine = self.write(*self.delayed_writes.pop(index))
         try:
             coroutine.send(None)
         except (StopIteration, PlatformError):
@@ -84,16 +84,16 @@
 
 
 class SteppingClock(ManualClock):
-    """Manual clock whose sleep returns at once."""
+    """Manual clock whose sleep advances the time and returns."""
 
     async def sleep(self, delay_s):
-        """Move the clock forward."""
+        """Advance the clock by the delay."""
         self.advance(delay_s)
 
 
 @attrs.define(eq=False)
 class Attempt:
-    """One call of the commit log, run operation by operation."""
+    """One call of the commit log, run one table operation at a time."""
 
     operation_id: str
     base: int
@@ -101,20 +101,20 @@
     outcome: object = None
 
     def start(self) -> None:
-        """Run to the first operation."""
+        """Run until the first operation is suspended."""
         self._send(None)
 
     def step(self, fault: Fault) -> None:
-        """Run the operation that waits, up to the next."""
+        """Resume the suspended operation and run until the next one."""
         self._send(fault)
 
     def finish(self) -> None:
-        """Run to the end without a fault."""
+        """Run to the end without further faults."""
         while self.outcome is None:
             self.step(Fault.NONE)
 
     def abandon(self) -> None:
-        """Stop where it is, as when its node dies."""
+        """Stop at the suspended operation, as if the node had crashed."""
         self.coroutine.close()
         self.outcome = "abandoned"
 
@@ -127,8 +127,8 @@
             self.outcome = exc
 
 
-def run_whole(coroutine):
-    """Run a call without faults and return its result."""
+def run_without_faults(coroutine):
+    """Run a call to its end without faults and return its result."""
     attempt = Attempt("", 0, coroutine)
     attempt.start()
     attempt.finish()
--- a/libs/distribution/auburnjunction/distribution/tests/support.py
+++ b/libs/distribution/auburnjunction/distribution/tests/support.py
@@ -1,4 +1,4 @@
-"""A small fleet of distributors over a network in memory."""
+"""A small fleet of distributors connected by an in-memory network."""
 
 from contextlib import AsyncExitStack, asynccontextmanager
 from random import Random
@@ -30,8 +30,8 @@
 from auburnjunction.storage.fakes import MemoryObjectStore, MemoryTable
 from auburnjunction.storage.tables import UnavailableError
 
-GOSSIP_S = 0.1
-FAST = DistributionSettings(
+GOSSIP_INTERVAL_S = 0.1
+FAST_SETTINGS = DistributionSettings(
     fleet_size=24,
     fleet_reads_per_s=2000,
     read_interval_s=0.1,
@@ -67,7 +67,7 @@
 
 @attrs.define
 class FakeNode:
-    """A node as the fake membership lists it."""
+    """A node as listed by the fake membership."""
 
     node: str
     data_centre: str
@@ -78,63 +78,66 @@
 
 
 class Directory:
-    """Membership that a test sets."""
+    """Fake membership whose nodes a test sets."""
 
     def __init__(self):
         self.nodes: list[FakeNode] = []
-        self.hidden = False
+        self.is_hidden = False
 
     def list_nodes(self, data_centre):
         return [
             node
             for node in self.nodes
-            if data_centre in (None, node.data_centre) and not self.hidden
+            if data_centre in (None, node.data_centre) and not self.is_hidden
         ]
 
 
 class Network:
-    """Carries requests between handlers with the faults of a test.
+    """Delivers requests to handlers and injects faults.
 
-    Dropped requests never arrive; doubled ones arrive twice, the second
-    time later than requests sent after it.
+    drop_share and duplicate_share are the shares of requests that are
+    dropped or duplicated. A duplicate is delayed more than the original,
+    so it may arrive after requests that were sent later.
     """
 
     def __init__(self, random: Random):
         self.handlers = {}
-        self.cut: set[frozenset[str]] = set()
-        self.dead: set[Address] = set()
-        self.dropped = 0.0
-        self.doubled = 0.0
+        self.partitions: set[frozenset[str]] = set()
+        self.unreachable: set[Address] = set()
+        self.drop_share = 0.0
+        self.duplicate_share = 0.0
         self.delay_s = 0.0
-        self.cut_pushes = False
+        self.pushes_disabled = False
         self._random = random
 
-    async def carry(self, sender: str, address: Address, request):
+    async def deliver(self, sender: str, address: Address, request):
         handler = self.handlers.get(address)
-        if address in self.dead or self.is_cut(sender, address):
+        if address in self.unreachable or self.is_partitioned(sender, address):
             handler = None
         if handler is None:
             raise NotSentError(f"no connection to {address}")
-        if self.cut_pushes and request.path == "/push":
-            raise NotSentError("pushes are cut")
+        if self.pushes_disabled and request.path == "/push":
+            raise NotSentError("pushes are disabled")
         await curio.sleep(self._random.uniform(0, self.delay_s))
-        if self._random.random() < self.dropped:
-            raise ExchangeError("dropped")
-        if self._random.random() < self.doubled:
-            await curio.spawn(self._repeat, handler, request, daemon=True)
+        if self._random.random() < self.drop_share:
+            raise ExchangeError("request dropped")
+        if self._random.random() < self.duplicate_share:
+            await curio.spawn(
+                self._deliver_duplicate, handler, request, daemon=True
+            )
         return await handler(request)
 
-    async def _repeat(self, handler, request) -> None:
+    async def _deliver_duplicate(self, handler, request) -> None:
         await curio.sleep(self._random.uniform(0, 10 * self.delay_s))
         await handler(request)
 
-    def is_cut(self, sender: str, address: Address) -> bool:
-        return frozenset((sender, address.host[:3])) in self.cut
+    def is_partitioned(self, sender: str, address: Address) -> bool:
+        return frozenset((sender, address.host[:3])) in self.partitions
 
 
 @attrs.define
 class FakePools:
-    """Pools of one node, whose exchanges the network carries."""
+    """Connection pools of one node on the in-memory network."""
 
     data_centre: str
     network: Network
@@ -145,7 +148,7 @@
 
 @attrs.define
 class FakePool:
-    """Pool to one address."""
+    """Connection pool to one address."""
 
     data_centre: str
     network: Network
@@ -154,31 +157,33 @@
     async def exchange(self, request, timeout_s, max_idle_s=None):
         try:
             async with curio.timeout_after(timeout_s):
-                return await self.network.carry(
+                return await self.network.deliver(
                     self.data_centre, self.address, request
                 )
         except curio.TaskTimeout as exc:
-            raise ExchangeTimeoutError("no answer in time") from exc
+            raise ExchangeTimeoutError(
+                f"no response within {timeout_s} s"
+            ) from exc
 
 
 @attrs.define
 class LocalTable:
-    """The table as one node reaches it."""
+    """The platform's table as seen by one node."""
 
     fleet: "Fleet"
     node: str
 
     async def get(self, key, timeout_s):
-        """Read a row, unless the node or its data centre is cut off."""
+        """Read a row, unless the node or its data centre is isolated."""
         self.fleet.read_times.append(self.fleet.clock.monotonic())
-        if {self.node, self.node[:3]} & self.fleet.cut_from_platform:
-            raise UnavailableError("cut off from the platform")
+        if {self.node, self.node[:3]} & self.fleet.isolated_from_platform:
+            raise UnavailableError("isolated from the platform")
         return await self.fleet.table.get(key, timeout_s)
 
 
 @attrs.define
 class Member:
-    """One node of the fleet with its holder and history."""
+    """One node of the fleet, and the snapshots it adopted."""
 
     name: str
     holder: SnapshotHolder
@@ -187,9 +192,9 @@
 
 
 class Fleet:
-    """Distributors of several data centres on one platform."""
+    """Distributors of several data centres that share a platform."""
 
-    def __init__(self, size, data_centres=3, cfg=FAST, seed=1):
+    def __init__(self, size, data_centres=3, cfg=FAST_SETTINGS, seed=1):
         self.size = size
         self.cfg = cfg
         self.random = Random(seed)
@@ -200,9 +205,9 @@
         self.clock = SystemClock()
         self.log = CommitLog(self.table, self.objects, self.clock)
         self.members: dict[str, Member] = {}
-        self.cut_from_platform: set[str] = set()
+        self.isolated_from_platform: set[str] = set()
         self.read_times: list[float] = []
-        self.gossiping = True
+        self.gossip_enabled = True
         self.data_centres = [f"dc{i}" for i in range(data_centres)]
 
     @property
@@ -263,40 +268,42 @@
                 del self.members[name]
 
     async def _gossip(self):
-        """Show each node the mark of some other, again and again."""
+        """Pass the mark of a random node to each node periodically."""
         while True:
-            await curio.sleep(GOSSIP_S)
-            for member in list(self.members.values()) * self.gossiping:
+            await curio.sleep(GOSSIP_INTERVAL_S)
+            for member in list(self.members.values()) * self.gossip_enabled:
                 node = self.random.choice(self.directory.nodes)
                 other = self.members[node.node]
-                if not self.network.is_cut(member.name[:3], node.address):
+                if not self.network.is_partitioned(
+                    member.name[:3], node.address
+                ):
                     mark = other.holder.mark
                     await member.distributor.on_mark(mark, node.address)
 
-    async def commit(self, operation_id, base, snapshot, through=None):
-        """Commit, and tell the node that it goes through, if any."""
+    async def commit(self, operation_id, base, snapshot, publisher=None):
+        """Commit, and publish through the given node, if any."""
         commit = await self.log.apply(
             operation_id, base, snapshot, "operator", "", 2.0
         )
-        if through is not None:
+        if publisher is not None:
             revised = RevisedSnapshot(commit.mark, snapshot)
-            await self.members[through].distributor.take_commit(revised)
+            await self.members[publisher].distributor.take_commit(revised)
         return commit
 
-    async def wait_for(self, revision, limit_s=5.0, among=None):
-        """Wait until the nodes hold at least the revision."""
+    async def wait_for(self, revision, timeout_s=5.0, among=None):
+        """Wait until the nodes have adopted the revision or a higher one."""
         members = among or list(self.members.values())
         await wait_until(
             lambda: all(
                 member.holder.mark.revision >= revision for member in members
             ),
-            limit_s,
+            timeout_s,
         )
 
 
 @attrs.define
 class Router:
-    """Passes a request to the handler of its path."""
+    """Dispatches requests to the handler of their path."""
 
     distributor: object
 
@@ -306,8 +313,8 @@
         return await self.distributor.handle_pull(request)
 
 
-async def wait_until(condition, limit_s=5.0):
-    """Wait until a condition holds; fail when it does not in time."""
-    async with curio.timeout_after(limit_s):
+async def wait_until(condition, timeout_s=5.0):
+    """Wait until a condition holds; raise TaskTimeout after timeout_s."""
+    async with curio.timeout_after(timeout_s):
         while not condition():
             await curio.sleep(0.005)
--- a/libs/distribution/auburnjunction/distribution/tests/test_commit_races.py
+++ b/libs/distribution/auburnjunction/distribution/tests/test_commit_races.py
@@ -1,4 +1,4 @@
-"""Commits of several operators, interleaved with faults of the table."""
+"""Property test of concurrent commits with faults of the table."""
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -10,13 +10,13 @@
     CommitError,
     CommitUnavailableError,
 )
-from auburnjunction.distribution.tests.stepped import (
+from auburnjunction.distribution.tests.stepped_tables import (
     STEP_S,
     Attempt,
     Fault,
     SteppedTable,
     SteppingClock,
-    run_whole,
+    run_without_faults,
 )
 from auburnjunction.distribution.tests.support import make_snapshot
 from auburnjunction.storage.fakes import MemoryObjectStore
@@ -29,7 +29,7 @@
 
 
 class CommitRaces(RuleBasedStateMachine):
-    """Operators commit, repeat and give up on one faulty table."""
+    """Operators commit, retry and crash concurrently on one faulty table."""
 
     def __init__(self):
         super().__init__()
@@ -40,17 +40,17 @@
         self.running: list[Attempt] = []
         self.operations = 0
 
-    @rule(behind=st.sampled_from([0, 0, 0, 1]))
-    def begin(self, behind):
-        """Start a new operation on the head, or on the one below."""
+    @rule(revisions_behind=st.sampled_from([0, 0, 0, 1]))
+    def begin(self, revisions_behind):
+        """Start an operation based on the head or the revision below."""
         self.operations += 1
-        base = max(0, len(self.table.applied) - behind)
+        base = max(0, len(self.table.applied) - revisions_behind)
         self._start(f"op{self.operations}", base, self.operations)
 
     @precondition(lambda self: self.attempts)
     @rule(index=indexes, rebase=st.booleans())
     def repeat(self, index, rebase):
-        """Start an operation once more, maybe on another base."""
+        """Retry an operation, with its own base or with the head."""
         chosen = self.attempts[index % len(self.attempts)]
         number = int(chosen.operation_id.removeprefix("op"))
         base = len(self.table.applied)
@@ -61,7 +61,7 @@
     @precondition(lambda self: self.running)
     @rule(index=indexes, fault=faults)
     def step(self, index, fault):
-        """Run one operation of one attempt."""
+        """Run one table operation of one attempt."""
         attempt = self.running[index % len(self.running)]
         self.clock.advance(STEP_S)
         attempt.step(fault)
@@ -70,7 +70,7 @@
     @precondition(lambda self: self.running)
     @rule(index=indexes)
     def finish(self, index):
-        """Run one attempt to its end."""
+        """Run one attempt to its end without further faults."""
         attempt = self.running[index % len(self.running)]
         attempt.finish()
         self._check_ended(attempt)
@@ -78,23 +78,25 @@
     @precondition(lambda self: self.running)
     @rule(index=indexes)
     def abandon(self, index):
-        """Let the node of an attempt die."""
+        """Stop an attempt, as if its node had crashed."""
         attempt = self.running.pop(index % len(self.running))
         attempt.abandon()
 
-    @precondition(lambda self: self.table.late)
+    @precondition(lambda self: self.table.delayed_writes)
     @rule(index=indexes)
-    def land(self, index):
-        """Let a late write arrive."""
-        self.table.land(index % len(self.table.late))
+    def perform_delayed_write(self, index):
+        """Apply a delayed write."""
+        self.table.perform_delayed_write(
+            index % len(self.table.delayed_writes)
+        )
 
     def teardown(self):
-        """Settle everything and compare the log with what happened."""
+        """Finish all attempts and writes, then check the commit log."""
         for attempt in list(self.running):
             attempt.finish()
             self._check_ended(attempt)
-        while self.table.late:
-            self.table.land(0)
+        while self.table.delayed_writes:
+            self.table.perform_delayed_write(0)
         self._check_history()
         self._check_refusals()
 
@@ -108,7 +110,7 @@
         self.running.append(attempt)
 
     def _check_ended(self, attempt):
-        """Check the answer of an attempt that has just ended."""
+        """Check the outcome of an attempt if it has ended."""
         if attempt.outcome is None:
             return
         self.running.remove(attempt)
@@ -126,23 +128,30 @@
         assert [c.base_revision for c in applied] == [n - 1 for n in numbers]
         ids = [commit.operation_id for commit in applied]
         assert len(set(ids)) == len(ids), "an operation was applied twice"
-        assert run_whole(self.log.history(0, 500)) == applied[::-1]
+        assert run_without_faults(self.log.history(0, 500)) == applied[::-1]
         for commit in applied:
-            found = run_whole(self.log.find_operation(commit.operation_id))
+            found = run_without_faults(
+                self.log.find_operation(commit.operation_id)
+            )
             assert found == commit
-            assert run_whole(self.log.get(commit.revision)).commit == commit
+            assert (
+                run_without_faults(self.log.get(commit.revision)).commit
+                == commit
+            )
 
     def _check_refusals(self):
-        """Check that nothing refused in every attempt was applied."""
+        """Check that an operation refused in every attempt was not applied."""
         applied = {commit.operation_id for commit in self.table.applied}
         outcomes = {}
         for attempt in self.attempts:
             outcomes.setdefault(attempt.operation_id, []).append(
                 attempt.outcome
             )
-        for operation_id, seen in outcomes.items():
+        for operation_id, operation_outcomes in outcomes.items():
             refusals = (CommitConflictError, CommitUnavailableError)
-            if all(isinstance(outcome, refusals) for outcome in seen):
+            if all(
+                isinstance(outcome, refusals) for outcome in operation_outcomes
+            ):
                 assert operation_id not in applied
 
 
--- a/libs/distribution/auburnjunction/distribution/tests/test_commits.py
+++ b/libs/distribution/auburnjunction/distribution/tests/test_commits.py
@@ -1,4 +1,4 @@
-"""The log of commits with lost answers, races and outages."""
+"""Tests of the commit log, with lost responses and outages."""
 
 import curio
 import pytest
@@ -42,8 +42,8 @@
     async def main():
         for revision in range(1, 6):
             await apply(log, f"op{revision}", revision - 1, revision)
-        old = await log.get(2)
-        assert old.snapshot == make_snapshot(2)
+        earlier = await log.get(2)
+        assert earlier.snapshot == make_snapshot(2)
         await log.rollback("back", 5, 2, "ada", "", 1.0)
         head = await log.get(0)
         assert head.commit.revision == 6
@@ -59,7 +59,7 @@
     curio.run(main)
 
 
-def test_lost_answer_is_recognised_by_operation_id(log, table):
+def test_lost_response_is_resolved_by_operation_id(log, table):
     async def main():
         table.lost_answers = 1
         commit = await apply(log, "one", 0, 1)
@@ -71,7 +71,7 @@
     curio.run(main)
 
 
-def test_second_of_two_changes_on_one_base_conflicts(log):
+def test_second_change_on_the_same_base_conflicts(log):
     async def main():
         await apply(log, "one", 0, 1)
         with pytest.raises(CommitConflictError) as caught:
@@ -91,7 +91,7 @@
         ("ok", Snapshot((Service("s", ("x" * MAX_CONTENT_BYTES,)),))),
     ],
 )
-def test_unusable_changes_are_refused(log, table, operation_id, snapshot):
+def test_invalid_changes_are_rejected(log, table, operation_id, snapshot):
     async def main():
         with pytest.raises(InvalidCommitError):
             await log.apply(operation_id, 0, snapshot, "ada", "", 1.0)
@@ -100,7 +100,7 @@
     curio.run(main)
 
 
-def test_operation_id_of_other_content_is_refused(log):
+def test_operation_id_reused_for_other_content_is_rejected(log):
     async def main():
         await apply(log, "one", 0, 1)
         with pytest.raises(InvalidCommitError):
@@ -109,7 +109,7 @@
     curio.run(main)
 
 
-def test_outage_is_unavailable_and_doubt_is_unknown(log, table):
+def test_outage_is_unavailable_and_lost_response_is_unknown(log, table):
     async def main():
         table.available = False
         with pytest.raises(CommitUnavailableError):
@@ -117,14 +117,14 @@
         table.available = True
         put_if = table.put_if
 
-        async def put_then_fail(*args):
+        async def put_and_lose_response(*args):
             table.lost_answers = 1
             try:
                 return await put_if(*args)
             finally:
                 table.available = False
 
-        table.put_if = put_then_fail
+        table.put_if = put_and_lose_response
         with pytest.raises(CommitUnknownError) as caught:
             await apply(log, "one", 0, 1)
         assert caught.value.operation_id == "one"
--- a/libs/distribution/auburnjunction/distribution/tests/test_distributors.py
+++ b/libs/distribution/auburnjunction/distribution/tests/test_distributors.py
@@ -1,4 +1,4 @@
-"""Distributors of a small fleet on a network with faults."""
+"""Tests of distributors of a small fleet with network faults."""
 
 import attrs
 import curio
@@ -8,7 +8,7 @@
 from auburnjunction.distribution.peers import choose_readers
 from auburnjunction.distribution.revisions import encode_mark
 from auburnjunction.distribution.tests.support import (
-    FAST,
+    FAST_SETTINGS,
     Fleet,
     change_snapshot,
     make_snapshot,
@@ -41,49 +41,49 @@
     curio.run(main)
 
 
-def cut_nothing(fleet):
-    """Leave everything in place."""
+def inject_nothing(fleet):
+    """Inject no fault."""
 
 
-def cut_pushes(fleet):
-    fleet.network.cut_pushes = True
+def disable_pushes(fleet):
+    fleet.network.pushes_disabled = True
 
 
-def cut_data_centre(fleet):
-    fleet.cut_from_platform.add("dc1")
+def isolate_data_centre(fleet):
+    fleet.isolated_from_platform.add("dc1")
 
 
-def cut_regions(fleet):
-    fleet.network.cut.add(frozenset(("dc1", "dc0")))
-    fleet.network.cut.add(frozenset(("dc1", "dc2")))
+def partition_data_centre(fleet):
+    fleet.network.partitions.add(frozenset(("dc1", "dc0")))
+    fleet.network.partitions.add(frozenset(("dc1", "dc2")))
 
 
-def cut_two_data_centres(fleet):
-    fleet.cut_from_platform.update(["dc0", "dc2"])
+def isolate_two_data_centres(fleet):
+    fleet.isolated_from_platform.update(["dc0", "dc2"])
 
 
-def cut_readers(fleet):
-    """Let only nodes that are no reader reach the platform."""
+def isolate_readers(fleet):
+    """Isolate all elected readers from the platform."""
     names = [name for name, _ in fleet.list_names()]
     for data_centre in fleet.data_centres:
         local = [name for name in names if name[:3] == data_centre]
         readers = choose_readers(local, data_centre, fleet.cfg.readers)
-        fleet.cut_from_platform.update(readers)
+        fleet.isolated_from_platform.update(readers)
 
 
 @pytest.mark.parametrize(
     "cut",
     [
-        cut_nothing,
-        cut_pushes,
-        cut_data_centre,
-        cut_two_data_centres,
-        cut_regions,
-        cut_readers,
+        inject_nothing,
+        disable_pushes,
+        isolate_data_centre,
+        isolate_two_data_centres,
+        partition_data_centre,
+        isolate_readers,
     ],
 )
-def test_dead_committer_loses_nothing(cut):
-    """A commit that its node told nobody of comes into force."""
+def test_commit_of_crashed_node_comes_into_force(cut):
+    """The node crashes after the commit, before it pushes the revision."""
 
     async def main():
         fleet = Fleet(12)
@@ -95,37 +95,37 @@
     curio.run(main)
 
 
-def leave_push(fleet):
-    fleet.gossiping = False
-    fleet.cut_from_platform.update(fleet.data_centres)
+def leave_only_push(fleet):
+    fleet.gossip_enabled = False
+    fleet.isolated_from_platform.update(fleet.data_centres)
 
 
-def leave_gossip(fleet):
-    cut_pushes(fleet)
-    fleet.cut_from_platform.update(fleet.data_centres)
+def leave_only_gossip(fleet):
+    disable_pushes(fleet)
+    fleet.isolated_from_platform.update(fleet.data_centres)
 
 
-def leave_readers(fleet):
-    fleet.gossiping = False
-    cut_pushes(fleet)
+def leave_only_readers(fleet):
+    fleet.gossip_enabled = False
+    disable_pushes(fleet)
 
 
-def leave_other_data_centres(fleet):
-    leave_readers(fleet)
-    cut_data_centre(fleet)
+def leave_only_remote_data_centres(fleet):
+    leave_only_readers(fleet)
+    isolate_data_centre(fleet)
 
 
 @pytest.mark.parametrize(
     ("leave", "check_interval_s"),
     [
-        (leave_push, 300),
-        (leave_gossip, 300),
-        (leave_readers, 0.2),
-        (leave_other_data_centres, 0.2),
+        (leave_only_push, 300),
+        (leave_only_gossip, 300),
+        (leave_only_readers, 0.2),
+        (leave_only_remote_data_centres, 0.2),
     ],
 )
-def test_each_way_is_enough_alone(leave, check_interval_s):
-    cfg = attrs.evolve(FAST, check_interval_s=check_interval_s)
+def test_each_distribution_path_suffices_alone(leave, check_interval_s):
+    cfg = attrs.evolve(FAST_SETTINGS, check_interval_s=check_interval_s)
 
     async def main():
         fleet = Fleet(12, cfg=cfg)
@@ -137,18 +137,18 @@
     curio.run(main)
 
 
-def test_node_is_behind_from_a_higher_mark_to_its_content():
+def test_node_is_behind_until_the_reported_revision_is_adopted():
     async def main():
         fleet = Fleet(2, 1)
         async with fleet.open():
-            leave_gossip(fleet)
-            fleet.gossiping = False
+            leave_only_gossip(fleet)
+            fleet.gossip_enabled = False
             await fleet.commit("one", 0, FIRST, "dc0-n0")
-            told, behind = fleet.members.values()
+            committer, behind = fleet.members.values()
             distributor = behind.distributor
             assert not distributor.is_behind
             address = fleet.directory.nodes[0].address
-            await distributor.on_mark(told.holder.mark, address)
+            await distributor.on_mark(committer.holder.mark, address)
             assert distributor.is_behind
             await fleet.wait_for(1)
             assert not distributor.is_behind
@@ -156,25 +156,25 @@
     curio.run(main)
 
 
-def test_dead_children_are_replaced_by_the_next():
-    """Half of the nodes have died, and nobody has noticed yet."""
-    cfg = attrs.evolve(FAST, check_interval_s=300, fan_out=2)
+def test_unreachable_tree_children_are_skipped():
+    """Half of the nodes are unreachable but still listed as alive."""
+    cfg = attrs.evolve(FAST_SETTINGS, check_interval_s=300, fan_out=2)
 
     async def main():
         fleet = Fleet(24, 1, cfg)
         async with fleet.open():
-            leave_push(fleet)
-            alive = list(fleet.members.values())[::2]
-            dead = fleet.directory.nodes[1::2]
-            for node in dead:
-                fleet.network.dead.add(node.address)
+            leave_only_push(fleet)
+            reachable = list(fleet.members.values())[::2]
+            unreachable = fleet.directory.nodes[1::2]
+            for node in unreachable:
+                fleet.network.unreachable.add(node.address)
             await fleet.commit("one", 0, FIRST, "dc0-n0")
-            await fleet.wait_for(1, among=alive)
+            await fleet.wait_for(1, among=reachable)
 
     curio.run(main)
 
 
-def test_outage_keeps_what_is_in_force_and_ends_without_a_storm():
+def test_outage_keeps_the_revision_and_recovery_keeps_the_read_budget():
     async def main():
         fleet = Fleet(24)
         async with fleet.open():
@@ -197,25 +197,27 @@
     curio.run(main)
 
 
-ORPHAN = Snapshot((), (Route("r", "/r", "missing"),))
+INVALID_SNAPSHOT = Snapshot((), (Route("r", "/r", "missing"),))
 
 
 @pytest.mark.parametrize(
-    ("snapshot", "digest_of", "status"),
+    ("snapshot", "digested_snapshot", "status"),
     [
         (make_snapshot(2), make_snapshot(2), 200),
         (make_snapshot(2), make_snapshot(3), 422),
-        (ORPHAN, ORPHAN, 422),
+        (INVALID_SNAPSHOT, INVALID_SNAPSHOT, 422),
     ],
-    ids=["good", "another content", "a route without its service"],
+    ids=["good", "digest of other content", "route to a missing service"],
 )
-def test_bad_push_is_never_applied(snapshot, digest_of, status):
+def test_push_of_bad_content_is_rejected(snapshot, digested_snapshot, status):
     async def main():
         fleet = Fleet(1, 1)
         async with fleet.open():
             await fleet.commit("one", 0, FIRST, "dc0-n0")
             member = fleet.members["dc0-n0"]
-            mark = RevisionMark(9, digest_content(dump_snapshot(digest_of)))
+            mark = RevisionMark(
+                9, digest_content(dump_snapshot(digested_snapshot))
+            )
             push = pb.PushRequest(
                 mark=encode_mark(mark), snapshot=dump_snapshot(snapshot)
             )
@@ -229,8 +231,8 @@
     curio.run(main)
 
 
-def test_wrong_delta_is_thrown_away_for_the_whole():
-    """Node dc0-n1 is sent a delta whose result has another digest."""
+def test_delta_with_wrong_result_requests_the_snapshot():
+    """The digest of the delta's result differs from the mark."""
 
     async def main():
         fleet = Fleet(2, 1)
@@ -248,15 +250,15 @@
             response = await target.distributor.handle_push(
                 HttpRequest(b"POST", b"/push", [], body)
             )
-            answer = pb.PushResponse.FromString(response.body)
-            assert answer.need_snapshot
+            push_response = pb.PushResponse.FromString(response.body)
+            assert push_response.need_snapshot
             assert target.holder.mark == mark
 
     curio.run(main)
 
 
-@pytest.mark.parametrize("damage", [None, b"", b"\xff\xfe"])
-def test_damaged_object_is_skipped_and_its_repair_found(damage):
+@pytest.mark.parametrize("corrupt_content", [None, b"", b"\xff\xfe"])
+def test_corrupt_object_is_skipped_until_it_is_repaired(corrupt_content):
     async def main():
         fleet = Fleet(6)
         async with fleet.open():
@@ -264,8 +266,8 @@
             await fleet.wait_for(1)
             commit = await fleet.commit("two", 1, make_snapshot(2))
             content = fleet.objects.contents.pop(commit.digest)
-            if damage is not None:
-                fleet.objects.contents[commit.digest] = damage
+            if corrupt_content is not None:
+                fleet.objects.contents[commit.digest] = corrupt_content
             members = list(fleet.members.values())
             reads = fleet.reads
             await wait_until(lambda: fleet.reads > reads + 20)
--- a/libs/distribution/auburnjunction/distribution/tests/test_histories.py
+++ b/libs/distribution/auburnjunction/distribution/tests/test_histories.py
@@ -1,4 +1,4 @@
-"""History of many revisions on a network that loses and reorders."""
+"""Tests of many revisions on a network that drops and reorders."""
 
 from random import Random
 
@@ -23,15 +23,15 @@
 
 @attrs.define
 class History:
-    """What was accepted and what came into force where."""
+    """Committed snapshots by revision, and refused commits."""
 
     fleet: Fleet
-    accepted: dict = attrs.field(factory=dict)
+    committed: dict = attrs.field(factory=dict)
     refused: list = attrs.field(factory=list)
 
-    async def race(self, round_number, random):
-        """Let two operators commit on one base, through two nodes."""
-        base = len(self.accepted)
+    async def commit_concurrently(self, round_number, random):
+        """Commit two changes on the same base through two nodes."""
+        base = len(self.committed)
         snapshots = [
             change_snapshot(make_snapshot(0, 20), 10 * round_number + i + 1)
             for i in range(2)
@@ -54,44 +54,56 @@
         except (CommitConflictError, CommitUnavailableError) as exc:
             self.refused.append(exc)
             return
-        assert commit.revision not in self.accepted
-        self.accepted[commit.revision] = snapshot
+        assert commit.revision not in self.committed
+        self.committed[commit.revision] = snapshot
 
     def check(self):
-        """Check the promises over the whole history."""
+        """Check that nodes adopt only whole commits and never go back."""
         for member in self.fleet.members.values():
             revisions = [r.mark.revision for r in member.history]
-            assert revisions == sorted(set(revisions)), "a node went back"
+            assert revisions == sorted(set(revisions)), (
+                f"{member.name} adopted a lower revision"
+            )
             for revised in member.history:
-                wanted = self.accepted[revised.mark.revision]
-                assert revised.snapshot == wanted, "applied in part"
+                expected = self.committed[revised.mark.revision]
+                assert revised.snapshot == expected, (
+                    f"{member.name} adopted other content"
+                )
                 assert validate_snapshot(revised.snapshot) == []
-            assert revisions[-1] == max(self.accepted), "reverted or lost"
+            assert revisions[-1] == max(self.committed), (
+                f"{member.name} lacks the last commit"
+            )
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
-def test_history_of_racing_operators_and_an_outage(seed):
+def test_concurrent_commits_with_faults_and_an_outage(seed):
     async def main():
         random = Random(seed)
         fleet = Fleet(18, seed=seed)
         network = fleet.network
-        network.dropped, network.doubled, network.delay_s = 0.2, 0.5, 0.02
+        network.drop_share, network.duplicate_share, network.delay_s = (
+            0.2,
+            0.5,
+            0.02,
+        )
         history = History(fleet)
         async with fleet.open():
-            for number in range(ROUNDS):
-                if number == ROUNDS // 2:
+            for round_number in range(ROUNDS):
+                if round_number == ROUNDS // 2:
                     fleet.table.available = False
-                    await history.race(number, random)
+                    await history.commit_concurrently(round_number, random)
                     fleet.table.available = True
-                    await history.race(number + 100, random)
+                    await history.commit_concurrently(
+                        round_number + 100, random
+                    )
                 else:
-                    await history.race(number, random)
-                if number % 3 == 0:
+                    await history.commit_concurrently(round_number, random)
+                if round_number % 3 == 0:
                     await fleet.wait_for(
-                        len(history.accepted), CONVERGENCE_LIMIT_S
+                        len(history.committed), CONVERGENCE_LIMIT_S
                     )
-            await fleet.wait_for(len(history.accepted), CONVERGENCE_LIMIT_S)
-            assert len(history.accepted) == ROUNDS
+            await fleet.wait_for(len(history.committed), CONVERGENCE_LIMIT_S)
+            assert len(history.committed) == ROUNDS
             assert len(history.refused) == ROUNDS + 2
             history.check()
 
--- a/libs/distribution/auburnjunction/distribution/tests/test_holders.py
+++ b/libs/distribution/auburnjunction/distribution/tests/test_holders.py
@@ -1,4 +1,4 @@
-"""What a holder takes into force."""
+"""Tests of the adoption of snapshots."""
 
 import pytest
 
@@ -13,10 +13,10 @@
     Snapshot,
 )
 
-ORPHAN = Snapshot((), (Route("r", "/r", "missing"),))
+INVALID_SNAPSHOT = Snapshot((), (Route("r", "/r", "missing"),))
 
 
-def revise(revision, snapshot, digest=None):
+def make_revised(revision, snapshot, digest=None):
     digest = digest or digest_snapshot(snapshot)
     return RevisedSnapshot(RevisionMark(revision, digest), snapshot)
 
@@ -26,24 +26,27 @@
 )
 def test_only_a_higher_revision_is_adopted(revision, adopted):
     holder = SnapshotHolder()
-    seen = []
-    holder.subscribe(seen.append)
-    first = revise(5, make_snapshot(1))
+    notified = []
+    holder.subscribe(notified.append)
+    first = make_revised(5, make_snapshot(1))
     assert holder.adopt(first)
-    other = revise(revision, make_snapshot(2))
+    other = make_revised(revision, make_snapshot(2))
     assert holder.adopt(other) is adopted
     assert holder.current is (other if adopted else first)
-    assert seen == ([first, other] if adopted else [first])
+    assert notified == ([first, other] if adopted else [first])
 
 
 @pytest.mark.parametrize(
     "bad",
-    [revise(6, ORPHAN), revise(6, make_snapshot(2), b"other")],
-    ids=["a route without its service", "another digest"],
+    [
+        make_revised(6, INVALID_SNAPSHOT),
+        make_revised(6, make_snapshot(2), b"other"),
+    ],
+    ids=["route to a missing service", "wrong digest"],
 )
-def test_bad_content_changes_nothing(bad):
+def test_bad_content_keeps_the_snapshot_in_force(bad):
     holder = SnapshotHolder()
-    first = revise(5, make_snapshot(1))
+    first = make_revised(5, make_snapshot(1))
     holder.adopt(first)
     with pytest.raises(BadContentError):
         holder.adopt(bad)
--- a/libs/distribution/auburnjunction/distribution/tests/test_large_contents.py
+++ b/libs/distribution/auburnjunction/distribution/tests/test_large_contents.py
@@ -1,4 +1,4 @@
-"""Large configurations: who reads them, and what crosses narrow links."""
+"""Tests of compression and of reader election by link bandwidth."""
 
 import zlib
 
@@ -21,9 +21,9 @@
 from auburnjunction.model.snapshots import Snapshot
 
 READERS = 2
-# A link of 3.5 Mbit/s carries this in a quarter of a second, so that three
-# of them in a row leave room within 2 s.
-NARROW_BYTES = 100_000
+# A link of 3.5 Mbit/s transfers this in a quarter of a second, so three
+# transfers in sequence finish well within 2 s.
+MAX_COMPRESSED_BYTES = 100_000
 
 
 def make_snapshot(routes):
@@ -44,12 +44,13 @@
 
 
 @pytest.mark.parametrize(
-    ("routes", "most_bytes"), [(0, MIN_COMPRESSED_BYTES), (2200, NARROW_BYTES)]
+    ("routes", "max_bytes"),
+    [(0, MIN_COMPRESSED_BYTES), (2200, MAX_COMPRESSED_BYTES)],
 )
-def test_body_comes_out_as_it_went_in(routes, most_bytes):
+def test_compression_round_trip(routes, max_bytes):
     content = dump_snapshot(make_snapshot(routes))
     headers, body = compress_body(content)
-    assert len(body) <= most_bytes
+    assert len(body) <= max_bytes
     assert decompress_body(headers, body) == content
 
 
@@ -61,23 +62,23 @@
         (b"gzip", b""),
     ],
 )
-def test_damaged_body_is_refused(encoding, body):
+def test_invalid_body_is_rejected(encoding, body):
     with pytest.raises(PeerError):
         decompress_body([(ENCODING_HEADER, encoding)], body)
 
 
 @pytest.mark.parametrize(
-    ("links", "fit"),
+    ("links", "eligible"),
     [
-        # Not known of any: all may read.
+        # No bandwidth is known: all nodes are eligible.
         ([0, 0, 0, 0], {0, 1, 2, 3}),
         ([4, 70, 40, 4], {1, 2}),
-        # Known of one only, during a change of version.
+        # Only one is known, as during a rolling upgrade.
         ([0, 0, 0, 8], {3}),
         ([10, 10, 10, 10], {0, 1, 2, 3}),
     ],
 )
-def test_nodes_with_wide_links_read_for_the_others(links, fit):
+def test_only_nodes_with_fast_links_are_elected(links, eligible):
     directory = Directory()
     directory.nodes = [
         FakeNode(f"n{i}", "dc-1", Address("127.0.0.1", 1), link_mbps=link)
@@ -88,5 +89,5 @@
         for i in range(len(links))
     ]
     assert all(names == chosen[0] for names in chosen)
-    assert len(chosen[0]) == min(READERS, len(fit))
-    assert set(chosen[0]) <= {f"n{i}" for i in fit}
+    assert len(chosen[0]) == min(READERS, len(eligible))
+    assert set(chosen[0]) <= {f"n{i}" for i in eligible}
--- a/libs/distribution/auburnjunction/distribution/tests/test_start_ups.py
+++ b/libs/distribution/auburnjunction/distribution/tests/test_start_ups.py
@@ -1,75 +1,77 @@
-"""What a restarted node takes before it serves."""
+"""Tests of the synchronisation of a restarted node."""
 
 import attrs
 import curio
 import pytest
 
 from auburnjunction.distribution.tests.support import (
-    FAST,
+    FAST_SETTINGS,
     Fleet,
     make_snapshot,
     wait_until,
 )
 from auburnjunction.model.snapshots import RevisedSnapshot
 
-NEW = "dc0-n9"
+RESTARTED = "dc0-n9"
 
 
-async def serve_two(fleet):
-    """Bring revision 1 and then 2 into force everywhere."""
+async def commit_two(fleet):
+    """Commit revisions 1 and 2 and wait until every node has 2."""
     await fleet.commit("one", 0, make_snapshot(1), "dc0-n0")
     await fleet.commit("two", 1, make_snapshot(2), "dc0-n0")
     await fleet.wait_for(2)
 
 
-def cut_platform(fleet):
+def disable_platform(fleet):
     fleet.table.available = False
 
 
-def cut_own_platform(fleet):
-    fleet.cut_from_platform.add("dc0")
+def isolate_data_centre(fleet):
+    fleet.isolated_from_platform.add("dc0")
 
 
-def cut_peers(fleet):
-    fleet.network.cut.update(frozenset(("dc0", dc)) for dc in ("dc1", "dc2"))
-    fleet.network.cut.add(frozenset(("dc0",)))
+def partition_peers(fleet):
+    fleet.network.partitions.update(
+        frozenset(("dc0", dc)) for dc in ("dc1", "dc2")
+    )
+    fleet.network.partitions.add(frozenset(("dc0",)))
 
 
-def cut_all(fleet):
-    cut_platform(fleet)
-    cut_peers(fleet)
+def isolate_from_all(fleet):
+    disable_platform(fleet)
+    partition_peers(fleet)
 
 
 @pytest.mark.parametrize(
     ("cut", "revision"),
     [
         (lambda fleet: None, 2),
-        (cut_platform, 2),
-        (cut_own_platform, 2),
-        (cut_peers, 2),
-        (cut_all, 0),
+        (disable_platform, 2),
+        (isolate_data_centre, 2),
+        (partition_peers, 2),
+        (isolate_from_all, 0),
     ],
-    ids=["nothing", "platform", "own platform", "peers", "all"],
+    ids=["nothing", "platform", "platform of one data centre", "peers", "all"],
 )
-def test_restarted_node_takes_the_highest(cut, revision):
+def test_restarted_node_adopts_the_highest_revision(cut, revision):
     async def main():
         fleet = Fleet(6)
         async with fleet.open():
-            await serve_two(fleet)
+            await commit_two(fleet)
             cut(fleet)
-            async with fleet.open_member(NEW, 9) as member:
+            async with fleet.open_member(RESTARTED, 9) as member:
                 await member.distributor.start_up()
                 assert member.holder.mark.revision == revision
                 assert member.distributor.is_ready is (revision > 0)
-                fleet.network.cut.clear()
+                fleet.network.partitions.clear()
                 fleet.table.available = True
                 await wait_until(lambda: member.distributor.is_ready)
 
     curio.run(main)
 
 
-def test_node_does_not_serve_below_a_head_that_it_read():
-    """Its peers hold revision 1; it may have served 2 before."""
+def test_node_does_not_serve_below_a_head_it_has_read():
+    """Peers hold revision 1, but the node may have served 2 before."""
 
     async def main():
         fleet = Fleet(6)
@@ -78,7 +80,7 @@
             await fleet.wait_for(1)
             commit = await fleet.commit("two", 1, make_snapshot(2))
             content = fleet.objects.contents.pop(commit.digest)
-            async with fleet.open_member(NEW, 9) as member:
+            async with fleet.open_member(RESTARTED, 9) as member:
                 await member.distributor.start_up()
                 assert not member.distributor.is_ready
                 fleet.objects.contents[commit.digest] = content
@@ -88,17 +90,17 @@
     curio.run(main)
 
 
-def test_node_does_not_serve_before_it_knows_of_the_head():
+def test_node_does_not_serve_before_the_head_is_known():
     async def main():
         fleet = Fleet(6)
         async with fleet.open():
-            await serve_two(fleet)
-            fleet.cut_from_platform.add(NEW)
-            async with fleet.open_member(NEW, 9) as member:
-                old = RevisedSnapshot(
+            await commit_two(fleet)
+            fleet.isolated_from_platform.add(RESTARTED)
+            async with fleet.open_member(RESTARTED, 9) as member:
+                earlier = RevisedSnapshot(
                     (await fleet.log.get(1)).commit.mark, make_snapshot(1)
                 )
-                member.holder.adopt(old)
+                member.holder.adopt(earlier)
                 assert not member.distributor.is_ready
                 await member.distributor.start_up()
                 assert member.distributor.is_ready
@@ -107,30 +109,32 @@
     curio.run(main)
 
 
-HERD = 60
+FLEET_SIZE = 60
 WINDOW_S = 0.5
-# A window of a random process may hold more than its mean.
+# Reads are random, so a window may contain more than the mean.
 WINDOW_FACTOR = 1.5
 
 
-def test_herd_without_peers_keeps_the_read_budget():
-    """Each node knows only itself, as when all restart at once."""
-    cfg = attrs.evolve(FAST, fleet_size=HERD, fleet_reads_per_s=HERD)
+def test_simultaneous_start_keeps_the_read_budget():
+    """No node lists a peer, as when all restart at the same time."""
+    cfg = attrs.evolve(
+        FAST_SETTINGS, fleet_size=FLEET_SIZE, fleet_reads_per_s=FLEET_SIZE
+    )
 
     async def main():
-        fleet = Fleet(HERD, 1, cfg)
+        fleet = Fleet(FLEET_SIZE, 1, cfg)
         async with fleet.open(start_up=False):
             await fleet.commit("one", 0, make_snapshot(1))
-            fleet.directory.hidden = True
-            fleet.gossiping = False
+            fleet.directory.is_hidden = True
+            fleet.gossip_enabled = False
             await fleet.start_all()
             await fleet.wait_for(1, 3.0)
             await curio.sleep(2 * WINDOW_S)
             times = fleet.read_times
-            most = max(
+            max_reads = max(
                 sum(time <= other < time + WINDOW_S for other in times)
                 for time in times
             )
-            assert most <= HERD * WINDOW_S * WINDOW_FACTOR
+            assert max_reads <= FLEET_SIZE * WINDOW_S * WINDOW_FACTOR
 
     curio.run(main)
