Tighten remaining docstrings of the distribution

MIN_COMPRESSED_BYTES read as the size after compression, and some docstrings left open what a counter sums up or when a delta is missing.

Checked: the comparison of syntax trees shows only names and texts; formatter and linter pass; libs/distribution: 57 tests passed.

--- a/libs/distribution/auburnjunction/distribution/commit_attempts.py
+++ b/libs/distribution/auburnjunction/distribution/commit_attempts.py
@@ -153,7 +153,7 @@
             await self._clock.sleep(RETRY_DELAY_S)
 
     async def _resolve_conflict(self) -> Commit:
-        """Return the commit if this operation was the one that won.
+        """Return the commit if this operation replaced the head.
 
         Otherwise raise CommitConflictError, or CommitUnknownError if the
         platform cannot be read before the deadline.
--- a/libs/distribution/auburnjunction/distribution/compressions.py
+++ b/libs/distribution/auburnjunction/distribution/compressions.py
@@ -8,7 +8,7 @@
 ENCODING_HEADER = b"content-encoding"
 DEFLATE = b"deflate"
 # Compressing smaller bodies costs more CPU time than it saves bandwidth.
-MIN_COMPRESSED_BYTES = 1024
+MIN_BYTES_TO_COMPRESS = 1024
 # Names and paths of routes repeat, so level 1 compresses them nearly as
 # well as higher levels.
 COMPRESSION_LEVEL = 1
@@ -18,7 +18,7 @@
 
 def compress_body(body: bytes) -> tuple[Headers, bytes]:
     """Return the content-encoding header, if any, and the encoded body."""
-    if len(body) < MIN_COMPRESSED_BYTES:
+    if len(body) < MIN_BYTES_TO_COMPRESS:
         return [], body
     return [(ENCODING_HEADER, DEFLATE)], zlib.compress(body, COMPRESSION_LEVEL)
 
--- a/libs/distribution/auburnjunction/distribution/freshness.py
+++ b/libs/distribution/auburnjunction/distribution/freshness.py
@@ -48,7 +48,7 @@
 
     @property
     def is_confirmed(self) -> bool:
-        """Whether the head was read after this node started."""
+        """Whether a head read after the start of this node is known."""
         return (
             self._last_read_s is not None
             and self._last_read_s >= self.started_s
--- a/libs/distribution/auburnjunction/distribution/holders.py
+++ b/libs/distribution/auburnjunction/distribution/holders.py
@@ -55,7 +55,7 @@
 
 
 def require_valid_content(revised: RevisedSnapshot) -> None:
-    """Raise BadContentError unless it is valid and matches its digest."""
+    """Raise BadContentError if the content is invalid or corrupt."""
     revision = revised.mark.revision
     if digest_snapshot(revised.snapshot) != revised.mark.digest:
         raise BadContentError(
--- a/libs/distribution/auburnjunction/distribution/records.py
+++ b/libs/distribution/auburnjunction/distribution/records.py
@@ -88,7 +88,7 @@
 
 
 def load_commit(value: bytes) -> Commit:
-    """Decode a row's value; raise BadContentError if it is no commit."""
+    """Decode a row's value; raise BadContentError if it is invalid."""
     try:
         return decode_commit(pb.Commit.FromString(value))
     except (DecodeError, OverflowError, ValueError) as exc:
--- a/libs/distribution/auburnjunction/distribution/revisions.py
+++ b/libs/distribution/auburnjunction/distribution/revisions.py
@@ -14,7 +14,7 @@
 
 
 class MissingBaseError(BadContentError):
-    """The delta does not apply to the base; the snapshot is needed."""
+    """The delta is missing or does not apply; the snapshot is needed."""
 
 
 class RecentRevisions:
--- a/libs/distribution/auburnjunction/distribution/settings.py
+++ b/libs/distribution/auburnjunction/distribution/settings.py
@@ -22,7 +22,7 @@
     read_interval_s: float = attrs.field(
         default=1.0, validator=check_range(0.01, 60)
     )
-    # Interval at which a node that is no reader checks if it became one.
+    # Interval at which a node that is not a reader rechecks the election.
     duty_check_interval_s: float = attrs.field(
         default=0.25, validator=check_range(0.01, 60)
     )
--- a/libs/distribution/auburnjunction/distribution/statistics.py
+++ b/libs/distribution/auburnjunction/distribution/statistics.py
@@ -5,7 +5,7 @@
 
 @attrs.define
 class DistributionStats:
-    """Counts since the start; bytes include those sent and received.
+    """Counts since the start; bytes are the sum of sent and received.
 
     Each exchange is counted only by the node that sends the request.
     """
--- a/libs/distribution/auburnjunction/distribution/tests/test_distributors.py
+++ b/libs/distribution/auburnjunction/distribution/tests/test_distributors.py
@@ -41,7 +41,7 @@
     curio.run(main)
 
 
-def inject_nothing(fleet):
+def inject_no_fault(fleet):
     """Inject no fault."""
 
 
@@ -74,7 +74,7 @@
 @pytest.mark.parametrize(
     "cut",
     [
-        inject_nothing,
+        inject_no_fault,
         disable_pushes,
         isolate_data_centre,
         isolate_two_data_centres,
--- a/libs/distribution/auburnjunction/distribution/tests/test_large_contents.py
+++ b/libs/distribution/auburnjunction/distribution/tests/test_large_contents.py
@@ -7,7 +7,7 @@
 from auburnjunction.distribution.compressions import (
     DEFLATE,
     ENCODING_HEADER,
-    MIN_COMPRESSED_BYTES,
+    MIN_BYTES_TO_COMPRESS,
     compress_body,
     decompress_body,
 )
@@ -45,7 +45,7 @@
 
 @pytest.mark.parametrize(
     ("routes", "max_bytes"),
-    [(0, MIN_COMPRESSED_BYTES), (2200, MAX_COMPRESSED_BYTES)],
+    [(0, MIN_BYTES_TO_COMPRESS), (2200, MAX_COMPRESSED_BYTES)],
 )
 def test_compression_round_trip(routes, max_bytes):
     content = dump_snapshot(make_snapshot(routes))
