Reword the node library in the usual technical terms

Comments and names described the node in figurative terms, which new engineers found hard to follow. Comments, docstrings and messages now name the mechanisms (readiness, graceful shutdown, drain, pause recovery), and currencies and parts are the modules readiness_gates and components. Behaviour is unchanged.

--- a/libs/node/auburnjunction/node/__init__.py
+++ b/libs/node/auburnjunction/node/__init__.py
@@ -1,1 +1,1 @@
-"""Assembly of one node from its settings."""
+"""Wires up a node from its settings."""
--- a/libs/node/auburnjunction/node/administrations.py
+++ b/libs/node/auburnjunction/node/administrations.py
@@ -1,4 +1,4 @@
-"""What operators see of the mesh, and draining on any node."""
+"""Operator functions: listing nodes and draining backend servers."""
 
 from collections import defaultdict
 
@@ -19,11 +19,11 @@
 
 
 class AdministrationError(AuburnError):
-    """An operator's wish that this node cannot fulfil."""
+    """A request of an operator that this node cannot carry out."""
 
 
 class MeshDirectory:
-    """Nodes and backend servers as this node's membership knows them."""
+    """Lists nodes and backend servers from this node's membership view."""
 
     def __init__(self, membership: Membership):
         self._membership = membership
@@ -42,7 +42,7 @@
 def encode_node(
     node: Node, instances: list[control.InstanceRecord]
 ) -> control.NodeRecord:
-    """Return the message of a node and its backend servers."""
+    """Return the protobuf record of a node and its backend servers."""
     return control.NodeRecord(
         node=node.node,
         data_centre=node.data_centre,
@@ -57,7 +57,7 @@
 
 
 def encode_instance(instance: Instance) -> control.InstanceRecord:
-    """Return the message of a backend server."""
+    """Return the protobuf record of a backend server."""
     return control.InstanceRecord(
         instance=instance.instance,
         service=instance.service,
@@ -69,7 +69,7 @@
 
 
 class MeshDrainer:
-    """Drains a backend server at the node that owns it."""
+    """Drains backend servers, forwarding to the owner node if remote."""
 
     def __init__(self, membership: Membership, pools: PoolRegistry, node: str):
         self._membership = membership
@@ -79,7 +79,10 @@
     async def drain(
         self, instance: str, drain: bool
     ) -> control.InstanceRecord:
-        """Start or end the draining; raise AdministrationError."""
+        """Start draining, or end it if drain is False.
+
+        Raise AdministrationError.
+        """
         record = self._membership.find_instance(instance)
         if record is None:
             raise AdministrationError(
@@ -92,10 +95,12 @@
         return await self._drain_remote(record, drain)
 
     async def handle_drain(self, request: HttpRequest) -> HttpResponse:
-        """Answer POST /drain of another node."""
+        """Handle POST /drain from another node."""
         try:
-            wish = operators.DrainRequest.FromString(request.body)
-            record = self._drain_local(wish.instance, wish.drain)
+            drain_request = operators.DrainRequest.FromString(request.body)
+            record = self._drain_local(
+                drain_request.instance, drain_request.drain
+            )
         except DecodeError as exc:
             return make_text_response(400, f"not a drain request: {exc}")
         except AdministrationError as exc:
@@ -117,10 +122,12 @@
     async def _drain_remote(
         self, record: Instance, drain: bool
     ) -> control.InstanceRecord:
-        wish = operators.DrainRequest(instance=record.instance, drain=drain)
+        drain_request = operators.DrainRequest(
+            instance=record.instance, drain=drain
+        )
         host = (b"host", record.host.encode())
         request = HttpRequest(
-            b"POST", b"/drain", [host], wish.SerializeToString()
+            b"POST", b"/drain", [host], drain_request.SerializeToString()
         )
         address = Address(record.host, record.peer_port)
         try:
@@ -129,8 +136,8 @@
             )
         except HttpError as exc:
             raise AdministrationError(
-                f"node {record.node} cannot be reached ({exc}); draining "
-                "may be asked for again",
+                f"node {record.node} cannot be reached ({exc}); retry the "
+                "drain request",
                 ErrorCode.UNAVAILABLE,
             ) from exc
         if response.status != 200:
--- a/libs/node/auburnjunction/node/checks.py
+++ b/libs/node/auburnjunction/node/checks.py
@@ -1,19 +1,19 @@
-"""Checks of what the settings name: listeners and the platform."""
+"""Checks that listeners can be opened and the platform be reached."""
 
 from auburnjunction.base.clocks import Clock
 from auburnjunction.base.errors import AuburnError, ErrorCode
 from auburnjunction.http.errors import AddressInUseError
-from auburnjunction.node.parts import connect_platform
+from auburnjunction.node.components import connect_platform
 from auburnjunction.node.settings import PORT_FIELDS, NodeSettings
 from auburnjunction.storage.tables import PlatformError
 
 CHECK_TIMEOUT_S = 3.0
-CHECKED_KEY = "config/head"
-CHECKED_DIGEST = bytes(32)
+PROBE_KEY = "config/head"
+PROBE_DIGEST = bytes(32)
 
 
 class ListenerError(AuburnError):
-    """A listener of the settings cannot be opened."""
+    """A listener named in the settings cannot be opened."""
 
     code = ErrorCode.UNAVAILABLE
 
@@ -21,8 +21,8 @@
         fields = [n for n in PORT_FIELDS if getattr(cfg, n) == error.port]
         field = fields[0] if fields else "host"
         super().__init__(
-            f"settings field {field}: {error.message}; end the process that "
-            "holds it or write another port"
+            f"settings field {field}: {error.message}; stop the process that "
+            "uses it or set another port"
         )
 
 
@@ -39,16 +39,19 @@
 
 
 async def check_platform(cfg: NodeSettings, clock: Clock) -> None:
-    """Read from both services; raise PlatformSettingsError."""
+    """Read from the table and the object store.
+
+    Raise PlatformSettingsError if one of them does not answer.
+    """
     platform = connect_platform(cfg, clock)
     try:
-        await platform.table.get(CHECKED_KEY, CHECK_TIMEOUT_S)
+        await platform.table.get(PROBE_KEY, CHECK_TIMEOUT_S)
     except PlatformError as exc:
         raise PlatformSettingsError(
             "table_address", cfg.table_address, exc.message
         ) from exc
     try:
-        await platform.objects.get(CHECKED_DIGEST, CHECK_TIMEOUT_S)
+        await platform.objects.get(PROBE_DIGEST, CHECK_TIMEOUT_S)
     except PlatformError as exc:
         raise PlatformSettingsError(
             "object_store_address", cfg.object_store_address, exc.message
--- a/libs/node/auburnjunction/node/parts.py
+++ b/libs/node/auburnjunction/node/components.py
@@ -1,4 +1,4 @@
-"""The parts of a node, put together from its settings."""
+"""Construction of a node's components from its settings."""
 
 from collections.abc import Callable
 from contextlib import asynccontextmanager
@@ -19,9 +19,9 @@
 from auburnjunction.http.servers import Handler
 from auburnjunction.membership.members import Membership, open_membership
 from auburnjunction.model.services import Service
-from auburnjunction.node.currencies import NodeCurrency
-from auburnjunction.node.instances import LocalInstanceKeeper
-from auburnjunction.node.meters import ControlMeter
+from auburnjunction.node.instances import LocalInstanceRegistry
+from auburnjunction.node.meters import ControlPlaneMetrics
+from auburnjunction.node.readiness_gates import ReadinessGate
 from auburnjunction.node.settings import NodeSettings
 from auburnjunction.storage.clients import HttpObjectStore, HttpTable
 from auburnjunction.storage.objects import ObjectStore
@@ -38,36 +38,35 @@
 
 @attrs.frozen
 class HostListener:
-    """A listener for what runs on the same host.
+    """An additional listener for processes on the same host.
 
-    Its handler is made of the node's parts and the keeper of the host's
-    backend servers.
+    make_handler returns its request handler.
     """
 
     port: int
-    make_handler: Callable[["NodeParts", LocalInstanceKeeper], Handler]
+    make_handler: Callable[["NodeComponents", LocalInstanceRegistry], Handler]
 
 
 @attrs.frozen
-class PlatformPorts:
-    """What a node finds where it runs: storage, names and listeners."""
+class PlatformAdapters:
+    """Platform-dependent parts: storage, header names and listeners."""
 
     table: Table
-    # None where the configuration is read elsewhere.
+    # None if the configuration is not read from an object store.
     objects: ObjectStore | None
-    # Where the configuration is read; None means the table's commits.
+    # Source of the configuration; None means the commits in the table.
     head: HeadSource | None = None
-    # How callers and backend servers name a call's data.
+    # Headers that callers and backend servers use for a call's metadata.
     names: HeaderNames = OWN_NAMES
-    # Service whose calls begin at this node.
+    # Returns the service whose calls enter the mesh at this node.
     own_service: ServiceSource = no_service
-    # Listeners beside those that every node has.
+    # Listeners in addition to those of every node.
     listeners: tuple[HostListener, ...] = ()
 
 
 @attrs.frozen
-class NodeParts:
-    """What the listeners of a node serve."""
+class NodeComponents:
+    """Components that the request handlers of a node use."""
 
     membership: Membership
     distributor: Distributor
@@ -76,21 +75,21 @@
     entry: EntryHandler
     commits: CommitLog
     metrics: MetricRegistry
-    currency: NodeCurrency
+    readiness_gate: ReadinessGate
 
 
-def connect_platform(cfg: NodeSettings, clock: Clock) -> PlatformPorts:
-    """Return the clients of the platform named in the settings."""
+def connect_platform(cfg: NodeSettings, clock: Clock) -> PlatformAdapters:
+    """Return clients of the table and object store in the settings."""
     pools = PoolRegistry(clock, max_connections=16)
     table = HttpTable(parse_address(cfg.table_address), clock, pools)
     objects = HttpObjectStore(
         parse_address(cfg.object_store_address), clock, pools
     )
-    return PlatformPorts(table, objects)
+    return PlatformAdapters(table, objects)
 
 
 def make_service_finder(holder: SnapshotHolder):
-    """Return a function that finds a service in the snapshot in force."""
+    """Return a function that looks up a service in the snapshot in force."""
 
     def find_service(name: str) -> Service | None:
         current = holder.current
@@ -102,10 +101,10 @@
 
 
 @asynccontextmanager
-async def open_parts(
-    cfg: NodeSettings, clock: Clock, platform: PlatformPorts, random: Random
+async def open_components(
+    cfg: NodeSettings, clock: Clock, platform: PlatformAdapters, random: Random
 ):
-    """Yield the parts of a node with their background tasks running."""
+    """Yield the components of a node, their background tasks running."""
     metrics = MetricRegistry(
         {"node": cfg.node, "data_centre": cfg.data_centre}
     )
@@ -147,13 +146,13 @@
     ):
         membership.mark_source = lambda: holder.mark
         membership.on_mark = distributor.on_mark
-        currency = NodeCurrency(membership, distributor, clock)
+        readiness_gate = ReadinessGate(membership, distributor, clock)
         entry = make_entry_handler(
             Place(cfg.node, cfg.data_centre),
             cfg.routing,
             clock,
             holder,
-            currency,
+            readiness_gate,
             membership,
             owners,
             call_pools,
@@ -163,9 +162,9 @@
             platform.own_service,
             owners.find_parent,
         )
-        ControlMeter(metrics, membership.stats, distributor.stats)
+        ControlPlaneMetrics(metrics, membership.stats, distributor.stats)
         commits = CommitLog(platform.table, platform.objects, clock)
-        yield NodeParts(
+        yield NodeComponents(
             membership,
             distributor,
             owners,
@@ -173,5 +172,5 @@
             entry,
             commits,
             metrics,
-            currency,
+            readiness_gate,
         )
--- a/libs/node/auburnjunction/node/endpoints.py
+++ b/libs/node/auburnjunction/node/endpoints.py
@@ -1,4 +1,4 @@
-"""Endpoints of a node's administration listener, for its own host."""
+"""Request handlers of the administration and the peer listener."""
 
 from collections.abc import Awaitable, Callable
 
@@ -12,35 +12,35 @@
 
 READY_PATHS = ("/ready", "/readyz")
 
-AnnounceHandler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+RequestHandler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
 
 @attrs.frozen
 class Readiness:
-    """Whether a node takes calls, and why not."""
+    """Body of the /ready response."""
 
     ready: bool
     reason: str
     revision: int
-    # Ready backend servers that this node knows, in all data centres.
+    # Ready backend servers in this node's view, in all data centres.
     instances: int = 0
 
 
 class AdminHandler:
-    """Answers /live, /ready, /metrics and /announce."""
+    """Handles /live, /ready, /metrics and /announce."""
 
     def __init__(
         self,
         read_readiness: Callable[[], Readiness],
         metrics: MetricRegistry,
-        announce: AnnounceHandler,
+        announce: RequestHandler,
     ):
         self._read_readiness = read_readiness
         self._metrics = metrics
         self._announce = announce
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
-        """Return the response to a request of the host."""
+        """Return the response to a request from this host."""
         path = request.path
         if path == "/announce":
             return await self._announce(request)
@@ -49,7 +49,7 @@
         if path == "/live":
             return make_text_response(200, "live")
         if path in READY_PATHS:
-            return self._answer_ready()
+            return self._make_readiness_response()
         if path == "/metrics":
             headers = [(b"content-type", METRICS_CONTENT_TYPE)]
             return HttpResponse(200, headers, self._metrics.render())
@@ -57,7 +57,7 @@
             404, "known paths: /live, /ready, /metrics, /announce"
         )
 
-    def _answer_ready(self) -> HttpResponse:
+    def _make_readiness_response(self) -> HttpResponse:
         readiness = self._read_readiness()
         status = 200 if readiness.ready else 503
         headers = [(b"content-type", b"application/json")]
@@ -73,19 +73,22 @@
 
 
 class PeerDispatcher:
-    """Passes each request of another node to the part it is for."""
+    """Dispatches requests of other nodes to control and call handlers."""
 
     def __init__(
         self,
-        controls: dict[bytes, AnnounceHandler],
-        forward: AnnounceHandler,
+        control_handlers: dict[bytes, RequestHandler],
+        forward_call: RequestHandler,
     ):
-        self._controls = controls
-        self._forward = forward
+        self._control_handlers = control_handlers
+        self._forward_call = forward_call
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
-        """Return the response to a request of another node."""
-        control = self._controls.get(request.target)
-        if control is not None and request.header(b"auburn-call") is None:
-            return await control(request)
-        return await self._forward(request)
+        """Return the response to a request from another node."""
+        handle_control = self._control_handlers.get(request.target)
+        if (
+            handle_control is not None
+            and request.header(b"auburn-call") is None
+        ):
+            return await handle_control(request)
+        return await self._forward_call(request)
--- a/libs/node/auburnjunction/node/instances.py
+++ b/libs/node/auburnjunction/node/instances.py
@@ -1,4 +1,4 @@
-"""Keeps the owners of this node's backend servers as announced."""
+"""Registry of the backend servers that announce themselves to this node."""
 
 import attrs
 
@@ -11,86 +11,90 @@
 from auburnjunction.traffic.owners import OwnerRegistry
 
 
-class LocalInstanceKeeper:
-    """Passes the state of local backend servers from leases to owners.
+class LocalInstanceRegistry:
+    """Applies the state of local backend servers to their owners.
 
-    Membership decides what is shown of a backend server: it may lapse or
-    be drained by an operator between two of its announcements.
+    Membership determines the published state of a backend server: its
+    lease may expire, or an operator may drain it, between announcements.
     """
 
     def __init__(self, membership: Membership, owners: OwnerRegistry):
         self._membership = membership
         self._owners = owners
         self._announced: dict[str, Announcement] = {}
-        self._shown: dict[str, InstanceState] = {}
+        self._published_states: dict[str, InstanceState] = {}
         membership.subscribe(self.update_owners)
 
     async def handle_announce(self, request: HttpRequest) -> HttpResponse:
-        """Answer POST /announce of a backend server of this host."""
+        """Handle POST /announce from a backend server of this host."""
         response = await self._membership.handle_announce(request)
         if response.status == 200:
-            self._remember(parse_settings(request.body, Announcement))
+            self._record_announcement(
+                parse_settings(request.body, Announcement)
+            )
             await self.save_departures()
         return response
 
     def announce(self, announcement: Announcement) -> InstanceState:
-        """Take in what a backend server of this host says of itself.
+        """Process an announcement of a backend server of this host.
 
-        Return the state in which it is shown from now on. No call is
-        sent to one that is leaving, or not later than the limit of the
-        admission settings.
+        Return its published state from now on. A backend server that is
+        leaving gets no more calls, except waiting ones that start within
+        the drain start limit of the admission settings.
         """
         lease = self._membership.announce(announcement)
         if lease.announcement is announcement:
-            self._remember(announcement)
+            self._record_announcement(announcement)
         return lease.shown_state
 
     async def save_departures(self) -> None:
-        """Keep departures beyond the life of this node, if possible.
+        """Try to persist departures so that they outlive this node.
 
-        To be awaited before a departure is acknowledged.
+        Must be awaited before a departure is acknowledged.
         """
         await self._membership.save_departures()
 
-    def withdraw(self, instance: str) -> None:
-        """Take in that a backend server is gone or about to go."""
+    def deregister(self, instance: str) -> None:
+        """Mark a backend server as gone if it has announced itself."""
         known = self._announced.get(instance)
         if known is not None:
             self.announce(attrs.evolve(known, state="gone"))
 
     def update_owners(self) -> None:
-        """Bring every owner to the state that membership shows."""
+        """Update every owner whose state differs from the published one."""
         for name, announcement in list(self._announced.items()):
             record = self._membership.find_instance(name)
             state = record.state if record else InstanceState.GONE
-            if self._shown.get(name) is not state:
-                self._show(announcement, state)
+            if self._published_states.get(name) is not state:
+                self._publish_state(announcement, state)
 
-    def _remember(self, announcement: Announcement) -> None:
+    def _record_announcement(self, announcement: Announcement) -> None:
         known = self._announced.get(announcement.instance)
         self._announced[announcement.instance] = announcement
-        if known is None or not _says_same(known, announcement):
-            self._shown.pop(announcement.instance, None)
+        if known is None or not _is_renewal(known, announcement):
+            self._published_states.pop(announcement.instance, None)
         self.update_owners()
 
-    def _show(self, announcement: Announcement, state: InstanceState) -> None:
+    def _publish_state(
+        self, announcement: Announcement, state: InstanceState
+    ) -> None:
         name = announcement.instance
-        self._shown[name] = state
-        shown = attrs.evolve(announcement, state=state.name.lower())
-        self._owners.update(shown)
+        self._published_states[name] = state
+        published = attrs.evolve(announcement, state=state.name.lower())
+        self._owners.update(published)
         if state is InstanceState.GONE:
             del self._announced[name]
-            del self._shown[name]
+            del self._published_states[name]
         log_event(
             "backend server state",
             instance=name,
             service=announcement.service,
-            state=shown.state,
+            state=published.state,
         )
 
 
-def _says_same(known: Announcement, later: Announcement) -> bool:
-    """Tell whether the later one of a life says nothing new."""
+def _is_renewal(known: Announcement, later: Announcement) -> bool:
+    """Return whether later differs from known only in sequence and cold_s."""
     return known == attrs.evolve(
         later, sequence=known.sequence, cold_s=known.cold_s
     )
--- a/libs/node/auburnjunction/node/listeners.py
+++ b/libs/node/auburnjunction/node/listeners.py
@@ -1,4 +1,4 @@
-"""The listeners of a node and what answers on them."""
+"""The listeners of a node and their request handlers."""
 
 from collections.abc import Sequence
 from contextlib import AsyncExitStack, asynccontextmanager
@@ -12,13 +12,13 @@
 from auburnjunction.model.services import InstanceState
 from auburnjunction.model.snapshots import CallerLimits, RevisedSnapshot
 from auburnjunction.node.administrations import MeshDirectory, MeshDrainer
+from auburnjunction.node.components import HostListener, NodeComponents
 from auburnjunction.node.endpoints import (
     AdminHandler,
     PeerDispatcher,
     Readiness,
 )
-from auburnjunction.node.instances import LocalInstanceKeeper
-from auburnjunction.node.parts import HostListener, NodeParts
+from auburnjunction.node.instances import LocalInstanceRegistry
 from auburnjunction.node.settings import NodeSettings
 from auburnjunction.traffic.peers import (
     PeerHandler,
@@ -26,7 +26,7 @@
     make_pools,
 )
 
-MILLISECONDS = 1000
+MILLISECONDS_PER_SECOND = 1000
 
 
 @attrs.frozen
@@ -39,34 +39,36 @@
 
 
 def make_admin_handler(
-    parts: NodeParts, keeper: LocalInstanceKeeper
+    components: NodeComponents, registry: LocalInstanceRegistry
 ) -> AdminHandler:
     """Return the handler of the administration listener."""
 
     def read_readiness() -> Readiness:
-        reason = parts.currency.find_fault()
+        reason = components.readiness_gate.find_unready_reason()
         instances = sum(
             instance.state is InstanceState.READY
-            for instance in parts.membership.list_instances()
+            for instance in components.membership.list_instances()
         )
-        revision = parts.holder.mark.revision
+        revision = components.holder.mark.revision
         return Readiness(not reason, reason, revision, instances)
 
-    return AdminHandler(read_readiness, parts.metrics, keeper.handle_announce)
+    return AdminHandler(
+        read_readiness, components.metrics, registry.handle_announce
+    )
 
 
 def make_peer_dispatcher(
-    parts: NodeParts, drainer: MeshDrainer, clock: Clock
+    components: NodeComponents, drainer: MeshDrainer, clock: Clock
 ) -> PeerDispatcher:
     """Return the handler of the listener for other nodes."""
     controls = {
-        b"/gossip": parts.membership.handle_gossip,
-        b"/probe": parts.membership.handle_probe,
-        b"/push": parts.distributor.handle_push,
-        b"/pull": parts.distributor.handle_pull,
+        b"/gossip": components.membership.handle_gossip,
+        b"/probe": components.membership.handle_probe,
+        b"/push": components.distributor.handle_push,
+        b"/pull": components.distributor.handle_pull,
         b"/drain": drainer.handle_drain,
     }
-    forward = PeerHandler(parts.owners, clock)
+    forward = PeerHandler(components.owners, clock)
     return PeerDispatcher(controls, forward.handle)
 
 
@@ -74,22 +76,22 @@
 async def open_servers(
     cfg: NodeSettings,
     clock: Clock,
-    parts: NodeParts,
+    components: NodeComponents,
     extra: Sequence[HostListener] = (),
 ):
-    """Yield the listeners of a node.
+    """Yield the running listeners of a node.
 
-    Raise AddressInUseError when a listening address is taken.
+    Raise AddressInUseError if a listening address is in use.
     """
-    keeper = LocalInstanceKeeper(parts.membership, parts.owners)
+    registry = LocalInstanceRegistry(components.membership, components.owners)
     drainer = MeshDrainer(
-        parts.membership,
+        components.membership,
         make_pools(cfg.routing, clock, cfg.translations),
         cfg.node,
     )
-    dispatcher = make_peer_dispatcher(parts, drainer, clock)
-    admin_handler = make_admin_handler(parts, keeper)
-    entry = parts.entry
+    dispatcher = make_peer_dispatcher(components, drainer, clock)
+    admin_handler = make_admin_handler(components, registry)
+    entry = components.entry
     async with (
         open_server(
             cfg.host,
@@ -111,7 +113,7 @@
         AsyncExitStack() as stack,
     ):
         for listener in extra:
-            handler = listener.make_handler(parts, keeper)
+            handler = listener.make_handler(components, registry)
             await stack.enter_async_context(
                 open_server(
                     cfg.host, listener.port, handler, clock, cfg.limits
@@ -119,21 +121,24 @@
             )
         if cfg.operators_port:
             await stack.enter_async_context(
-                _open_operators(cfg, parts, drainer)
+                _open_operators(cfg, components, drainer)
             )
-        follow_limits(parts.holder, callers, cfg.limits)
+        follow_limits(components.holder, callers, cfg.limits)
         yield NodeServers(callers, peers, admin)
 
 
-def _open_operators(cfg: NodeSettings, parts: NodeParts, drainer: MeshDrainer):
-    # gRPC and asyncio take memory that a node without operators saves.
+def _open_operators(
+    cfg: NodeSettings, components: NodeComponents, drainer: MeshDrainer
+):
+    # Imported here because gRPC and asyncio take memory that a node without
+    # the operators' listener can save.
     from auburnjunction.operators.backends import NodeAdministration
     from auburnjunction.operators.servers import open_operators_server
 
     backend = NodeAdministration(
-        parts.commits,
-        parts.distributor,
-        MeshDirectory(parts.membership),
+        components.commits,
+        components.distributor,
+        MeshDirectory(components.membership),
         drainer,
     )
     return open_operators_server(cfg.host, cfg.operators_port, backend)
@@ -142,7 +147,7 @@
 def follow_limits(
     holder: SnapshotHolder, server: HttpServer, default: MessageLimits
 ) -> None:
-    """Keep a server's limits as the configuration in force says."""
+    """Apply the limits of each configuration in force to a server."""
 
     def update(revised: RevisedSnapshot) -> None:
         server.limits = merge_limits(revised.snapshot.limits, default)
@@ -153,13 +158,13 @@
 
 
 def merge_limits(limits: CallerLimits, default: MessageLimits):
-    """Return the limits, those that are 0 taken from the default."""
+    """Return the limits, with the default in place of each that is 0."""
     return attrs.evolve(
         default,
         head_bytes=limits.head_bytes or default.head_bytes,
         body_bytes=limits.body_bytes or default.body_bytes,
-        head_timeout_s=limits.head_timeout_ms / MILLISECONDS
+        head_timeout_s=limits.head_timeout_ms / MILLISECONDS_PER_SECOND
         or default.head_timeout_s,
-        idle_timeout_s=limits.idle_timeout_ms / MILLISECONDS
+        idle_timeout_s=limits.idle_timeout_ms / MILLISECONDS_PER_SECOND
         or default.idle_timeout_s,
     )
--- a/libs/node/auburnjunction/node/meters.py
+++ b/libs/node/auburnjunction/node/meters.py
@@ -1,4 +1,4 @@
-"""Metrics of what control costs a node."""
+"""Metrics of the control plane and of the process."""
 
 import resource
 
@@ -11,8 +11,8 @@
 BYTES_PER_KIB = 1024
 
 
-class ControlMeter:
-    """Shows the counts of membership and distribution as metrics."""
+class ControlPlaneMetrics:
+    """Exports membership and distribution counters and process usage."""
 
     def __init__(
         self,
@@ -41,7 +41,7 @@
         registry.add_collector(self.collect)
 
     def collect(self) -> None:
-        """Bring the metrics up to date."""
+        """Copy the current counts and process usage into the metrics."""
         for source, stats in self._sources:
             for name, value in attrs.asdict(stats).items():
                 self._counts[f"{source}_{name}"].set({}, value)
--- a/libs/node/auburnjunction/node/nodes.py
+++ b/libs/node/auburnjunction/node/nodes.py
@@ -1,4 +1,4 @@
-"""One node: its parts, its listeners and its planned stop."""
+"""Running a node: start-up, listeners and graceful shutdown."""
 
 from collections.abc import Callable
 from contextlib import asynccontextmanager
@@ -10,13 +10,13 @@
 from auburnjunction.base.logs import log_event
 from auburnjunction.base.signals import catch_stop_signals, ignore_reload
 from auburnjunction.base.tasks import open_task_group, run_forever
-from auburnjunction.node.listeners import NodeServers, open_servers
-from auburnjunction.node.parts import (
-    NodeParts,
-    PlatformPorts,
+from auburnjunction.node.components import (
+    NodeComponents,
+    PlatformAdapters,
     connect_platform,
-    open_parts,
+    open_components,
 )
+from auburnjunction.node.listeners import NodeServers, open_servers
 from auburnjunction.node.settings import NodeSettings
 
 OWNER_SWEEP_INTERVAL_S = 0.1
@@ -30,85 +30,94 @@
         self,
         cfg: NodeSettings,
         clock: Clock,
-        parts: NodeParts,
+        components: NodeComponents,
         servers: NodeServers,
     ):
         self._cfg = cfg
         self._clock = clock
-        self._parts = parts
+        self._components = components
         self._servers = servers
 
     async def drain(self) -> int:
-        """Leave: refuse new calls, finish those in flight.
+        """Shut down gracefully: refuse new calls, finish those in flight.
 
-        Callers are told first. The backend servers of this host stay in
-        use meanwhile, as their service may have few others. Return how
-        many calls were still in flight at the drain limit.
+        During the leaving notice, calls are still served while callers
+        move to other nodes, and the backend servers of this host stay in
+        use, as their service may have few others. Return the number of
+        calls that are still in flight at the drain limit.
         """
         log_event("node leaving")
-        self._parts.currency.leaving = True
+        self._components.readiness_gate.leaving = True
         self._servers.callers.end_reuse()
         notice_s = self._cfg.leaving_notice_s
-        end_s = self._clock.monotonic() + notice_s + self._cfg.drain_limit_s
-        self._parts.owners.set_end(end_s)
+        deadline_s = (
+            self._clock.monotonic() + notice_s + self._cfg.drain_limit_s
+        )
+        self._components.owners.set_end(deadline_s)
         await self._clock.sleep(notice_s)
-        self._parts.membership.set_leaving()
-        # Calls of this host's backend servers are served until these have
-        # answered what needs them.
-        remaining = await self._parts.owners.drain(self._left(end_s))
-        self._parts.entry.start_draining()
-        remaining += await self._drain_servers(end_s)
+        self._components.membership.set_leaving()
+        # The entry side stays open until the calls to this host's backend
+        # servers have ended, as those may need nested calls.
+        remaining = await self._components.owners.drain(
+            self._remaining_s(deadline_s)
+        )
+        self._components.entry.start_draining()
+        remaining += await self._drain_servers(deadline_s)
         log_event("node drained", remaining=remaining)
         return remaining
 
-    async def _drain_servers(self, end_s: float) -> int:
-        # Both at once: while one waits, the other must take nothing new.
+    async def _drain_servers(self, deadline_s: float) -> int:
+        # Concurrently, so that neither listener takes new requests while the
+        # other drains.
         async with curio.TaskGroup() as group:
             for server in (self._servers.callers, self._servers.peers):
-                await group.spawn(server.drain, self._left(end_s))
+                await group.spawn(server.drain, self._remaining_s(deadline_s))
         return sum(group.results)
 
-    def _left(self, end_s: float) -> float:
-        return max(0.0, end_s - self._clock.monotonic())
+    def _remaining_s(self, deadline_s: float) -> float:
+        return max(0.0, deadline_s - self._clock.monotonic())
 
 
 @asynccontextmanager
 async def open_node(
     cfg: NodeSettings,
     clock: Clock,
-    platform: PlatformPorts | None = None,
+    platform: PlatformAdapters | None = None,
     random: Random | None = None,
 ):
-    """Yield a node that listens; it serves once it has a configuration.
+    """Yield a listening node; it serves once a configuration is in force.
 
-    Raise AddressInUseError when a listening address is taken.
+    Raise AddressInUseError if a listening address is in use.
     """
     platform = platform or connect_platform(cfg, clock)
     async with (
-        open_parts(cfg, clock, platform, random or Random()) as parts,
-        open_servers(cfg, clock, parts, platform.listeners) as servers,
+        open_components(
+            cfg, clock, platform, random or Random()
+        ) as components,
+        open_servers(cfg, clock, components, platform.listeners) as servers,
         open_task_group() as group,
     ):
         await group.spawn(
-            run_forever, parts.owners.sweep, clock, OWNER_SWEEP_INTERVAL_S
+            run_forever, components.owners.sweep, clock, OWNER_SWEEP_INTERVAL_S
         )
         await group.spawn(
-            run_forever, parts.owners.probe, clock, OWNER_PROBE_INTERVAL_S
+            run_forever, components.owners.probe, clock, OWNER_PROBE_INTERVAL_S
         )
-        await group.spawn(parts.distributor.start_up)
+        await group.spawn(components.distributor.start_up)
         log_event("node listening", caller_port=cfg.caller_port)
-        yield Node(cfg, clock, parts, servers)
+        yield Node(cfg, clock, components, servers)
 
 
 async def run_node(
     cfg: NodeSettings,
     clock: Clock,
-    platform: PlatformPorts | None = None,
+    platform: PlatformAdapters | None = None,
     on_reload: Callable[[], None] = ignore_reload,
 ) -> int:
-    """Run a node until SIGTERM or SIGINT; return calls cut off.
+    """Run a node until SIGTERM or SIGINT, then drain it.
 
-    Call on_reload at SIGHUP.
+    Call on_reload at SIGHUP. Return the number of calls that are still in
+    flight at the drain limit.
     """
     with catch_stop_signals() as stop:
         async with open_node(cfg, clock, platform) as node:
--- a/libs/node/auburnjunction/node/currencies.py
+++ b/libs/node/auburnjunction/node/readiness_gates.py
@@ -1,16 +1,16 @@
-"""Whether a node may act on what it holds."""
+"""Decides whether a node may take calls."""
 
 from typing import Protocol
 
 from auburnjunction.base.clocks import Clock
 
-# Covers the time until a higher revision seen in an exchange is known to
-# the distributor.
+# After a pause, time for the distributor to receive a higher revision that
+# was seen in a gossip exchange.
 RESUME_HOLD_S = 0.25
 
 
 class PauseSource(Protocol):
-    """Knows of pauses of this process; membership."""
+    """Source of the pauses of this process; implemented by Membership."""
 
     @property
     def is_current(self) -> bool:
@@ -18,26 +18,26 @@
 
     @property
     def pause_count(self) -> int:
-        """Pauses noticed since the start."""
+        """Number of pauses detected since the start."""
 
 
 class RevisionSource(Protocol):
-    """Knows of the revision in force; the distributor."""
+    """State of the revision in force; implemented by Distributor."""
 
     @property
     def is_ready(self) -> bool:
-        """Whether a configuration is in force that may be served."""
+        """Whether a configuration is in force that calls may be served by."""
 
     @property
     def is_behind(self) -> bool:
-        """Whether a peer is known to hold a higher revision."""
+        """Whether a peer has offered a revision above the one in force."""
 
 
-class NodeCurrency:
-    """Tells whether the node may take calls now, and why not.
+class ReadinessGate:
+    """Decides whether the node may take calls now.
 
-    After a pause it waits until membership has caught up and until the
-    revision that the first exchange showed is in force.
+    After a pause of the process, the node takes no calls until an exchange
+    with a peer has succeeded and the revision seen in it is in force.
     """
 
     def __init__(
@@ -53,11 +53,11 @@
 
     @property
     def is_current(self) -> bool:
-        """False until started up, and after a pause until caught up."""
+        """Whether start-up is done and recovery from any pause is complete."""
         return self._revisions.is_ready and self._has_caught_up()
 
-    def find_fault(self) -> str:
-        """Return why the node takes no calls; empty when it does."""
+    def find_unready_reason(self) -> str:
+        """Return why the node takes no calls, or "" if it takes them."""
         if self.leaving:
             return "leaving"
         if not self._revisions.is_ready:
@@ -67,7 +67,7 @@
         return ""
 
     def _has_caught_up(self) -> bool:
-        self._note_pauses()
+        self._detect_pauses()
         if not self._pauses.is_current:
             self._recovering = True
             self._resumed_s = None
@@ -76,7 +76,7 @@
             return True
         return self._try_end_recovery()
 
-    def _note_pauses(self) -> None:
+    def _detect_pauses(self) -> None:
         count = self._pauses.pause_count
         if count != self._seen_pauses:
             self._seen_pauses = count
--- a/libs/node/auburnjunction/node/settings.py
+++ b/libs/node/auburnjunction/node/settings.py
@@ -38,21 +38,21 @@
 
 
 def check_address(_instance, attribute, value) -> None:
-    """Check, as an attrs validator, that a value is HOST:PORT."""
+    """Validate, for attrs, that a value is HOST:PORT."""
     try:
         parse_address(value)
     except ValueError as exc:
-        problem, _, mend = str(exc).partition("|")
-        raise FieldError(attribute.name, problem, mend) from exc
+        problem, _, remedy = str(exc).partition("|")
+        raise FieldError(attribute.name, problem, remedy) from exc
 
 
 @attrs.frozen
 class NodeSettings:
-    """Everything one node is told at its start.
+    """Settings of one node, read at its start.
 
-    Address translations map HOST:PORT as other nodes announce it to the
-    HOST:PORT under which this node reaches it, where data centres are
-    joined through address translation.
+    Where data centres are connected through network address translation,
+    address_translations maps the HOST:PORT that another node announces to
+    the HOST:PORT at which this node reaches it.
     """
 
     node: str = attrs.field(validator=check_not_empty)
@@ -63,10 +63,10 @@
     caller_port: int = attrs.field(validator=check_port)
     peer_port: int = attrs.field(validator=check_port)
     admin_port: int = attrs.field(validator=check_port)
-    # 0 means no listener for operators.
+    # 0 disables the operators' listener.
     operators_port: int = attrs.field(validator=check_range(0, 65535))
-    # Time for other nodes and callers to hear that this node is leaving;
-    # calls that still come meanwhile are served.
+    # Time for other nodes and callers to be notified that this node is
+    # leaving; calls that arrive meanwhile are still served.
     leaving_notice_s: float = attrs.field(validator=check_range(0, 60))
     drain_limit_s: float = attrs.field(
         validator=check_range(0, MAX_DRAIN_LIMIT_S)
@@ -83,7 +83,7 @@
 
     @property
     def translations(self) -> dict[Address, Address]:
-        """Address translations as addresses."""
+        """Parsed address translations, from announced to reachable."""
         return {
             parse_address(announced): parse_address(reached)
             for announced, reached in self.address_translations.items()
@@ -93,13 +93,16 @@
 def read_node_settings(path: Path) -> NodeSettings:
     """Read a node's settings from a JSON file over DEFAULT_CONFIG.
 
-    Raise SettingsError that names the field, its value and the mend.
+    Raise SettingsError with the field, its value and the remedy.
     """
     return configure_node_settings(read_values(path))
 
 
 def configure_node_settings(values: dict) -> NodeSettings:
-    """Check plain values over DEFAULT_CONFIG; raise SettingsError."""
+    """Return validated settings from plain values over DEFAULT_CONFIG.
+
+    Raise SettingsError.
+    """
     settings = configure_settings({**DEFAULT_CONFIG, **values}, NodeSettings)
     _check_ports_differ(settings)
     _check_translations(settings)
@@ -113,8 +116,8 @@
         if port and port in seen:
             raise SettingsError(
                 field,
-                f"{port} is also {seen[port]}",
-                "give each listener a port of its own",
+                f"{port} is also the port of {seen[port]}",
+                "set a different port for each listener",
             )
         seen[port] = field
 
@@ -123,5 +126,5 @@
     try:
         _ = settings.translations
     except ValueError as exc:
-        problem, _, mend = str(exc).partition("|")
-        raise SettingsError("address_translations", problem, mend) from exc
+        problem, _, remedy = str(exc).partition("|")
+        raise SettingsError("address_translations", problem, remedy) from exc
--- a/libs/node/auburnjunction/node/tests/support.py
+++ b/libs/node/auburnjunction/node/tests/support.py
@@ -1,4 +1,4 @@
-"""A node in this process, with its platform in memory."""
+"""Runs a node in the test process, with in-memory platform services."""
 
 from contextlib import asynccontextmanager
 from random import Random
@@ -16,8 +16,8 @@
 from auburnjunction.model.routes import Route
 from auburnjunction.model.services import Service
 from auburnjunction.model.snapshots import Snapshot
+from auburnjunction.node.components import PlatformAdapters
 from auburnjunction.node.nodes import open_node
-from auburnjunction.node.parts import PlatformPorts
 from auburnjunction.node.settings import configure_node_settings
 from auburnjunction.storage.fakes import MemoryObjectStore, MemoryTable
 from auburnjunction.traffic.calls import Call
@@ -39,17 +39,17 @@
 
 
 def choose_ports(first: int) -> dict[str, int]:
-    """Return the four ports of a node from a first one on."""
+    """Return the four ports of a node, numbered from first."""
     names = ("caller_port", "peer_port", "admin_port", "operators_port")
     return {name: first + index for index, name in enumerate(names)}
 
 
 @asynccontextmanager
 async def open_test_node(first_port: int, **values):
-    """Yield a node's settings, the node and its platform's fakes."""
+    """Yield a node's settings, the running node and its fake platform."""
     ports = choose_ports(first_port)
     cfg = configure_node_settings({**SETTINGS, **ports, **values})
-    platform = PlatformPorts(MemoryTable(), MemoryObjectStore())
+    platform = PlatformAdapters(MemoryTable(), MemoryObjectStore())
     clock = SystemClock()
     async with open_node(cfg, clock, platform, Random(1)) as node:
         yield cfg, node, platform
@@ -70,14 +70,14 @@
 
 
 async def send_raw(port: int, content: bytes) -> None:
-    """Send bytes on a connection of their own and close it."""
+    """Send bytes on a new connection and close it."""
     sock = await curio.open_connection(HOST, port)
     async with sock:
         await sock.sendall(content)
 
 
 async def announce(cfg, port: int, state: str = "ready") -> HttpResponse:
-    """Announce a backend server at a port to the node."""
+    """Announce a backend server that listens on the port to the node."""
     announcement = Announcement("box-1", "box", f"{HOST}:{port}", state)
     values = {
         "instance": announcement.instance,
@@ -90,18 +90,18 @@
     )
 
 
-async def answer_box(_request: HttpRequest) -> HttpResponse:
-    """Answer as a backend server does."""
+async def answer_as_backend(_request: HttpRequest) -> HttpResponse:
+    """Return the response of a backend server, with a forged header."""
     return HttpResponse(200, [(b"auburn-outcome", b"forged")], b"formula")
 
 
-def open_backend(handler=answer_box):
-    """Return a server that answers as a backend server."""
+def open_backend(handler=answer_as_backend):
+    """Return a server that stands in for a backend server."""
     return open_server(HOST, 0, handler, SystemClock())
 
 
 async def forward(cfg, method: bytes = b"GET") -> HttpResponse:
-    """Return the response to a call as another node forwards it."""
+    """Return the response to a call forwarded like one of another node."""
     clock = SystemClock()
     now_s = clock.monotonic()
     request = HttpRequest(method, b"/boxes/2", [(b"host", b"test")])
--- a/libs/node/auburnjunction/node/tests/test_fuzzing.py
+++ b/libs/node/auburnjunction/node/tests/test_fuzzing.py
@@ -1,4 +1,4 @@
-"""Bytes that no node sends, on the listener for other nodes."""
+"""Fuzz tests of a node's listeners with invalid input."""
 
 import curio
 import hypothesis.strategies as st
@@ -48,7 +48,7 @@
 
 @FUZZ
 @given(st.sampled_from(PATHS), bodies)
-def test_bad_messages_are_refused_and_harm_nothing(path, contents):
+def test_node_rejects_invalid_messages_and_stays_live(path, contents):
     async def main():
         async with (
             open_backend() as backend,
@@ -66,7 +66,7 @@
 
 @FUZZ
 @given(st.lists(st.binary(min_size=1, max_size=300), max_size=10))
-def test_bad_bytes_on_every_listener_harm_nothing(chunks):
+def test_node_stays_live_after_random_bytes(chunks):
     async def main():
         async with open_test_node(FIRST_PORT) as (cfg, _, _):
             for port in (cfg.caller_port, cfg.peer_port, cfg.admin_port):
--- a/libs/node/auburnjunction/node/tests/test_nodes.py
+++ b/libs/node/auburnjunction/node/tests/test_nodes.py
@@ -1,4 +1,4 @@
-"""One whole node in this process."""
+"""Tests of a complete node that runs in the test process."""
 
 import curio
 import orjson
@@ -52,7 +52,7 @@
     return (await read_ready(cfg)).status == 200
 
 
-def test_node_serves_from_the_first_configuration_on():
+def test_node_serves_once_a_configuration_is_in_force():
     async def main():
         async with (
             open_backend() as backend,
@@ -104,7 +104,7 @@
 
 
 @pytest.mark.parametrize("state", ["leaving", "gone"])
-def test_backend_server_that_leaves_gets_no_call(state):
+def test_leaving_backend_server_gets_no_calls(state):
     async def main():
         async with (
             open_backend() as backend,
@@ -121,7 +121,7 @@
     curio.run(main)
 
 
-def test_drained_node_leaves_nothing_behind():
+def test_drained_node_has_no_calls_in_flight_and_refuses_new_ones():
     async def main():
         async with open_test_node(FIRST_PORT) as (cfg, node, _):
             assert await node.drain() == 0
@@ -131,20 +131,20 @@
     curio.run(main)
 
 
-def test_leaving_node_finishes_its_calls_and_takes_no_others():
-    """Its own callers' calls must not keep its backend server open."""
+def test_draining_node_finishes_calls_and_refuses_new_ones():
+    """Calls in flight from local callers must not delay the refusals."""
 
     async def main():
         started, finish = curio.Event(), curio.Event()
 
-        async def answer_later(request):
+        async def answer_after_event(request):
             if request.target == b"/boxes/1":
                 await started.set()
                 await finish.wait()
-            return HttpResponse(200, [], b"whole")
+            return HttpResponse(200, [], b"complete")
 
         async with (
-            open_backend(answer_later) as backend,
+            open_backend(answer_after_event) as backend,
             open_test_node(FIRST_PORT) as (cfg, node, platform),
         ):
             await commit(platform)
@@ -162,7 +162,7 @@
                 await wait_for(is_refused)
             assert (await read_ready(cfg)).status == 503
             await finish.set()
-            assert (await call.join()).body == b"whole"
+            assert (await call.join()).body == b"complete"
             assert await drain.join() == 0
 
     curio.run(main)
@@ -190,7 +190,7 @@
     error = AddressInUseError(HOST, ports[name], "is in use")
     message = ListenerError(cfg, error).message
     assert f"settings field {name}: " in message
-    assert "write another port" in message
+    assert "set another port" in message
 
 
 def test_unreachable_platform_names_the_field():
--- a/libs/node/auburnjunction/node/tests/test_settings.py
+++ b/libs/node/auburnjunction/node/tests/test_settings.py
@@ -1,4 +1,4 @@
-"""Settings of a node, and their errors."""
+"""Tests of a node's settings and their error messages."""
 
 from pathlib import Path
 
@@ -25,7 +25,7 @@
     [
         ({"node": ""}, "node", "empty"),
         ({"caller_port": 0}, "caller_port", "from 1 to 65535"),
-        ({"peer_port": 7400}, "peer_port", "also caller_port"),
+        ({"peer_port": 7400}, "peer_port", "also the port of caller_port"),
         ({"table_address": "here"}, "table_address", "HOST:PORT"),
         ({"log_level": "loud"}, "log_level", "loud"),
         ({"colour": "red"}, "colour", "unknown field"),
@@ -37,7 +37,7 @@
         ),
     ],
 )
-def test_bad_value_is_named_with_its_mend(values, field, part):
+def test_invalid_value_is_reported_with_remedy(values, field, part):
     with pytest.raises(SettingsError) as caught:
         configure_node_settings({**SETTINGS, **values})
     assert caught.value.field == field
@@ -45,7 +45,7 @@
     assert caught.value.mend
 
 
-def test_every_setting_of_the_node_is_on_the_page():
+def test_every_node_setting_is_documented():
     page = (DOCS / "settings.md").read_text()
     for name, _, _ in describe_settings(NodeSettings):
         assert f"`{name.partition('.')[0]}`" in page, name
