--- a/libs/node/auburnjunction/node/checks.py
+++ b/libs/node/auburnjunction/node/checks.py
@@ -1,4 +1,4 @@
-"""Checks that listeners can be opened and the platform be reached."""
+"""Errors and checks of the listeners and the platform in the settings."""
 
 from auburnjunction.base.clocks import Clock
 from auburnjunction.base.errors import AuburnError, ErrorCode
--- a/libs/node/auburnjunction/node/instances.py
+++ b/libs/node/auburnjunction/node/instances.py
@@ -22,7 +22,7 @@
         self._membership = membership
         self._owners = owners
         self._announced: dict[str, Announcement] = {}
-        self._published_states: dict[str, InstanceState] = {}
+        self._applied_states: dict[str, InstanceState] = {}
         membership.subscribe(self.update_owners)
 
     async def handle_announce(self, request: HttpRequest) -> HttpResponse:
@@ -56,45 +56,45 @@
 
     def deregister(self, instance: str) -> None:
         """Mark a backend server as gone if it has announced itself."""
-        known = self._announced.get(instance)
-        if known is not None:
-            self.announce(attrs.evolve(known, state="gone"))
+        previous = self._announced.get(instance)
+        if previous is not None:
+            self.announce(attrs.evolve(previous, state="gone"))
 
     def update_owners(self) -> None:
-        """Update every owner whose state differs from the published one."""
+        """Apply published states that have changed to the owners."""
         for name, announcement in list(self._announced.items()):
             record = self._membership.find_instance(name)
             state = record.state if record else InstanceState.GONE
-            if self._published_states.get(name) is not state:
-                self._publish_state(announcement, state)
+            if self._applied_states.get(name) is not state:
+                self._apply_state(announcement, state)
 
     def _record_announcement(self, announcement: Announcement) -> None:
-        known = self._announced.get(announcement.instance)
+        previous = self._announced.get(announcement.instance)
         self._announced[announcement.instance] = announcement
-        if known is None or not _is_renewal(known, announcement):
-            self._published_states.pop(announcement.instance, None)
+        if previous is None or not _is_renewal(previous, announcement):
+            self._applied_states.pop(announcement.instance, None)
         self.update_owners()
 
-    def _publish_state(
+    def _apply_state(
         self, announcement: Announcement, state: InstanceState
     ) -> None:
         name = announcement.instance
-        self._published_states[name] = state
-        published = attrs.evolve(announcement, state=state.name.lower())
-        self._owners.update(published)
+        self._applied_states[name] = state
+        updated = attrs.evolve(announcement, state=state.name.lower())
+        self._owners.update(updated)
         if state is InstanceState.GONE:
             del self._announced[name]
-            del self._published_states[name]
+            del self._applied_states[name]
         log_event(
             "backend server state",
             instance=name,
             service=announcement.service,
-            state=published.state,
+            state=updated.state,
         )
 
 
-def _is_renewal(known: Announcement, later: Announcement) -> bool:
-    """Return whether later differs from known only in sequence and cold_s."""
-    return known == attrs.evolve(
-        later, sequence=known.sequence, cold_s=known.cold_s
+def _is_renewal(previous: Announcement, later: Announcement) -> bool:
+    """Return whether both differ only in sequence and cold_s at most."""
+    return previous == attrs.evolve(
+        later, sequence=previous.sequence, cold_s=previous.cold_s
     )
--- a/libs/node/auburnjunction/node/listeners.py
+++ b/libs/node/auburnjunction/node/listeners.py
@@ -61,15 +61,15 @@
     components: NodeComponents, drainer: MeshDrainer, clock: Clock
 ) -> PeerDispatcher:
     """Return the handler of the listener for other nodes."""
-    controls = {
+    control_handlers = {
         b"/gossip": components.membership.handle_gossip,
         b"/probe": components.membership.handle_probe,
         b"/push": components.distributor.handle_push,
         b"/pull": components.distributor.handle_pull,
         b"/drain": drainer.handle_drain,
     }
-    forward = PeerHandler(components.owners, clock)
-    return PeerDispatcher(controls, forward.handle)
+    peer_handler = PeerHandler(components.owners, clock)
+    return PeerDispatcher(control_handlers, peer_handler.handle)
 
 
 @asynccontextmanager
@@ -77,7 +77,7 @@
     cfg: NodeSettings,
     clock: Clock,
     components: NodeComponents,
-    extra: Sequence[HostListener] = (),
+    extra_listeners: Sequence[HostListener] = (),
 ):
     """Yield the running listeners of a node.
 
@@ -112,7 +112,7 @@
         ) as callers,
         AsyncExitStack() as stack,
     ):
-        for listener in extra:
+        for listener in extra_listeners:
             handler = listener.make_handler(components, registry)
             await stack.enter_async_context(
                 open_server(
--- a/libs/node/auburnjunction/node/readiness_gates.py
+++ b/libs/node/auburnjunction/node/readiness_gates.py
@@ -6,7 +6,7 @@
 
 # After a pause, time for the distributor to receive a higher revision that
 # was seen in a gossip exchange.
-RESUME_HOLD_S = 0.25
+RECOVERY_HOLD_S = 0.25
 
 
 class PauseSource(Protocol):
@@ -14,7 +14,7 @@
 
     @property
     def is_current(self) -> bool:
-        """False after a pause until an exchange has succeeded."""
+        """Whether an exchange has succeeded since the last pause."""
 
     @property
     def pause_count(self) -> int:
@@ -26,7 +26,7 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether a configuration is in force that calls may be served by."""
+        """Whether start-up is done and a configuration is in force."""
 
     @property
     def is_behind(self) -> bool:
@@ -57,7 +57,7 @@
         return self._revisions.is_ready and self._has_caught_up()
 
     def find_unready_reason(self) -> str:
-        """Return why the node takes no calls, or "" if it takes them."""
+        """Return why the node is not ready, or an empty string if it is."""
         if self.leaving:
             return "leaving"
         if not self._revisions.is_ready:
@@ -87,7 +87,7 @@
         now_s = self._clock.monotonic()
         if self._resumed_s is None:
             self._resumed_s = now_s
-        if now_s - self._resumed_s < RESUME_HOLD_S:
+        if now_s - self._resumed_s < RECOVERY_HOLD_S:
             return False
         self._recovering = self._revisions.is_behind
         return not self._recovering
--- a/libs/node/auburnjunction/node/tests/test_nodes.py
+++ b/libs/node/auburnjunction/node/tests/test_nodes.py
@@ -141,7 +141,7 @@
             if request.target == b"/boxes/1":
                 await started.set()
                 await finish.wait()
-            return HttpResponse(200, [], b"complete")
+            return HttpResponse(200, [], b"whole")
 
         async with (
             open_backend(answer_after_event) as backend,
@@ -162,7 +162,7 @@
                 await wait_for(is_refused)
             assert (await read_ready(cfg)).status == 503
             await finish.set()
-            assert (await call.join()).body == b"complete"
+            assert (await call.join()).body == b"whole"
             assert await drain.join() == 0
 
     curio.run(main)
--- a/libs/node/auburnjunction/node/tests/test_readiness_gates.py
+++ b/libs/node/auburnjunction/node/tests/test_readiness_gates.py
@@ -4,7 +4,7 @@
 import pytest
 
 from auburnjunction.base.clocks import ManualClock
-from auburnjunction.node.readiness_gates import RESUME_HOLD_S, ReadinessGate
+from auburnjunction.node.readiness_gates import RECOVERY_HOLD_S, ReadinessGate
 
 
 @attrs.define
@@ -50,7 +50,7 @@
     source.is_current = True
     assert not readiness_gate.is_current
     source.is_behind = True
-    clock.advance(RESUME_HOLD_S)
+    clock.advance(RECOVERY_HOLD_S)
     assert not readiness_gate.is_current
     source.is_behind = False
     assert readiness_gate.is_current
