Reword the HTTP errors, messages and selector

Docstrings paraphrased the mechanisms instead of naming them. Rewords them and renames private names of the selector and its tests.

--- a/libs/http/auburnjunction/http/errors.py
+++ b/libs/http/auburnjunction/http/errors.py
@@ -4,13 +4,13 @@
 
 
 class HttpError(AuburnError):
-    """An exchange that did not end with a whole response."""
+    """An exchange that did not end with a complete response."""
 
     code = ErrorCode.PROTOCOL
 
 
 class AddressInUseError(HttpError):
-    """The listening address is taken or not of this host."""
+    """The listening address is in use or not an address of this host."""
 
     code = ErrorCode.UNAVAILABLE
 
@@ -20,39 +20,39 @@
 
 
 class NotSentError(HttpError):
-    """No byte of the request left this process; it did not run."""
+    """No byte of the request was sent, so it was not executed."""
 
     code = ErrorCode.UNAVAILABLE
 
 
 class ConnectTimeoutError(NotSentError):
-    """The peer neither took nor refused a connection in time."""
+    """The peer neither accepted nor refused a connection in time."""
 
 
 class ExchangeError(HttpError):
-    """The connection failed after the request began to be sent."""
+    """The exchange failed after sending of the request had started."""
 
     code = ErrorCode.UNKNOWN
 
 
 class TruncatedError(ExchangeError):
-    """The response ended before its announced length."""
+    """The connection closed before the end of the response."""
 
 
 class StrayResponseError(ExchangeError):
-    """What came answers another request; the own answer did not come."""
+    """Only responses to other requests arrived on the connection."""
 
     code = ErrorCode.PROTOCOL
 
 
 class ExchangeTimeoutError(ExchangeError):
-    """No whole response arrived in time."""
+    """No complete response arrived in time."""
 
     code = ErrorCode.TIMEOUT
 
 
 class BadMessageError(HttpError):
-    """A peer's message that breaks HTTP or a limit."""
+    """The peer sent a message that violates HTTP or a size limit."""
 
     def __init__(self, message: str, status: int = 400):
         super().__init__(message)
--- a/libs/http/auburnjunction/http/messages.py
+++ b/libs/http/auburnjunction/http/messages.py
@@ -1,4 +1,4 @@
-"""HTTP requests and responses with whole bodies."""
+"""HTTP requests and responses with complete bodies."""
 
 import attrs
 
@@ -22,7 +22,7 @@
 
 
 def find_header(headers: Headers, name: bytes) -> bytes | None:
-    """Return the first value of a header; the name is in lower case."""
+    """Return the first value of a header; the name is lower case."""
     for key, value in headers:
         if key == name:
             return value
@@ -31,7 +31,7 @@
 
 @attrs.define(slots=True)
 class HttpRequest:
-    """A request with its whole body; header names are in lower case."""
+    """A request with its complete body; header names are lower case."""
 
     method: bytes
     target: bytes
@@ -44,16 +44,16 @@
 
     @property
     def path(self) -> str:
-        """The target without its query."""
+        """The request target without its query."""
         return self.target.partition(b"?")[0].decode("latin-1")
 
 
 @attrs.define(slots=True)
 class HttpResponse:
-    """A response with its whole body; header names are in lower case.
+    """A response with its complete body; header names are lower case.
 
-    The answer to HEAD has no body, and head_length is the length that it
-    announces.
+    The response to HEAD has no body; head_length is the value of its
+    Content-Length header.
     """
 
     status: int
@@ -68,7 +68,7 @@
 
 @attrs.frozen
 class MessageLimits:
-    """Sizes and times that a message may take."""
+    """Size limits and time-outs of messages and idle connections."""
 
     head_bytes: int = 32 * 1024
     body_bytes: int = 4 * 1024 * 1024
--- a/libs/http/auburnjunction/http/selectors.py
+++ b/libs/http/auburnjunction/http/selectors.py
@@ -1,4 +1,4 @@
-"""Selector that keeps the registration of sockets which stay open."""
+"""Epoll selector that keeps open sockets registered between waits."""
 
 import select
 from selectors import (
@@ -15,7 +15,7 @@
 
 @attrs.frozen(slots=True)
 class Registration:
-    """What epoll knows of a descriptor."""
+    """File object and events with which a descriptor is in epoll."""
 
     fileobj: object
     events: int
@@ -24,12 +24,14 @@
 class RetainingSelector(BaseSelector):
     """Epoll selector whose registrations outlive unregister().
 
-    A task that serves a connection waits for its caller and for the next
-    node in turn, and curio unregisters the one socket to register the
-    other: four system calls a call. Here unregister() only forgets who
-    waits. A descriptor that becomes ready while nobody waits is removed
-    then. One closed meanwhile has left epoll by itself; it is told by
-    its file object, of which curio makes one for each socket.
+    A task that serves a connection waits alternately for its caller and
+    for the next node, and curio unregisters one socket to register the
+    other, which costs four system calls for each call. Here unregister()
+    only removes the key and leaves the descriptor in epoll. A descriptor
+    that becomes ready while it has no key is removed from epoll then.
+    The kernel removes a closed descriptor from epoll; a reused descriptor
+    number is recognised by its file object, as curio creates one for each
+    socket.
     """
 
     def __init__(self):
@@ -38,11 +40,11 @@
         self._retained: dict[int, Registration] = {}
 
     def register(self, fileobj, events, data=None) -> SelectorKey:
-        """Wait for events of a file object."""
+        """Start waiting for events of a file object."""
         fd = _find_descriptor(fileobj)
         if fd in self._keys:
             raise KeyError(f"{fileobj!r} is registered")
-        self._ensure(fd, fileobj, events)
+        self._ensure_registered(fd, fileobj, events)
         key = SelectorKey(fileobj, fd, events, data)
         self._keys[fd] = key
         return key
@@ -56,7 +58,7 @@
         fd = _find_descriptor(fileobj)
         if fd not in self._keys:
             raise KeyError(f"{fileobj!r} is not registered")
-        self._ensure(fd, fileobj, events)
+        self._ensure_registered(fd, fileobj, events)
         key = SelectorKey(fileobj, fd, events, data)
         self._keys[fd] = key
         return key
@@ -75,14 +77,14 @@
         if timeout is None or timeout < 0:
             timeout = -1
         try:
-            found = self._epoll.poll(timeout, count)
+            polled = self._epoll.poll(timeout, count)
         except InterruptedError:
             return []
         ready = []
-        for fd, mask in found:
+        for fd, mask in polled:
             key = self._keys.get(fd)
             if key is None:
-                self._drop(fd)
+                self._remove(fd)
                 continue
             events = 0
             if mask & ~select.EPOLLIN:
@@ -99,10 +101,12 @@
         self._keys.clear()
         self._retained.clear()
 
-    def _ensure(self, fd: int, fileobj: object, events: int) -> None:
+    def _ensure_registered(
+        self, fd: int, fileobj: object, events: int
+    ) -> None:
         retained = self._retained.get(fd)
-        is_known = retained is not None and retained.fileobj is fileobj
-        if is_known and retained.events == events:
+        is_registered = retained is not None and retained.fileobj is fileobj
+        if is_registered and retained.events == events:
             return
         mask = 0
         if events & EVENT_READ:
@@ -110,7 +114,7 @@
         if events & EVENT_WRITE:
             mask |= select.EPOLLOUT
         try:
-            if is_known:
+            if is_registered:
                 self._epoll.modify(fd, mask)
             else:
                 self._epoll.register(fd, mask)
@@ -120,7 +124,7 @@
             self._epoll.register(fd, mask)
         self._retained[fd] = Registration(fileobj, events)
 
-    def _drop(self, fd: int) -> None:
+    def _remove(self, fd: int) -> None:
         self._retained.pop(fd, None)
         try:
             self._epoll.unregister(fd)
--- a/libs/http/auburnjunction/http/tests/test_selectors.py
+++ b/libs/http/auburnjunction/http/tests/test_selectors.py
@@ -1,4 +1,4 @@
-"""The selector that keeps the registration of open sockets."""
+"""Tests of the selector that keeps open sockets registered."""
 
 import select
 import socket
@@ -11,7 +11,7 @@
 
 
 class File:
-    """A file object as curio makes one for each socket."""
+    """File object of a socket, like the one that curio creates."""
 
     def __init__(self, sock):
         self._sock = sock
@@ -21,7 +21,7 @@
 
 
 class CountingEpoll:
-    """Counts the registrations that reach epoll."""
+    """Counts the calls that change epoll registrations."""
 
     def __init__(self):
         self._epoll = select.epoll()
@@ -47,7 +47,7 @@
         yield ours, theirs
 
 
-def test_registration_outlives_waiting(selector, pair):
+def test_registration_is_retained_after_unregister(selector, pair):
     file = File(pair[0])
     for _ in range(5):
         selector.register(file, EVENT_READ, "task")
@@ -61,7 +61,7 @@
     assert selector._epoll.changes == 1
 
 
-def test_event_without_a_waiter_is_dropped_once(selector, pair):
+def test_event_without_key_removes_descriptor_once(selector, pair):
     file = File(pair[0])
     selector.register(file, EVENT_READ)
     selector.unregister(file)
@@ -73,7 +73,7 @@
     assert [key.data for key, _ in selector.select(1)] == ["again"]
 
 
-def test_descriptor_of_a_closed_socket_is_registered_anew(selector):
+def test_reused_descriptor_number_is_registered_again(selector):
     for index in range(3):
         ours, theirs = socket.socketpair()
         with ours, theirs:
@@ -84,7 +84,7 @@
             selector.unregister(file)
 
 
-def test_events_are_those_asked_for(selector, pair):
+def test_select_returns_only_registered_events(selector, pair):
     file = File(pair[0])
     selector.register(file, EVENT_WRITE, "w")
     [(_, events)] = selector.select(1)
@@ -96,7 +96,7 @@
     assert selector.select(1)[0][1] == EVENT_READ | EVENT_WRITE
 
 
-def test_curio_runs_on_it():
+def test_curio_runs_on_retaining_selector():
     async def echo(sock, other):
         async with sock, other:
             for _ in range(20):
