Name the parts of HTTP clients and servers by their function

Names and comments of the connection pool, the server and the h11 adapter were figurative (surplus, cut, strays, take, give back). Renames those used only here, rewords comments and lets diagnostics name the value and the limit. Texts that a server sends as a body stay.

--- a/libs/http/auburnjunction/http/clients.py
+++ b/libs/http/auburnjunction/http/clients.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 clients: connections, pools and one-off requests."""
+"""HTTP/1.1 client connections and connection pools."""
 
 import re
 import socket
@@ -39,7 +39,7 @@
 
 
 def parse_address(text: str) -> Address:
-    """Read host:port; raise ValueError when it is not that."""
+    """Parse host:port; raise ValueError if the text is malformed."""
     host, separator, port = text.rpartition(":")
     if not separator or not host or not port.isdigit():
         raise ValueError(f"{text!r} is not an address|write HOST:PORT")
@@ -47,35 +47,37 @@
 
 
 KEEP_ALIVE_PATTERN = re.compile(rb"timeout=(\d{1,6})")
-# The peer counts whole seconds from the end of its answer, earlier than
-# this side does.
+# The peer's idle timer starts when it has sent the response, before the
+# client has received it, and has a resolution of whole seconds.
 KEEP_ALIVE_MARGIN_S = 0.5
-# A peer may answer before it has read a longer body, and one that does
-# not read on would block the writer: a socket buffers at least this.
-EAGER_BODY_BYTES = 4096
-# Late answers to earlier requests that are passed over on a connection.
+# Bodies up to this size fit into the socket's send buffer and are written
+# before the response is read. Longer ones are written by a separate task:
+# a peer that responds early and stops reading would block the writer.
+MAX_INLINE_BODY_BYTES = 4096
+# The exchange fails after this many responses to earlier requests.
 MAX_STRAY_RESPONSES = 4
-STRAY_MESSAGE = "the response is of another request"
+STRAY_MESSAGE = "the response belongs to another request"
 
-ResponseTest = Callable[[HttpResponse], bool]
+ResponsePredicate = Callable[[HttpResponse], bool]
 
 
-def accept_any(_response: HttpResponse) -> bool:
-    """Take every response as the answer to the request."""
+def accept_any_response(_response: HttpResponse) -> bool:
+    """Accept every response as the one to the current request."""
     return True
 
 
 class ClientConnection:
-    """A connection that carries one exchange at a time."""
+    """A client connection that carries one exchange at a time."""
 
     def __init__(self, wire: Wire, clock: Clock):
         self._wire = wire
         self._clock = clock
-        self._broken = False
-        self._is_cut = False
-        self._strays = 0
-        self.used_s = clock.monotonic()
-        # Idle time in seconds for which the peer keeps the connection.
+        self._is_broken = False
+        self._is_request_truncated = False
+        self._stray_count = 0
+        self.last_used_s = clock.monotonic()
+        # Time in seconds for which the peer keeps the connection open
+        # while it is idle.
         self.keep_alive_s = float("inf")
         self.exchanges = 0
 
@@ -83,78 +85,86 @@
         self,
         request: HttpRequest,
         timeout_s: float,
-        belongs: ResponseTest = accept_any,
+        is_own_response: ResponsePredicate = accept_any_response,
     ) -> HttpResponse:
-        """Send a request and return its whole response.
+        """Send a request and return its complete response.
 
-        A response for which belongs is false answers an earlier request
-        and is passed over. Raise NotSentError when no byte left, else
-        ExchangeError or BadMessageError. A connection whose exchange
-        failed or was cancelled is broken.
+        A response for which is_own_response returns false belongs to an
+        earlier request and is skipped. Raise NotSentError if no byte of
+        the request was sent, else ExchangeError or BadMessageError. A
+        connection whose exchange failed or was cancelled is not reusable.
         """
-        self._broken = True
+        self._is_broken = True
         try:
             async with curio.timeout_after(timeout_s):
-                response = await self._run_exchange(request, belongs)
+                response = await self._run_exchange(request, is_own_response)
         except curio.TaskTimeout as exc:
-            if self._strays:
+            if self._stray_count:
                 raise StrayResponseError(STRAY_MESSAGE) from exc
             raise ExchangeTimeoutError(
-                f"no whole response within {timeout_s:.3f} s"
+                f"no complete response within {timeout_s:.3f} s"
             ) from exc
         except OSError as exc:
             raise ExchangeError(f"connection failed: {exc}") from exc
-        self._note_end(response)
+        self._finish_exchange(response)
         return response
 
     async def _run_exchange(
-        self, request: HttpRequest, belongs: ResponseTest
+        self, request: HttpRequest, is_own_response: ResponsePredicate
     ) -> HttpResponse:
-        if len(request.body) <= EAGER_BODY_BYTES:
+        if len(request.body) <= MAX_INLINE_BODY_BYTES:
             await self._wire.write_request(request)
-            return await self._read_own(belongs)
-        writer = await curio.spawn(self._write_long, request, daemon=True)
+            return await self._read_own_response(is_own_response)
+        writer = await curio.spawn(
+            self._write_long_request, request, daemon=True
+        )
         try:
-            return await self._read_own(belongs)
+            return await self._read_own_response(is_own_response)
         finally:
             if not writer.terminated:
-                # The rest of the body would be taken for a request.
-                self._is_cut = True
+                # After an early response the peer could parse the rest of
+                # the body as the next request.
+                self._is_request_truncated = True
                 await writer.cancel()
 
-    async def _write_long(self, request: HttpRequest) -> None:
+    async def _write_long_request(self, request: HttpRequest) -> None:
         try:
             await self._wire.write_request(request)
         except OSError as exc:
-            # The answer may have come before the peer closed.
+            # The peer may have sent its response before it closed the
+            # connection, so the response is still read.
             logging.debug("request body not sent: %s", exc)
 
-    async def _read_own(self, belongs: ResponseTest) -> HttpResponse:
-        self._strays = 0
-        while self._strays < MAX_STRAY_RESPONSES:
+    async def _read_own_response(
+        self, is_own_response: ResponsePredicate
+    ) -> HttpResponse:
+        self._stray_count = 0
+        while self._stray_count < MAX_STRAY_RESPONSES:
             response = await self._wire.read_response()
-            if belongs(response):
+            if is_own_response(response):
                 return response
-            self._strays += 1
-            if not self._wire.expect_another_response():
+            self._stray_count += 1
+            if not self._wire.prepare_next_response():
                 break
         raise StrayResponseError(STRAY_MESSAGE)
 
-    def _note_end(self, response: HttpResponse) -> None:
-        is_whole = self._wire.start_next_cycle()
-        surplus = self._wire.has_surplus
-        self._broken = not is_whole or surplus or self._is_cut
-        self.used_s = self._clock.monotonic()
+    def _finish_exchange(self, response: HttpResponse) -> None:
+        is_complete = self._wire.start_next_cycle()
+        has_trailing_data = self._wire.has_trailing_data
+        self._is_broken = (
+            not is_complete or has_trailing_data or self._is_request_truncated
+        )
+        self.last_used_s = self._clock.monotonic()
         self.exchanges += 1
         self.keep_alive_s = _read_keep_alive(response)
 
     @property
-    def reusable(self) -> bool:
-        """Whether another exchange may be started."""
-        return not self._broken and not self.is_readable()
+    def is_reusable(self) -> bool:
+        """Whether another exchange may start on this connection."""
+        return not self._is_broken and not self.is_readable()
 
     def is_readable(self) -> bool:
-        """Tell whether the peer has closed or sent unasked bytes."""
+        """Return whether the peer has closed or sent unsolicited data."""
         try:
             self._wire.sock._socket.recv(
                 1, socket.MSG_PEEK | socket.MSG_DONTWAIT
@@ -166,8 +176,8 @@
         return True
 
     def discard(self) -> None:
-        """Let no other exchange follow on this connection."""
-        self._broken = True
+        """Mark the connection as not reusable."""
+        self._is_broken = True
 
     async def close(self) -> None:
         """Close the connection."""
@@ -175,7 +185,11 @@
 
 
 def _read_keep_alive(response: HttpResponse) -> float:
-    """Return the idle time in seconds that Keep-Alive announces."""
+    """Return how long in seconds the peer keeps an idle connection.
+
+    The time-out of the Keep-Alive header less a margin, or infinity if
+    the response has none.
+    """
     value = response.header(b"keep-alive")
     match = KEEP_ALIVE_PATTERN.search(value) if value else None
     if match is None:
@@ -189,7 +203,7 @@
     timeout_s: float,
     limits: MessageLimits | None = None,
 ) -> ClientConnection:
-    """Open a connection; raise NotSentError when that fails."""
+    """Open a connection; raise NotSentError on failure."""
     sock = curio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         async with curio.timeout_after(timeout_s):
@@ -211,7 +225,10 @@
 
 
 class ConnectionPool:
-    """Connections to one address, each used by one exchange at a time."""
+    """Pool of connections to one address.
+
+    Each connection carries one exchange at a time.
+    """
 
     def __init__(
         self,
@@ -230,11 +247,11 @@
         self._limits = limits
         self._idle: deque[ClientConnection] = deque()
         self._max_connections = max_connections
-        self._slots = curio.Semaphore(max_connections)
+        self._permits = curio.Semaphore(max_connections)
 
     @property
     def idle_count(self) -> int:
-        """Number of connections that wait for an exchange."""
+        """Number of idle connections in the pool."""
         return len(self._idle)
 
     @asynccontextmanager
@@ -243,47 +260,52 @@
         max_idle_s: float | None = None,
         timeout_s: float | None = None,
     ):
-        """Yield a connection; a broken one is closed afterwards.
+        """Yield a connection and return it to the pool afterwards.
 
-        With max_idle_s, a connection idle for longer is not used.
-        Raise NotSentError when none can be had within timeout_s.
+        A connection that is not reusable is closed instead. Connections
+        idle for longer than max_idle_s (by default the pool's limit) are
+        closed and not used. Raise NotSentError if no connection is
+        available within timeout_s.
         """
-        await self._take_slot(timeout_s)
+        await self._acquire_permit(timeout_s)
         try:
-            conn = await self._take(max_idle_s, timeout_s)
+            conn = await self._acquire_connection(max_idle_s, timeout_s)
             try:
                 yield conn
             finally:
-                await self._give_back(conn)
+                await self._release_connection(conn)
         finally:
-            await self._slots.release()
+            await self._permits.release()
 
     async def exchange(
         self,
         request: HttpRequest,
         timeout_s: float,
         max_idle_s: float | None = None,
-        belongs: ResponseTest = accept_any,
+        is_own_response: ResponsePredicate = accept_any_response,
     ) -> HttpResponse:
-        """Send a request on a pooled connection; see ClientConnection."""
+        """Send a request on a pooled connection.
+
+        See ClientConnection.exchange().
+        """
         async with self.lease(max_idle_s, timeout_s) as conn:
-            return await conn.exchange(request, timeout_s, belongs)
+            return await conn.exchange(request, timeout_s, is_own_response)
 
     @property
     def is_unused(self) -> bool:
         """Whether no connection is open or being opened."""
-        return not self._idle and self._slots.value == self._max_connections
+        return not self._idle and self._permits.value == self._max_connections
 
     async def sweep(self) -> None:
-        """Close connections that were idle for too long or have ended."""
+        """Close connections that idled too long or are not reusable."""
         kept: deque[ClientConnection] = deque()
-        ended = []
+        expired = []
         while self._idle:
             conn = self._idle.popleft()
-            is_good = self._is_usable(conn, self._idle_limit_s)
-            (kept if is_good else ended).append(conn)
+            is_usable = self._is_usable(conn, self._idle_limit_s)
+            (kept if is_usable else expired).append(conn)
         self._idle = kept
-        for conn in ended:
+        for conn in expired:
             await conn.close()
 
     async def close(self) -> None:
@@ -291,25 +313,26 @@
         while self._idle:
             await self._idle.pop().close()
 
-    async def _take_slot(self, timeout_s: float | None) -> None:
-        if self._slots.value or timeout_s is None:
-            await self._slots.acquire()
+    async def _acquire_permit(self, timeout_s: float | None) -> None:
+        if self._permits.value or timeout_s is None:
+            await self._permits.acquire()
             return
         try:
             async with curio.timeout_after(timeout_s):
-                await self._slots.acquire()
+                await self._permits.acquire()
         except curio.TaskTimeout as exc:
             raise NotSentError(
-                f"every connection to {self.address} is in use"
+                f"all {self._max_connections} connections to "
+                f"{self.address} in use for {timeout_s:.3f} s"
             ) from exc
 
-    async def _take(
+    async def _acquire_connection(
         self, max_idle_s: float | None, timeout_s: float | None
     ) -> ClientConnection:
-        limit_s = self._idle_limit_s if max_idle_s is None else max_idle_s
+        idle_limit_s = self._idle_limit_s if max_idle_s is None else max_idle_s
         while self._idle:
             conn = self._idle.pop()
-            if self._is_usable(conn, limit_s):
+            if self._is_usable(conn, idle_limit_s):
                 return conn
             await conn.close()
         connect_s = self._connect_timeout_s
@@ -319,19 +342,21 @@
             self.address, self._clock, connect_s, self._limits
         )
 
-    def _is_usable(self, conn: ClientConnection, limit_s: float) -> bool:
-        idle_s = self._clock.monotonic() - conn.used_s
-        return idle_s <= min(limit_s, conn.keep_alive_s) and conn.reusable
+    def _is_usable(self, conn: ClientConnection, idle_limit_s: float) -> bool:
+        idle_s = self._clock.monotonic() - conn.last_used_s
+        return (
+            idle_s <= min(idle_limit_s, conn.keep_alive_s) and conn.is_reusable
+        )
 
-    async def _give_back(self, conn: ClientConnection) -> None:
-        if conn.reusable:
+    async def _release_connection(self, conn: ClientConnection) -> None:
+        if conn.is_reusable:
             self._idle.append(conn)
         else:
             await conn.close()
 
 
 class PoolRegistry:
-    """Pools by address, made when first asked for.
+    """Connection pools by address, created on first use.
 
     Translations map an announced address to the one to connect to.
     """
@@ -348,16 +373,16 @@
         self._pools: dict[Address, ConnectionPool] = {}
 
     def get(self, address: Address) -> ConnectionPool:
-        """Return the pool of an address."""
+        """Return the pool of an address; create it if there is none."""
         pool = self._pools.get(address)
         if pool is None:
-            reached = self._translations.get(address, address)
-            pool = ConnectionPool(reached, self._clock, **self._options)
+            target = self._translations.get(address, address)
+            pool = ConnectionPool(target, self._clock, **self._options)
             self._pools[address] = pool
         return pool
 
     async def sweep(self) -> None:
-        """Close connections idle for too long; drop unused pools."""
+        """Close expired idle connections and remove unused pools."""
         for address, pool in list(self._pools.items()):
             await pool.sweep()
             if pool.is_unused:
--- a/libs/http/auburnjunction/http/servers.py
+++ b/libs/http/auburnjunction/http/servers.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 servers: one task for each connection."""
+"""HTTP/1.1 servers with one task per connection."""
 
 import errno
 import socket
@@ -33,7 +33,7 @@
 
 
 class ConnectionPhase(Enum):
-    """What a server connection is doing."""
+    """Phase of the exchange on a server connection."""
 
     IDLE = auto()
     READING = auto()
@@ -43,11 +43,14 @@
 
 
 class PeerGoneError(curio.CancelledError):
-    """Cancels a handler whose peer has closed the connection."""
+    """Cancels a connection that its peer closed or that idles too long.
+
+    While the server closes, every idle connection is cancelled.
+    """
 
 
 class PeerSlowError(curio.CancelledError):
-    """Cancels a connection whose peer sends or reads too slowly."""
+    """Cancels a connection whose peer exceeds a read or write time-out."""
 
 
 @attrs.define(eq=False, slots=True)
@@ -57,7 +60,7 @@
     wire: Wire
     task: curio.Task | None = None
     phase: ConnectionPhase = ConnectionPhase.IDLE
-    since_s: float = 0.0
+    phase_start_s: float = 0.0
 
 
 class HttpServer:
@@ -69,11 +72,12 @@
         self._sock = sock
         self._handler = handler
         self._clock = clock
-        # In force for connections accepted from now on; times for all.
+        # Replaced when the configuration changes. Size limits apply to
+        # connections accepted afterwards, time-outs to all connections.
         self.limits = limits
         self._connections: set[ServerConnection] = set()
         self._closing = False
-        self._reusable = True
+        self._keep_alive = True
         self.port: int = sock.getsockname()[1]
 
     @property
@@ -105,26 +109,36 @@
                 continue
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             wire = Wire(sock, h11.SERVER, self.limits)
-            conn = ServerConnection(wire, since_s=self._clock.monotonic())
+            conn = ServerConnection(
+                wire, phase_start_s=self._clock.monotonic()
+            )
             self._connections.add(conn)
-            # The group forgets daemon tasks when they end.
+            # A daemon task, as the group keeps no reference to it once it
+            # has ended.
             conn.task = await group.spawn(
                 self._serve_connection, conn, daemon=True
             )
 
     def end_reuse(self) -> None:
-        """Have callers open a new connection after each answer.
+        """Disable keep-alive: send Connection: close with each response.
 
-        Idle connections stay, as a request may be on its way on them.
+        Idle connections stay open, as the peer may already have sent a
+        request on one of them.
         """
-        self._reusable = False
+        self._keep_alive = False
 
     def start_closing(self) -> None:
-        """Answer what is in flight and close connections after it."""
+        """Finish requests in flight and close all connections.
+
+        Does not wait; drain() does.
+        """
         self._closing = True
 
     async def drain(self, limit_s: float) -> int:
-        """Wait until no request is in flight; return how many remain."""
+        """Wait until no request is in flight; return the number left.
+
+        The wait ends after limit_s.
+        """
         self.start_closing()
         end_s = self._clock.monotonic() + limit_s
         while self.busy_count and self._clock.monotonic() < end_s:
@@ -134,38 +148,42 @@
     def sweep_interval_s(self) -> float:
         """Return the time to the next sweep in seconds.
 
-        Idle connections need a look only now and then.
+        Sweeps are less frequent while all connections are idle.
         """
         if self.busy_count or self._closing:
             return SWEEP_INTERVAL_S
         return IDLE_SWEEP_INTERVAL_S
 
     async def sweep(self) -> None:
-        """Cancel connections whose peer has gone or is too slow."""
+        """Cancel connections closed by the peer or past a time-out."""
         now_s = self._clock.monotonic()
         for conn in list(self._connections):
-            reason = self._find_fault(conn, now_s)
+            reason = self._find_cancel_reason(conn, now_s)
             if reason is not None and conn.task is not None:
                 await conn.task.cancel(exc=reason, blocking=False)
 
-    def _find_fault(self, conn: ServerConnection, now_s: float):
-        age_s = now_s - conn.since_s
+    def _find_cancel_reason(self, conn: ServerConnection, now_s: float):
+        phase_age_s = now_s - conn.phase_start_s
         if conn.phase is ConnectionPhase.HANDLING:
-            if age_s >= SWEEP_INTERVAL_S and _is_peer_closed(conn.wire.sock):
+            if phase_age_s >= SWEEP_INTERVAL_S and _is_peer_closed(
+                conn.wire.sock
+            ):
                 return PeerGoneError
             return None
         if conn.phase is ConnectionPhase.IDLE:
-            if self._closing or age_s > self.limits.idle_timeout_s:
+            if self._closing or phase_age_s > self.limits.idle_timeout_s:
                 return PeerGoneError
             return None
         limit_s = self.limits.body_timeout_s
         if conn.phase is ConnectionPhase.READING:
             limit_s = self.limits.head_timeout_s
-        return PeerSlowError if age_s > limit_s else None
+        return PeerSlowError if phase_age_s > limit_s else None
 
-    def _enter(self, conn: ServerConnection, phase: ConnectionPhase) -> None:
+    def _set_phase(
+        self, conn: ServerConnection, phase: ConnectionPhase
+    ) -> None:
         conn.phase = phase
-        conn.since_s = self._clock.monotonic()
+        conn.phase_start_s = self._clock.monotonic()
 
     async def _serve_connection(self, conn: ServerConnection) -> None:
         try:
@@ -174,9 +192,9 @@
         except PeerGoneError:
             pass
         except PeerSlowError:
-            await self._refuse(conn, 408, "the request came too slowly")
+            await self._send_error(conn, 408, "the request came too slowly")
         except BadMessageError as exc:
-            await self._refuse(conn, exc.status, exc.message)
+            await self._send_error(conn, exc.status, exc.message)
         except (HttpError, OSError):
             pass
         finally:
@@ -185,23 +203,23 @@
 
     async def _serve_request(self, conn: ServerConnection) -> bool:
         wire = conn.wire
-        self._enter(conn, ConnectionPhase.IDLE)
+        self._set_phase(conn, ConnectionPhase.IDLE)
         await wire.wait_for_message()
-        self._enter(conn, ConnectionPhase.READING)
+        self._set_phase(conn, ConnectionPhase.READING)
         request = await wire.read_request_head()
         if request is None:
             return False
-        self._enter(conn, ConnectionPhase.READING_BODY)
+        self._set_phase(conn, ConnectionPhase.READING_BODY)
         await wire.read_request_body(request)
-        self._enter(conn, ConnectionPhase.HANDLING)
+        self._set_phase(conn, ConnectionPhase.HANDLING)
         response = await self._handler(request)
-        self._enter(conn, ConnectionPhase.WRITING)
-        if self._closing or not self._reusable:
+        self._set_phase(conn, ConnectionPhase.WRITING)
+        if self._closing or not self._keep_alive:
             response.headers = [*response.headers, (b"connection", b"close")]
         await wire.write_response(response, request.method == b"HEAD")
         return wire.start_next_cycle()
 
-    async def _refuse(
+    async def _send_error(
         self, conn: ServerConnection, status: int, reason: str
     ) -> None:
         if not conn.wire.can_respond:
@@ -227,7 +245,7 @@
 def bind_socket(host: str, port: int):
     """Return a listening curio socket.
 
-    Raise AddressInUseError when the address cannot be had.
+    Raise AddressInUseError if the address cannot be bound.
     """
     sock = curio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/libs/http/auburnjunction/http/wires.py
+++ b/libs/http/auburnjunction/http/wires.py
@@ -18,26 +18,25 @@
 
 
 class Wire:
-    """One end of an HTTP/1.1 connection.
+    """One end of an HTTP/1.1 connection: a socket and its h11 state.
 
-    Nothing but bytes crosses the socket in either direction while an
-    exchange is incomplete, so a wire whose exchange was cut short must
-    be closed and never used again.
+    A cancelled or failed exchange leaves part of a message on the socket,
+    so the connection must then be closed and not be reused.
     """
 
     def __init__(self, sock, role, limits: MessageLimits):
         self.sock = sock
         self.limits = limits
         self._peer_closed = False
-        self._sent_head = False
-        # Bytes received since the last request's head.
-        self._received = 0
+        self._is_head_request = False
+        # Number since the head of the previous request was parsed.
+        self._received_bytes = 0
         self._conn = h11.Connection(
             role, max_incomplete_event_size=limits.head_bytes
         )
 
     @property
-    def reusable(self) -> bool:
+    def is_reusable(self) -> bool:
         """Whether another exchange may follow on this connection."""
         return self._conn.our_state is h11.IDLE
 
@@ -51,24 +50,27 @@
         await self.sock.close()
 
     async def wait_for_message(self) -> None:
-        """Wait for the first bytes of a message or the peer's close."""
+        """Wait until data of a message arrives or the peer closes."""
         if not self._conn.trailing_data[0]:
             await self._receive()
 
     @property
-    def has_surplus(self) -> bool:
-        """Whether bytes came that belong to no exchange."""
+    def has_trailing_data(self) -> bool:
+        """Whether data was received after the end of the last message."""
         return bool(self._conn.trailing_data[0])
 
     async def read_request(self) -> HttpRequest | None:
-        """Return the next request, or None when the peer has closed."""
+        """Return the next request, or None if the peer has closed."""
         request = await self.read_request_head()
         if request is not None:
             await self.read_request_body(request)
         return request
 
     async def read_request_head(self) -> HttpRequest | None:
-        """Return the next request's head, or None at the peer's close."""
+        """Return the next request without its body.
+
+        Return None if the peer has closed the connection.
+        """
         event = await self._next_event()
         if isinstance(event, h11.ConnectionClosed):
             return None
@@ -77,11 +79,11 @@
         )
         self._reject_long_head(request)
         _reject_ambiguous_length(request)
-        self._reject_announced_length(request)
+        self._reject_long_body(request)
         return request
 
     async def read_request_body(self, request: HttpRequest) -> None:
-        """Read the body that belongs to the head read last."""
+        """Read the body of the request whose head was read last."""
         if self._conn.they_are_waiting_for_100_continue:
             await self._send(
                 h11.InformationalResponse(status_code=100, headers=[])
@@ -89,20 +91,20 @@
         request.body = await self._read_body()
 
     async def write_response(
-        self, response: HttpResponse, bodiless: bool = False
+        self, response: HttpResponse, omit_body: bool = False
     ) -> None:
-        """Send a response; bodiless is for the answer to HEAD."""
+        """Send a response; set omit_body for the response to HEAD."""
         body = response.body
         headers = response.headers
         if response.status not in BODILESS_STATUSES:
             length = len(body)
-            if bodiless and response.head_length is not None:
+            if omit_body and response.head_length is not None:
                 length = response.head_length
             headers = [*headers, (b"content-length", b"%d" % length)]
         else:
-            bodiless = True
+            omit_body = True
         event = h11.Response(status_code=response.status, headers=headers)
-        await self._send_message(event, b"" if bodiless else body)
+        await self._send_message(event, b"" if omit_body else body)
 
     async def write_request(self, request: HttpRequest) -> None:
         """Send a request with its body."""
@@ -113,7 +115,7 @@
         event = h11.Request(
             method=request.method, target=request.target, headers=headers
         )
-        self._sent_head = request.method == b"HEAD"
+        self._is_head_request = request.method == b"HEAD"
         await self._send_message(event, request.body)
 
     async def read_response(self) -> HttpResponse:
@@ -125,30 +127,33 @@
             raise TruncatedError("connection closed before a response")
         body = await self._read_body()
         response = HttpResponse(event.status_code, list(event.headers), body)
-        if self._sent_head:
+        if self._is_head_request:
             length = response.header(b"content-length")
             response.head_length = None if length is None else int(length)
         return response
 
     def start_next_cycle(self) -> bool:
-        """Make ready for the next exchange; tell whether that works."""
+        """Reset the state for the next exchange.
+
+        Return whether the connection can carry one.
+        """
         conn = self._conn
         if conn.our_state is h11.DONE and conn.their_state is h11.DONE:
             conn.start_next_cycle()
             return True
         return False
 
-    def expect_another_response(self) -> bool:
-        """Make ready to read the response behind the one just read.
+    def prepare_next_response(self) -> bool:
+        """Prepare to read another response without sending a request.
 
-        For a peer that sent the answer to an earlier request late; tell
-        whether the connection is still open for it.
+        Used after a late response to an earlier request. Return whether
+        the connection is still open for one.
         """
         if not self.start_next_cycle():
             return False
-        # The request that was sent stands; h11 needs one to await its
-        # answer.
-        method = "HEAD" if self._sent_head else "GET"
+        # h11 reads a response only after a request, so a placeholder is
+        # passed to it and not sent: the real request is already out.
+        method = "HEAD" if self._is_head_request else "GET"
         request = h11.Request(
             method=method, target="/", headers=[("host", "-")]
         )
@@ -173,7 +178,7 @@
             try:
                 event = self._conn.next_event()
             except h11.RemoteProtocolError as exc:
-                raise self._explain_protocol_error(exc) from exc
+                raise self._convert_protocol_error(exc) from exc
             if event is not h11.NEED_DATA:
                 return event
             await self._receive()
@@ -181,10 +186,10 @@
     async def _receive(self) -> None:
         data = await self.sock.recv(RECEIVE_BYTES)
         self._peer_closed = not data
-        self._received += len(data)
+        self._received_bytes += len(data)
         self._conn.receive_data(data)
 
-    def _explain_protocol_error(self, exc) -> BadMessageError | TruncatedError:
+    def _convert_protocol_error(self, exc) -> BadMessageError | TruncatedError:
         if self._peer_closed:
             return TruncatedError(str(exc))
         return BadMessageError(str(exc), exc.error_status_hint or 400)
@@ -196,23 +201,26 @@
                 data += self._conn.send(h11.Data(data=body))
             data += self._conn.send(h11.EndOfMessage())
         except h11.LocalProtocolError as exc:
-            raise NotSentError(f"not a message of HTTP: {exc}") from exc
+            raise NotSentError(f"invalid HTTP message: {exc}") from exc
         await self.sock.sendall(data)
 
     async def _send(self, event) -> None:
         await self.sock.sendall(self._conn.send(event))
 
     def _reject_long_head(self, request: HttpRequest) -> None:
-        """Refuse a head over the limit that h11 got in one piece."""
-        received, self._received = self._received, 0
-        if received <= self.limits.head_bytes:
+        """Reject a head over the limit.
+
+        h11 checks the size only of a head that arrives in parts.
+        """
+        received_bytes, self._received_bytes = self._received_bytes, 0
+        if received_bytes <= self.limits.head_bytes:
             return
         size = len(request.method) + len(request.target)
         size += sum(len(name) + len(value) for name, value in request.headers)
         if size > self.limits.head_bytes:
             raise BadMessageError("head exceeds the limit", 431)
 
-    def _reject_announced_length(self, request: HttpRequest) -> None:
+    def _reject_long_body(self, request: HttpRequest) -> None:
         length = request.header(b"content-length")
         if length is not None and int(length) > self.limits.body_bytes:
             raise BadMessageError("body exceeds the limit", 413)
