--- a/libs/http/auburnjunction/http/tests/support.py
+++ b/libs/http/auburnjunction/http/tests/support.py
@@ -1,7 +1,7 @@
-"""Addresses for tests that listen."""
+"""Loopback address for tests that open listeners."""
 
 import os
 
-# A loopback address of this process alone, so that no other process
-# and no outgoing connection takes its ports.
+# Loopback address derived from the process ID, so that no other process
+# and no outgoing connection occupies its ports.
 OWN_HOST = f"127.{os.getpid() // 250 % 250 + 2}.{os.getpid() % 250}.1"
--- a/libs/http/auburnjunction/http/tests/test_exchanges.py
+++ b/libs/http/auburnjunction/http/tests/test_exchanges.py
@@ -1,4 +1,4 @@
-"""Exchanges between the server and the client over loopback."""
+"""Exchanges between HTTP client and server over loopback."""
 
 import gc
 
@@ -27,7 +27,7 @@
     return HttpResponse(200, [(b"x-target", request.target)], request.body)
 
 
-async def exchange_raw(port, data):
+async def send_raw_request(port, data):
     sock = await curio.open_connection(HOST, port)
     async with sock:
         await sock.sendall(data)
@@ -48,7 +48,7 @@
         (b"HEAD", b""),
     ],
 )
-def test_exchange_returns_whole_response(method, body):
+def test_exchange_returns_complete_response(method, body):
     async def main():
         clock = SystemClock()
         async with open_server(HOST, 0, echo, clock) as server:
@@ -96,7 +96,7 @@
         (HEAD + b"content-length: 5\r\n\r\nab", b"408"),
     ],
 )
-def test_bad_request_is_refused(data, status):
+def test_malformed_request_gets_error_status(data, status):
     limits = MessageLimits(
         head_bytes=2048,
         body_bytes=1024,
@@ -107,7 +107,7 @@
     async def main():
         clock = SystemClock()
         async with open_server(HOST, 0, echo, clock, limits) as server:
-            received = await exchange_raw(server.port, data)
+            received = await send_raw_request(server.port, data)
         assert received.startswith(b"HTTP/1.1 " + status)
         assert b"auburn-outcome: not-run" in received
 
@@ -135,7 +135,7 @@
         (None, ExchangeTimeoutError),
     ],
 )
-def test_response_cut_short_is_never_whole(reply, error):
+def test_truncated_or_missing_response_raises(reply, error):
     async def main():
         clock = SystemClock()
         sock = bind_socket(HOST, 0)
@@ -151,7 +151,7 @@
     curio.run(main)
 
 
-def test_sweep_closes_idle_connections_and_drops_their_pool():
+def test_sweep_closes_idle_connections_and_removes_unused_pools():
     async def main():
         manual = ManualClock()
         async with open_server(HOST, 0, echo, SystemClock()) as server:
@@ -171,7 +171,7 @@
     curio.run(main)
 
 
-def test_connect_failure_is_not_sent():
+def test_connect_failure_raises_not_sent_error():
     async def main():
         clock = SystemClock()
         sock = bind_socket(HOST, 0)
@@ -184,7 +184,7 @@
     curio.run(main)
 
 
-def test_address_in_use_is_reported():
+def test_bind_to_used_port_raises_address_in_use():
     sock = bind_socket(HOST, 0)
     port = sock.getsockname()[1]
     with pytest.raises(AddressInUseError, match=str(port)):
@@ -192,7 +192,7 @@
     sock._socket.close()
 
 
-def test_handler_is_cancelled_when_its_caller_has_gone():
+def test_handler_is_cancelled_when_client_disconnects():
     cancelled = []
 
     async def main():
@@ -225,7 +225,7 @@
     return sum(isinstance(item, curio.Task) for item in gc.get_objects())
 
 
-def test_closed_connections_leave_nothing_behind():
+def test_closed_connections_leak_no_tasks():
     request = b"GET / HTTP/1.1\r\nhost: t\r\nconnection: close\r\n\r\n"
 
     async def main():
@@ -233,12 +233,12 @@
             counts = []
             for _ in range(2):
                 for _ in range(20):
-                    await exchange_raw(server.port, request)
+                    await send_raw_request(server.port, request)
                 async with curio.timeout_after(5):
                     while server.connection_count:
                         await curio.sleep(0.01)
                 counts.append(count_tasks())
-            # One connection may still be ending at either count.
+            # A connection's task may still be terminating at either count.
             assert counts[1] - counts[0] < 5
 
     curio.run(main)
@@ -256,7 +256,7 @@
         clock = SystemClock()
         async with open_server(HOST, 0, wait_briefly, clock) as server:
             request = b"GET / HTTP/1.1\r\nhost: t\r\n\r\n"
-            task = await curio.spawn(exchange_raw, server.port, request)
+            task = await curio.spawn(send_raw_request, server.port, request)
             await started.wait()
             assert await server.drain(5) == 0
             assert (await task.join()).endswith(b"done")
--- a/libs/http/auburnjunction/http/tests/test_strays.py
+++ b/libs/http/auburnjunction/http/tests/test_strays.py
@@ -1,4 +1,4 @@
-"""Bytes of a peer that belong to no request, or to an earlier one."""
+"""Unsolicited and late response data on reused connections."""
 
 from contextlib import asynccontextmanager
 
@@ -22,31 +22,31 @@
 
 
 @asynccontextmanager
-async def open_peer(script):
-    """Yield a pool to a peer that runs the script on each connection."""
+async def open_peer(serve_client):
+    """Yield a pool to a peer that runs serve_client on each connection."""
     sock = bind_socket(HOST, 0)
-    opened = []
+    accepted = []
 
     async def accept(group):
         while True:
             client, _ = await sock.accept()
-            opened.append(client)
+            accepted.append(client)
             await group.spawn(serve, client)
 
     async def serve(client):
         async with client:
-            await script(client)
+            await serve_client(client)
 
     async with sock, open_task_group() as group:
         await group.spawn(accept, group)
         address = Address(HOST, sock.getsockname()[1])
         pool = ConnectionPool(address, CLOCK)
-        pool.opened = opened
+        pool.accepted = accepted
         yield pool
         await pool.close()
 
 
-async def ask(pool, name, body=b"", timeout_s=2.0):
+async def send_request(pool, name, body=b"", timeout_s=2.0):
     method = b"PUT" if body else b"GET"
     request = HttpRequest(method, b"/", [(b"host", b"t")], body)
     response = await pool.exchange(
@@ -55,23 +55,23 @@
     return response.body
 
 
-def test_second_answer_costs_the_connection():
-    async def script(client):
+def test_duplicate_response_closes_connection():
+    async def serve_client(client):
         await client.recv(65536)
         second = format_response(b"a", b"again")
         await client.sendall(format_response(b"a") + second)
         await client.recv(65536)
 
     async def main():
-        async with open_peer(script) as pool:
-            assert await ask(pool, b"a") == b"own"
+        async with open_peer(serve_client) as pool:
+            assert await send_request(pool, b"a") == b"own"
             assert pool.idle_count == 0
 
     curio.run(main)
 
 
-def test_late_second_answer_is_passed_over():
-    async def script(client):
+def test_late_duplicate_response_is_skipped():
+    async def serve_client(client):
         await client.recv(65536)
         await client.sendall(format_response(b"a"))
         await client.recv(65536)
@@ -79,54 +79,54 @@
         await client.sendall(format_response(b"b"))
 
     async def main():
-        async with open_peer(script) as pool:
-            assert await ask(pool, b"a") == b"own"
-            assert await ask(pool, b"b") == b"own"
-            assert len(pool.opened) == 1
+        async with open_peer(serve_client) as pool:
+            assert await send_request(pool, b"a") == b"own"
+            assert await send_request(pool, b"b") == b"own"
+            assert len(pool.accepted) == 1
 
     curio.run(main)
 
 
-def test_foreign_answer_alone_is_told_as_such():
-    async def script(client):
+def test_only_foreign_responses_raise_stray_response_error():
+    async def serve_client(client):
         while await client.recv(65536):
             await client.sendall(format_response(b"other"))
 
     async def main():
-        async with open_peer(script) as pool:
+        async with open_peer(serve_client) as pool:
             with pytest.raises(StrayResponseError):
-                await ask(pool, b"a", timeout_s=0.2)
+                await send_request(pool, b"a", timeout_s=0.2)
             assert pool.idle_count == 0
 
     curio.run(main)
 
 
-def test_early_answer_ends_a_long_request_and_its_connection():
-    async def script(client):
+def test_early_response_aborts_long_request_and_closes_connection():
+    async def serve_client(client):
         await client.recv(1000)
         await client.sendall(format_response(b"a", b"early"))
         await curio.sleep(5)
 
     async def main():
-        async with open_peer(script) as pool:
+        async with open_peer(serve_client) as pool:
             body = b"x" * 8_000_000
-            assert await ask(pool, b"a", body) == b"early"
+            assert await send_request(pool, b"a", body) == b"early"
             assert pool.idle_count == 0
 
     curio.run(main)
 
 
-def test_announced_idle_time_is_kept():
-    async def script(client):
+def test_keep_alive_timeout_of_peer_is_respected():
+    async def serve_client(client):
         while await client.recv(65536):
             extra = b"keep-alive: timeout=0\r\n"
             await client.sendall(format_response(b"a", b"own", extra))
 
     async def main():
-        async with open_peer(script) as pool:
-            await ask(pool, b"a")
+        async with open_peer(serve_client) as pool:
+            await send_request(pool, b"a")
             await curio.sleep(0.01)
-            await ask(pool, b"a")
-            assert len(pool.opened) == 2
+            await send_request(pool, b"a")
+            assert len(pool.accepted) == 2
 
     curio.run(main)
