--- a/libs/storage/auburnjunction/storage/clients.py
+++ b/libs/storage/auburnjunction/storage/clients.py
@@ -1,4 +1,4 @@
-"""Clients of the platform's table and object store over HTTP/1.1."""
+"""HTTP/1.1 clients of the platform's table and object store."""
 
 import base64
 import binascii
@@ -30,60 +30,67 @@
 ROWS_PATH = "/table/rows"
 OBJECTS_PATH = "/objects"
 
-# A connection idle for longer carries no write.
+# Writes use only connections idle for at most this time: the peer may close
+# one that is idle for longer, and the outcome of the write is then unknown.
 MAX_WRITE_IDLE_S = 1.0
-# A read on a pooled connection gets this share of its time, so that a
-# silent connection leaves time for a fresh one.
-FIRST_READ_SHARE = 0.5
+# Share of a read's time-out for the attempt on a pooled connection, so that
+# time is left for a new connection if that one does not respond.
+FIRST_READ_TIMEOUT_SHARE = 0.5
 
 
 class PlatformClient:
-    """Exchanges with the platform, ended as the ports demand."""
+    """Sends requests to the platform and raises the errors of the ports."""
 
     def __init__(self, address: Address, clock: Clock, pools: PoolRegistry):
         self._clock = clock
         self._pools = pools
         self.redirect(address)
-        # Set while answers take more than the first read's share.
-        self._slow = False
+        # Set when a read times out, cleared when one completes within
+        # the time-out of its first attempt.
+        self._is_slow = False
 
     def redirect(self, address: Address) -> None:
-        """Send what comes from now on to another address."""
+        """Send all further requests to another address."""
         self._address = address
         self._host = str(address).encode()
 
     async def read(
         self, target: str, timeout_s: float, first_s: float | None = None
     ) -> HttpResponse:
-        """Return the response to a GET, on a second connection if needed.
+        """Return the response to a GET request, sent again if it fails.
 
-        The first connection gets first_s seconds, by default a share of
-        the time. A slow platform is asked once, with all the time. Raise
-        UnavailableError when there was no whole response.
+        The attempt on a pooled connection times out after first_s
+        seconds, by default a share of timeout_s; the second attempt uses
+        a new connection. While the platform is slow, one request is sent
+        on a new connection with the whole time-out. Raise
+        UnavailableError if no complete response arrived.
         """
         start_s = self._clock.monotonic()
         if first_s is None:
-            first_s = timeout_s * FIRST_READ_SHARE
+            first_s = timeout_s * FIRST_READ_TIMEOUT_SHARE
         request = self._make_request(b"GET", target)
         try:
-            response = await self._read_fast(request, first_s)
+            response = await self._read_pooled(request, first_s)
             if response is None:
-                left_s = start_s + timeout_s - self._clock.monotonic()
-                response = await self._exchange(request, left_s, 0.0)
+                remaining_s = start_s + timeout_s - self._clock.monotonic()
+                response = await self._exchange(request, remaining_s, 0.0)
         except ExchangeTimeoutError as exc:
-            self._slow = True
+            self._is_slow = True
             raise UnavailableError(f"platform: {exc.message}") from exc
         except HttpError as exc:
             raise UnavailableError(f"platform: {exc.message}") from exc
-        if self._slow:
-            self._slow = self._clock.monotonic() - start_s > first_s
+        if self._is_slow:
+            self._is_slow = self._clock.monotonic() - start_s > first_s
         return response
 
-    async def _read_fast(
+    async def _read_pooled(
         self, request: HttpRequest, timeout_s: float
     ) -> HttpResponse | None:
-        """Return the response on a pooled connection, or None."""
-        if self._slow:
+        """Return the response on a pooled connection, or None.
+
+        Return None if the exchange failed or the platform is slow.
+        """
+        if self._is_slow:
             return None
         try:
             return await self._exchange(request, timeout_s, None)
@@ -99,10 +106,10 @@
         headers: list[tuple[bytes, bytes]],
         method: bytes = b"PUT",
     ) -> HttpResponse:
-        """Return the response to a write, which is sent once.
+        """Send a write request once and return the response.
 
-        Raise UnavailableError when no byte was sent, else
-        UnknownOutcomeError.
+        Raise UnavailableError if no byte was sent, UnknownOutcomeError
+        if the exchange failed later.
         """
         request = self._make_request(method, target, body, headers)
         try:
@@ -128,31 +135,32 @@
                 curio.timeout_after(max(timeout_s, 0.0)),
                 pool.lease(max_idle_s) as conn,
             ):
-                left_s = end_s - self._clock.monotonic()
+                remaining_s = end_s - self._clock.monotonic()
                 sent = True
-                return await conn.exchange(request, max(left_s, 0.0))
+                return await conn.exchange(request, max(remaining_s, 0.0))
         except curio.TaskTimeout as exc:
             if not sent:
                 raise NotSentError(
-                    f"no connection to {self._address} in time"
+                    f"no connection to {self._address} "
+                    f"within {timeout_s:.3f} s"
                 ) from exc
             raise ExchangeTimeoutError(
-                f"no answer of {self._address} in time"
+                f"no response from {self._address} within {timeout_s:.3f} s"
             ) from exc
 
 
 class HttpTable:
-    """Table of the platform, reached over HTTP."""
+    """HTTP client of the platform's table."""
 
     def __init__(self, address: Address, clock: Clock, pools: PoolRegistry):
         self._client = PlatformClient(address, clock, pools)
 
     async def get(self, key: str, timeout_s: float) -> Row | None:
-        """Return the row, or None when there is none."""
+        """Return the row, or None if there is none."""
         response = await self._client.read(_row_target(key), timeout_s)
         if response.status == 404 and _read_version(response) == 0:
             return None
-        _require_read(response)
+        _check_read_status(response)
         return _read_row(key, response)
 
     async def put_if(
@@ -165,10 +173,10 @@
         )
         if response.status == 409:
             raise _make_conflict(key, response, expected_version)
-        _require_written(response)
+        _check_write_status(response)
         version = _read_version(response)
         if version is None:
-            raise UnknownOutcomeError("platform: answer without row-version")
+            raise UnknownOutcomeError("platform: response without row-version")
         return Row(key, value, version)
 
     async def insert_if_absent(
@@ -180,15 +188,15 @@
     async def scan(
         self, prefix: str, after: str, limit: int, timeout_s: float
     ) -> list[Row]:
-        """Return rows with the prefix and a key above after, by key."""
+        """Return rows with the prefix and a key above after, in key order."""
         query = urlencode({"prefix": prefix, "after": after, "limit": limit})
         response = await self._client.read(f"{ROWS_PATH}?{query}", timeout_s)
-        _require_read(response)
+        _check_read_status(response)
         return load_rows(response.body)
 
 
 class HttpObjectStore:
-    """Object store of the platform, reached over HTTP."""
+    """HTTP client of the platform's object store."""
 
     def __init__(self, address: Address, clock: Clock, pools: PoolRegistry):
         self._client = PlatformClient(address, clock, pools)
@@ -199,15 +207,15 @@
         """Store content under its digest."""
         target = f"{OBJECTS_PATH}/{digest.hex()}"
         response = await self._client.write(target, content, timeout_s, [])
-        _require_written(response)
+        _check_write_status(response)
 
     async def get(self, digest: bytes, timeout_s: float) -> bytes | None:
-        """Return the content, or None when there is none."""
+        """Return the content, or None if there is none."""
         target = f"{OBJECTS_PATH}/{digest.hex()}"
         response = await self._client.read(target, timeout_s)
         if response.status == 404:
             return None
-        _require_read(response)
+        _check_read_status(response)
         return response.body
 
 
@@ -225,7 +233,7 @@
 
 
 def load_rows(content: bytes) -> list[Row]:
-    """Read rows from JSON; raise UnavailableError if it is bad."""
+    """Parse rows from JSON; raise UnavailableError if it is invalid."""
     try:
         return [
             Row(
@@ -236,7 +244,7 @@
             for value in orjson.loads(content)["rows"]
         ]
     except (KeyError, TypeError, ValueError, binascii.Error) as exc:
-        raise UnavailableError(f"platform: bad rows: {exc}") from exc
+        raise UnavailableError(f"platform: invalid rows: {exc}") from exc
 
 
 def _row_target(key: str) -> str:
@@ -253,7 +261,7 @@
 def _read_row(key: str, response: HttpResponse) -> Row:
     version = _read_version(response)
     if version is None:
-        raise UnavailableError("platform: answer without row-version")
+        raise UnavailableError("platform: response without row-version")
     return Row(key, response.body, version)
 
 
@@ -262,19 +270,19 @@
 ) -> PlatformError:
     version = _read_version(response)
     if version is None:
-        return UnknownOutcomeError("platform: conflict without row-version")
+        return UnknownOutcomeError("platform: status 409 without row-version")
     current = Row(key, response.body, version) if version else None
     return VersionConflictError(
         f"row {key} is at version {version}, not {expected_version}", current
     )
 
 
-def _require_read(response: HttpResponse) -> None:
+def _check_read_status(response: HttpResponse) -> None:
     if response.status != 200:
         raise UnavailableError(f"platform: status {response.status}")
 
 
-def _require_written(response: HttpResponse) -> None:
+def _check_write_status(response: HttpResponse) -> None:
     if response.status in (200, 201):
         return
     message = f"platform: status {response.status}"
--- a/libs/storage/auburnjunction/storage/fakes.py
+++ b/libs/storage/auburnjunction/storage/fakes.py
@@ -1,4 +1,4 @@
-"""In-memory table and object store, for tests and trials."""
+"""In-memory table and object store for tests and stand-ins."""
 
 from sortedcontainers import SortedDict
 
@@ -11,11 +11,11 @@
 
 
 class MemoryTable:
-    """Table in memory whose faults a test sets.
+    """In-memory table with faults that a test injects.
 
-    While available is false every operation fails without effect. The
-    next lost_answers writes take effect, then raise
-    UnknownOutcomeError.
+    While available is false, every operation fails without effect. Each
+    of the next lost_answers writes takes effect and then raises
+    UnknownOutcomeError, as if its response was lost.
     """
 
     def __init__(self):
@@ -26,7 +26,7 @@
         self._rows: SortedDict = SortedDict()
 
     async def get(self, key: str, timeout_s: float) -> Row | None:
-        """Return the row, or None when there is none."""
+        """Return the row, or None if there is none."""
         self._start_read()
         return self._rows.get(key)
 
@@ -47,7 +47,7 @@
         self._rows[key] = row
         if self.lost_answers:
             self.lost_answers -= 1
-            raise UnknownOutcomeError("the answer was lost")
+            raise UnknownOutcomeError("the response was lost")
         return row
 
     async def insert_if_absent(
@@ -59,7 +59,7 @@
     async def scan(
         self, prefix: str, after: str, limit: int, timeout_s: float
     ) -> list[Row]:
-        """Return rows with the prefix and a key above after, by key."""
+        """Return rows with the prefix and a key above after, in key order."""
         self._start_read()
         rows = []
         for key in self._rows.irange(max(prefix, after)):
@@ -79,7 +79,7 @@
 
 
 class MemoryObjectStore:
-    """Object store in memory whose faults a test sets."""
+    """In-memory object store that a test can make unavailable."""
 
     def __init__(self):
         self.available = True
@@ -91,7 +91,7 @@
         self.contents[digest] = content
 
     async def get(self, digest: bytes, timeout_s: float) -> bytes | None:
-        """Return the content, or None when there is none."""
+        """Return the content, or None if there is none."""
         self._require_available()
         return self.contents.get(digest)
 
--- a/libs/storage/auburnjunction/storage/tables.py
+++ b/libs/storage/auburnjunction/storage/tables.py
@@ -8,13 +8,13 @@
 
 
 class PlatformError(AuburnError):
-    """A platform operation that did not end as asked."""
+    """A platform operation that failed or has an unknown outcome."""
 
     code = ErrorCode.UNAVAILABLE
 
 
 class UnavailableError(PlatformError):
-    """The operation certainly had no effect; it may be tried again."""
+    """The operation had no effect and may be retried."""
 
 
 class UnknownOutcomeError(PlatformError):
@@ -35,7 +35,7 @@
 
 @attrs.frozen(slots=True)
 class Row:
-    """One row; each write gives it a higher version."""
+    """One row of the table; each write increases its version."""
 
     key: str
     value: bytes
@@ -43,23 +43,23 @@
 
 
 class Table(Protocol):
-    """Rows by key, each changed by compare-and-set.
+    """Rows by key, each written by compare-and-set.
 
-    Every operation takes a deadline in seconds from now. Reads raise
-    UnavailableError. Writes raise UnavailableError when they certainly
-    had no effect, VersionConflictError when refused, and
-    UnknownOutcomeError when the answer was lost.
+    Every operation takes a time-out in seconds. Reads raise
+    UnavailableError. Writes raise UnavailableError if they had no
+    effect, VersionConflictError if the version does not match, and
+    UnknownOutcomeError if they may or may not have taken effect.
     """
 
     async def get(self, key: str, timeout_s: float) -> Row | None:
-        """Return the row, or None when there is none."""
+        """Return the row, or None if there is none."""
 
     async def put_if(
         self, key: str, value: bytes, expected_version: int, timeout_s: float
     ) -> Row:
         """Replace the row if it is at the expected version.
 
-        Version 0 means that there must be no row.
+        Version 0 means that the row must not exist.
         """
 
     async def insert_if_absent(
@@ -70,4 +70,4 @@
     async def scan(
         self, prefix: str, after: str, limit: int, timeout_s: float
     ) -> list[Row]:
-        """Return rows with the prefix and a key above after, by key."""
+        """Return rows with the prefix and a key above after, in key order."""
