--- a/libs/storage/auburnjunction/storage/tests/support.py
+++ b/libs/storage/auburnjunction/storage/tests/support.py
@@ -1,4 +1,4 @@
-"""A table whose faults follow a script, for tests."""
+"""Table with scripted faults for tests."""
 
 from auburnjunction.storage.fakes import MemoryTable
 from auburnjunction.storage.tables import (
@@ -9,10 +9,11 @@
 
 
 class ScriptedTable(MemoryTable):
-    """Takes one fault from the script for each operation.
+    """Table that takes the next fault of a list for each operation.
 
-    Faults are ok, down (no effect), lost (a write takes effect) and
-    late (a write takes effect at the next operation).
+    Faults are ok, down (no effect), lost (a write is applied, its
+    response is lost) and late (the response is lost and the write is
+    applied at the next operation).
     """
 
     def __init__(self, faults=()):
@@ -22,7 +23,7 @@
 
     async def get(self, key: str, timeout_s: float) -> Row | None:
         await self._apply_late()
-        if self._next_fault() != "ok":
+        if self._take_fault() != "ok":
             raise UnavailableError("down")
         return await super().get(key, timeout_s)
 
@@ -30,7 +31,7 @@
         self, key: str, value: bytes, expected_version: int, timeout_s: float
     ) -> Row:
         await self._apply_late()
-        fault = self._next_fault()
+        fault = self._take_fault()
         if fault == "down":
             raise UnavailableError("down")
         if fault == "late":
@@ -42,10 +43,10 @@
         return row
 
     def peek(self, key: str) -> Row | None:
-        """Return the row without taking a fault."""
+        """Return the row without consuming a fault."""
         return self._rows.get(key)
 
-    def _next_fault(self) -> str:
+    def _take_fault(self) -> str:
         return self.faults.pop(0) if self.faults else "ok"
 
     async def _apply_late(self) -> None:
--- a/libs/storage/auburnjunction/storage/tests/test_clients.py
+++ b/libs/storage/auburnjunction/storage/tests/test_clients.py
@@ -1,4 +1,4 @@
-"""What the clients make of a platform's answers, and of none."""
+"""Errors that the clients raise for platform responses and failures."""
 
 from contextlib import asynccontextmanager
 
@@ -19,8 +19,8 @@
 TIMEOUT_S = 0.3
 
 
-async def answer_raw(sock, reply):
-    """Answer each request with the same bytes, then close."""
+async def serve_raw_reply(sock, reply):
+    """Send the same bytes on each connection, then close it."""
     while True:
         peer, _ = await sock.accept()
         async with peer:
@@ -30,9 +30,9 @@
 
 @asynccontextmanager
 async def open_platform(reply):
-    """Yield the address of a platform that answers with raw bytes."""
+    """Yield the address of a platform that replies with raw bytes."""
     sock = bind_socket(HOST, 0)
-    task = await curio.spawn(answer_raw, sock, reply)
+    task = await curio.spawn(serve_raw_reply, sock, reply)
     try:
         yield Address(HOST, sock.getsockname()[1])
     finally:
@@ -51,14 +51,14 @@
     return HttpTable(address, clock, PoolRegistry(clock))
 
 
-REFUSED = [(b"outcome", b"not-applied")]
+NOT_APPLIED_HEADERS = [(b"outcome", b"not-applied")]
 
 
 @pytest.mark.parametrize(
     ("reply", "error"),
     [
-        (make_reply(503, REFUSED), UnavailableError),
-        (make_reply(400, REFUSED), UnavailableError),
+        (make_reply(503, NOT_APPLIED_HEADERS), UnavailableError),
+        (make_reply(400, NOT_APPLIED_HEADERS), UnavailableError),
         (make_reply(503), UnknownOutcomeError),
         (make_reply(500), UnknownOutcomeError),
         (make_reply(302), UnknownOutcomeError),
@@ -71,7 +71,7 @@
         (b"HTTP/9 what\r\n\r\n", UnknownOutcomeError),
     ],
 )
-def test_answer_to_a_write_tells_its_outcome(reply, error):
+def test_write_response_maps_to_error(reply, error):
     async def main():
         async with open_platform(reply) as address:
             with pytest.raises(error):
@@ -83,7 +83,7 @@
 @pytest.mark.parametrize(
     "reply",
     [
-        make_reply(503, REFUSED),
+        make_reply(503, NOT_APPLIED_HEADERS),
         make_reply(500),
         make_reply(404),
         make_reply(200),
@@ -91,7 +91,7 @@
         b"",
     ],
 )
-def test_answer_to_a_read_is_whole_or_unavailable(reply):
+def test_failed_or_truncated_read_is_unavailable(reply):
     async def main():
         async with open_platform(reply) as address:
             with pytest.raises(UnavailableError):
@@ -103,7 +103,7 @@
 @pytest.mark.parametrize(
     "body", [b"", b"{}", b'{"rows": [{"key": "k"}]}', b'{"rows": [1]}']
 )
-def test_bad_rows_are_unavailable(body):
+def test_malformed_rows_are_unavailable(body):
     async def main():
         async with open_platform(make_reply(200, body=body)) as address:
             with pytest.raises(UnavailableError):
@@ -132,7 +132,7 @@
     curio.run(main)
 
 
-def test_write_that_waits_for_a_connection_is_not_sent():
+def test_write_without_free_connection_is_unavailable():
     async def main():
         async with open_platform(b"") as address:
             clock = SystemClock()
--- a/libs/storage/auburnjunction/storage/tests/test_resolvers.py
+++ b/libs/storage/auburnjunction/storage/tests/test_resolvers.py
@@ -1,4 +1,4 @@
-"""Resolution of writes whose answers were lost."""
+"""Resolution of writes whose responses were lost."""
 
 import curio
 import pytest
@@ -30,7 +30,7 @@
         (["lost"] + ["down"] * 20, UnknownOutcomeError),
     ],
 )
-def test_insert_resolves_lost_answers(faults, error):
+def test_insert_resolves_lost_responses(faults, error):
     async def main():
         table = ScriptedTable(faults)
         if error is None:
@@ -44,7 +44,7 @@
 
 
 @pytest.mark.parametrize("faults", [[], ["lost"], ["late"]])
-def test_row_of_another_is_a_conflict(faults):
+def test_row_of_another_writer_is_a_conflict(faults):
     async def main():
         table = ScriptedTable()
         await table.put_if("k", b"theirs", 0, 1)
@@ -56,7 +56,7 @@
     curio.run(main)
 
 
-def test_replaced_row_leaves_the_outcome_unknown():
+def test_replaced_row_leaves_outcome_unknown():
     async def main():
         table = ScriptedTable(["lost", "down"])
         task = await curio.spawn(
@@ -82,7 +82,7 @@
 
 
 def check_results(row, results):
-    """Check that each result tells the truth about the row."""
+    """Check that each insert's result agrees with the row."""
     assert sum(exc is None for exc in results.values()) <= 1
     for index, exc in results.items():
         written = row is not None and row.value == b"%d" % index
@@ -94,7 +94,7 @@
 
 @given(st.lists(FAULTS, min_size=2, max_size=4))
 @settings(derandomize=True, max_examples=150, deadline=None)
-def test_one_writer_wins_at_most(scripts):
+def test_at_most_one_insert_succeeds(scripts):
     async def main():
         table = ScriptedTable(sum(scripts, []))
         results = {}
@@ -107,8 +107,8 @@
     curio.run(main)
 
 
-async def add_ones(table, writer, results):
-    """Raise a counter three times by compare-and-set."""
+async def increment_counter(table, writer, results):
+    """Increment a counter three times by compare-and-set."""
     for step in range(3):
         row = table.peek("counter")
         count = int(row.value.split()[0]) if row else 0
@@ -124,13 +124,13 @@
 
 @given(st.lists(FAULTS, min_size=2, max_size=3))
 @settings(derandomize=True, max_examples=150, deadline=None)
-def test_each_write_that_was_told_done_counts_once(scripts):
+def test_acknowledged_write_is_applied_once(scripts):
     async def main():
         table = ScriptedTable(sum(scripts, []))
         results = []
         async with curio.TaskGroup() as group:
             for writer in range(len(scripts)):
-                await group.spawn(add_ones, table, writer, results)
+                await group.spawn(increment_counter, table, writer, results)
         table.faults.clear()
         row = await table.get("counter", 1)
         count = int(row.value.split()[0]) if row else 0
