Reword the model library in plain terms

Comments and names in the model library used figurative wording, and its validation messages were hard to read.

Tests are renamed after the behaviour that they check; their assertions stay.

--- a/libs/model/auburnjunction/model/codecs.py
+++ b/libs/model/auburnjunction/model/codecs.py
@@ -21,13 +21,13 @@
 
 
 class CodecError(AuburnError):
-    """Content that is not a snapshot."""
+    """Raised when content cannot be decoded as a snapshot."""
 
     code = ErrorCode.INVALID
 
 
 def encode_service(service: Service) -> pb.Service:
-    """Return the message of a service."""
+    """Return the protobuf message for a service."""
     return pb.Service(
         name=service.name,
         resources=service.resources,
@@ -38,7 +38,7 @@
 
 
 def decode_service(message: pb.Service) -> Service:
-    """Return the service of a message."""
+    """Return the service that a protobuf message describes."""
     return Service(
         name=message.name,
         resources=tuple(message.resources),
@@ -49,7 +49,7 @@
 
 
 def encode_route(route: Route) -> pb.Route:
-    """Return the message of a route."""
+    """Return the protobuf message for a route."""
     return pb.Route(
         name=route.name,
         path_prefix=route.path_prefix,
@@ -72,9 +72,9 @@
 
 
 def decode_route(message: pb.Route) -> Route:
-    """Return the route of a message.
+    """Return the route that a protobuf message describes.
 
-    Raise CodecError when an enumerated field has an unknown value.
+    Raise CodecError when an enum field has an unknown value.
     """
     try:
         priority = Priority(message.priority)
@@ -102,14 +102,14 @@
 
 
 def encode_limits(limits: CallerLimits) -> pb.CallerLimits | None:
-    """Return the message of the callers' limits; None when none is set."""
+    """Return the protobuf message for the limits; None when none is set."""
     if limits == CallerLimits():
         return None
     return pb.CallerLimits(**attrs.asdict(limits))
 
 
 def decode_limits(message: pb.CallerLimits) -> CallerLimits:
-    """Return the callers' limits of a message."""
+    """Return the callers' limits that a protobuf message describes."""
     return CallerLimits(
         head_bytes=message.head_bytes,
         body_bytes=message.body_bytes,
@@ -119,7 +119,7 @@
 
 
 def encode_snapshot(snapshot: Snapshot) -> pb.Snapshot:
-    """Return the message of a snapshot in canonical order."""
+    """Return the protobuf message for a snapshot, in canonical order."""
     ordered = sort_snapshot(snapshot)
     return pb.Snapshot(
         services=[encode_service(s) for s in ordered.services],
@@ -129,7 +129,7 @@
 
 
 def decode_snapshot(message: pb.Snapshot) -> Snapshot:
-    """Return the snapshot of a message, in canonical order."""
+    """Return the snapshot that a message describes, in canonical order."""
     return sort_snapshot(
         Snapshot(
             services=tuple(decode_service(s) for s in message.services),
@@ -140,21 +140,21 @@
 
 
 def dump_snapshot(snapshot: Snapshot) -> bytes:
-    """Return the canonical bytes of a snapshot."""
+    """Serialize a snapshot to its canonical bytes."""
     return encode_snapshot(snapshot).SerializeToString(deterministic=True)
 
 
 def load_snapshot(content: bytes) -> Snapshot:
-    """Read a snapshot from its bytes; raise CodecError if they are bad."""
+    """Parse a serialized snapshot; raise CodecError if it is malformed."""
     try:
         message = pb.Snapshot.FromString(content)
     except DecodeError as exc:
-        raise CodecError(f"not a snapshot: {exc}") from exc
+        raise CodecError(f"snapshot cannot be decoded: {exc}") from exc
     return decode_snapshot(message)
 
 
 def digest_content(content: bytes) -> bytes:
-    """Return the SHA-256 digest that names content."""
+    """Return the SHA-256 digest that identifies the content."""
     return hashlib.sha256(content).digest()
 
 
@@ -164,21 +164,24 @@
 
 
 def dump_snapshot_json(snapshot: Snapshot) -> bytes:
-    """Return a snapshot as indented JSON, enumerated values by name."""
+    """Serialize a snapshot to indented JSON, with enum values by name."""
     ordered = sort_snapshot(snapshot)
     values = {
         "services": [attrs.asdict(s) for s in ordered.services],
-        "routes": [_route_values(r) for r in ordered.routes],
+        "routes": [_unstructure_route(r) for r in ordered.routes],
         "limits": attrs.asdict(ordered.limits),
     }
     return orjson.dumps(values, option=orjson.OPT_INDENT_2)
 
 
 def load_snapshot_json(content: bytes) -> Snapshot:
-    """Read a snapshot from JSON; raise CodecError naming the field."""
+    """Parse a snapshot from JSON.
+
+    Raise CodecError, which names the field, if the content is invalid.
+    """
     try:
         values = orjson.loads(content)
-        _replace_names(values)
+        _replace_enum_names(values)
         return sort_snapshot(configure_settings(values, Snapshot))
     except orjson.JSONDecodeError as exc:
         raise CodecError(
@@ -190,23 +193,25 @@
         ) from exc
 
 
-def _route_values(route: Route) -> dict[str, Any]:
+def _unstructure_route(route: Route) -> dict[str, Any]:
     values = attrs.asdict(route)
     values["priority"] = route.priority.name.lower()
     values["claims"] = route.claims.name.lower().replace("_", "-")
     return values
 
 
-def _replace_names(values: Any) -> None:
+def _replace_enum_names(values: Any) -> None:
     if not isinstance(values, dict):
         return
     for index, route in enumerate(values.get("routes") or []):
         if isinstance(route, dict):
-            _replace_name(route, "priority", Priority, index)
-            _replace_name(route, "claims", ClaimMode, index)
+            _replace_enum_name(route, "priority", Priority, index)
+            _replace_enum_name(route, "claims", ClaimMode, index)
 
 
-def _replace_name(route: dict, field: str, enum: type, index: int) -> None:
+def _replace_enum_name(
+    route: dict, field: str, enum: type, index: int
+) -> None:
     name = route.get(field)
     if name is None:
         return
--- a/libs/model/auburnjunction/model/deltas.py
+++ b/libs/model/auburnjunction/model/deltas.py
@@ -24,13 +24,13 @@
 
 
 class DeltaError(AuburnError):
-    """A delta that does not lead from this base to its result."""
+    """Raised when a delta does not fit its base or has a wrong digest."""
 
     code = ErrorCode.INVALID
 
 
 class Named(Protocol):
-    """A part of a snapshot, known by its name."""
+    """An item of a snapshot that is identified by its name."""
 
     name: str
 
@@ -39,10 +39,10 @@
 
 
 def make_delta(base: RevisedSnapshot, result: RevisedSnapshot) -> pb.Delta:
-    """Return the changes that turn the base into the result."""
+    """Return the delta that turns the base into the result."""
     before, after = base.snapshot, result.snapshot
-    set_services, removed_services = _compare(before.services, after.services)
-    set_routes, removed_routes = _compare(before.routes, after.routes)
+    set_services, removed_services = _diff(before.services, after.services)
+    set_routes, removed_routes = _diff(before.routes, after.routes)
     return pb.Delta(
         base_revision=base.mark.revision,
         base_digest=base.mark.digest,
@@ -57,36 +57,36 @@
 
 
 def apply_delta(base: RevisedSnapshot, delta: pb.Delta) -> RevisedSnapshot:
-    """Return the result of a delta.
+    """Apply a delta to its base and return the result.
 
-    Raise DeltaError when the delta has another base, or when its result
-    does not have the digest that it announces.
+    Raise DeltaError when the delta was made for another base, or when
+    the digest of the result is not the one that the delta carries.
     """
-    wanted = RevisionMark(delta.base_revision, delta.base_digest)
-    if wanted != base.mark:
+    expected = RevisionMark(delta.base_revision, delta.base_digest)
+    if expected != base.mark:
         raise DeltaError(
-            f"delta is based on revision {wanted.revision}, "
-            f"not on {base.mark.revision}"
+            f"base revision {expected.revision} of the delta differs in "
+            f"number or digest from revision {base.mark.revision}"
         )
-    snapshot = _replace_parts(base.snapshot, delta)
+    snapshot = _apply_to_snapshot(base.snapshot, delta)
     if digest_snapshot(snapshot) != delta.digest:
         raise DeltaError(
-            f"delta to revision {delta.revision} gives another digest"
+            f"delta to revision {delta.revision} gives a wrong digest"
         )
     return RevisedSnapshot(
         RevisionMark(delta.revision, delta.digest), snapshot
     )
 
 
-def _replace_parts(base: Snapshot, delta: pb.Delta) -> Snapshot:
+def _apply_to_snapshot(base: Snapshot, delta: pb.Delta) -> Snapshot:
     try:
-        services = _replace(
+        services = _apply_changes(
             base.services,
             delta.set_services,
             delta.removed_services,
             decode_service,
         )
-        routes = _replace(
+        routes = _apply_changes(
             base.routes, delta.set_routes, delta.removed_routes, decode_route
         )
     except CodecError as exc:
@@ -95,7 +95,7 @@
     return sort_snapshot(Snapshot(services, routes, limits))
 
 
-def _compare(
+def _diff(
     before: Iterable[T], after: Iterable[T]
 ) -> tuple[list[T], list[str]]:
     old = {item.name: item for item in before}
@@ -105,7 +105,7 @@
     return changed, removed
 
 
-def _replace(
+def _apply_changes(
     items: Iterable[T],
     changed: Iterable,
     removed: Iterable[str],
--- a/libs/model/auburnjunction/model/routes.py
+++ b/libs/model/auburnjunction/model/routes.py
@@ -7,7 +7,7 @@
 
 @attrs.frozen(slots=True)
 class SplitPart:
-    """A service's part in a route whose requests several share."""
+    """One service of a route's traffic split, with its weight."""
 
     service: str
     weight: int
@@ -15,12 +15,13 @@
 
 @attrs.frozen(slots=True)
 class Route:
-    """Sends matching requests to a service, with their priority.
+    """Maps matching requests to a service and a priority.
 
-    An empty host means every host. A route with a split names no
+    An empty host matches every host. A route with a split names no
     service; its requests go to the parts in proportion to their weights.
-    Zero max_attempts leaves the number of instances to the node, and
-    zero target_latency_ms means that no latency objective is set.
+    With max_attempts 0 the settings of the node limit the instances that
+    a request may be sent to; with target_latency_ms 0 there is no latency
+    objective.
     """
 
     name: str
@@ -46,10 +47,14 @@
         return (self.service,)
 
     def matches(self, method: str, path: str) -> bool:
-        """Tell whether a request of this method and path is meant."""
+        """Return whether the route matches a method and a path."""
         if self.methods and method not in self.methods:
             return False
         if not path.startswith(self.path_prefix):
             return False
-        rest = path[len(self.path_prefix) :]
-        return not rest or self.path_prefix.endswith("/") or rest[0] in "/?"
+        remainder = path[len(self.path_prefix) :]
+        return (
+            not remainder
+            or self.path_prefix.endswith("/")
+            or remainder[0] in "/?"
+        )
--- a/libs/model/auburnjunction/model/services.py
+++ b/libs/model/auburnjunction/model/services.py
@@ -9,18 +9,18 @@
 
 @attrs.frozen(slots=True)
 class Service:
-    """A named group of backend servers with the same job."""
+    """A named group of backend servers with the same function."""
 
     name: str
     resources: tuple[str, ...] = ()
     queue_limit: int = 64
     attempt_timeout_ms: int = 2000
-    # Path on which a backend server tells whether it is well.
+    # Path of the health check on the backend server.
     health_path: str = DEFAULT_HEALTH_PATH
 
 
 class InstanceState(IntEnum):
-    """State of one backend server, as its own node announces it."""
+    """State of one backend server, as announced by its own node."""
 
     STARTING = 1
     READY = 2
--- a/libs/model/auburnjunction/model/snapshots.py
+++ b/libs/model/auburnjunction/model/snapshots.py
@@ -1,4 +1,4 @@
-"""Whole, immutable configurations."""
+"""Immutable snapshots of the whole configuration."""
 
 from functools import cached_property
 
@@ -10,7 +10,7 @@
 
 @attrs.frozen(slots=True)
 class RevisionMark:
-    """Names one configuration: its revision and content digest."""
+    """Identifies a configuration by its revision and content digest."""
 
     revision: int
     digest: bytes
@@ -21,9 +21,9 @@
 
 @attrs.frozen(slots=True)
 class CallerLimits:
-    """Sizes in bytes and times that a caller's request may take.
+    """Size limits and time-outs for a caller's request.
 
-    Zero leaves the limit to the settings of each node.
+    Where a value is 0, the settings of each node apply.
     """
 
     head_bytes: int = 0
@@ -57,7 +57,7 @@
     ) -> Route | None:
         """Return the route with the longest matching prefix, if any.
 
-        A host's own routes go before those of every host.
+        Routes for this host take precedence over routes for every host.
         """
         name = host.lower()
         for key in (name, name.partition(":")[0], ""):
@@ -69,10 +69,10 @@
 
 
 class PrefixIndex:
-    """Routes of one host by their prefix.
+    """Index of one host's routes by path prefix.
 
-    A lookup tries each length of prefix that occurs, longest first, so
-    its cost does not grow with the number of routes.
+    A lookup tries each prefix length that occurs, longest first, so its
+    cost does not grow with the number of routes.
     """
 
     def __init__(self, routes: list[Route]):
@@ -93,14 +93,14 @@
 
 @attrs.frozen(slots=False)
 class RevisedSnapshot:
-    """A snapshot under the revision that names it."""
+    """A snapshot with the revision mark that identifies it."""
 
     mark: RevisionMark
     snapshot: Snapshot
 
 
 def sort_snapshot(snapshot: Snapshot) -> Snapshot:
-    """Return the snapshot in its canonical order."""
+    """Return the snapshot in canonical order: sorted by name."""
     return Snapshot(
         services=tuple(sorted(snapshot.services, key=lambda s: s.name)),
         routes=tuple(sorted(snapshot.routes, key=lambda r: r.name)),
--- a/libs/model/auburnjunction/model/tests/test_codecs.py
+++ b/libs/model/auburnjunction/model/tests/test_codecs.py
@@ -1,4 +1,4 @@
-"""Round trips and faults of the snapshot codecs."""
+"""Round trips and decoding errors of the snapshot codecs."""
 
 import pytest
 from hypothesis import given, settings
@@ -47,7 +47,7 @@
 
 @settings(derandomize=True, max_examples=100)
 @given(snapshots)
-def test_both_codecs_keep_every_field(snapshot):
+def test_round_trip_preserves_every_field(snapshot):
     ordered = sort_snapshot(snapshot)
     assert load_snapshot(dump_snapshot(snapshot)) == ordered
     assert load_snapshot_json(dump_snapshot_json(snapshot)) == ordered
@@ -55,7 +55,7 @@
 
 @settings(derandomize=True, max_examples=50)
 @given(snapshots, st.randoms(use_true_random=False))
-def test_digest_does_not_depend_on_order(snapshot, random):
+def test_digest_does_not_depend_on_route_order(snapshot, random):
     routes = list(snapshot.routes)
     random.shuffle(routes)
     shuffled = Snapshot(snapshot.services, tuple(routes))
@@ -78,13 +78,13 @@
         (b'{"services": 3}', "services"),
     ],
 )
-def test_bad_json_names_the_field(content, part):
+def test_error_for_invalid_json_names_field(content, part):
     with pytest.raises(CodecError) as caught:
         load_snapshot_json(content)
     assert part in caught.value.message
 
 
 @pytest.mark.parametrize("content", [b"\xff\xff", b"\x0a\x05ab"])
-def test_bad_bytes_are_refused(content):
+def test_malformed_bytes_raise_codec_error(content):
     with pytest.raises(CodecError):
         load_snapshot(content)
--- a/libs/model/auburnjunction/model/tests/test_deltas.py
+++ b/libs/model/auburnjunction/model/tests/test_deltas.py
@@ -1,4 +1,4 @@
-"""Deltas lead from any snapshot to any other, or are refused."""
+"""Deltas between arbitrary snapshots, and rejection of invalid ones."""
 
 import pytest
 from hypothesis import given, settings
@@ -25,35 +25,35 @@
 )
 
 
-def unique(items):
+def unique_by_name(items):
     return st.lists(items, unique_by=lambda item: item.name).map(tuple)
 
 
-snapshots = st.builds(Snapshot, unique(services), unique(routes)).map(
-    sort_snapshot
-)
+snapshots = st.builds(
+    Snapshot, unique_by_name(services), unique_by_name(routes)
+).map(sort_snapshot)
 
 
-def revise(revision, snapshot):
+def make_revised(revision, snapshot):
     mark = RevisionMark(revision, digest_snapshot(snapshot))
     return RevisedSnapshot(mark, snapshot)
 
 
 @settings(derandomize=True, deadline=None)
 @given(snapshots, snapshots)
-def test_delta_gives_the_result(before, after):
-    base, result = revise(4, before), revise(7, after)
+def test_applied_delta_gives_result(before, after):
+    base, result = make_revised(4, before), make_revised(7, after)
     assert apply_delta(base, make_delta(base, result)) == result
 
 
 @settings(derandomize=True, deadline=None)
 @given(snapshots, snapshots, snapshots)
 def test_delta_on_another_base_never_gives_a_wrong_result(one, two, other):
-    base, result = revise(4, one), revise(7, two)
+    base, result = make_revised(4, one), make_revised(7, two)
     delta = make_delta(base, result)
     delta.base_digest = digest_snapshot(other)
     try:
-        applied = apply_delta(revise(4, other), delta)
+        applied = apply_delta(make_revised(4, other), delta)
     except DeltaError:
         return
     assert applied.snapshot == two
@@ -69,9 +69,9 @@
     ],
     ids=lambda changes: next(iter(changes)),
 )
-def test_damaged_delta_is_refused(changes):
-    base = revise(4, Snapshot((Service("a"),)))
-    result = revise(5, Snapshot((Service("a"), Service("b"))))
+def test_damaged_delta_is_rejected(changes):
+    base = make_revised(4, Snapshot((Service("a"),)))
+    result = make_revised(5, Snapshot((Service("a"), Service("b"))))
     delta = make_delta(base, result)
     for field, value in changes.items():
         if isinstance(value, list):
--- a/libs/model/auburnjunction/model/tests/test_validators.py
+++ b/libs/model/auburnjunction/model/tests/test_validators.py
@@ -1,4 +1,4 @@
-"""Checks of whole snapshots."""
+"""Validation of snapshots, and route lookup by longest prefix."""
 
 import attrs
 import pytest
@@ -17,7 +17,7 @@
 ROUTE = Route("boxes", "/boxes", "box", resource="parcel")
 
 
-def change(**values):
+def snapshot_with_route(**values):
     return Snapshot((SERVICE,), (attrs.evolve(ROUTE, **values),))
 
 
@@ -28,12 +28,12 @@
 @pytest.mark.parametrize(
     ("snapshot", "field"),
     [
-        (change(service="bix"), "routes.boxes.service"),
-        (change(resource="letter"), "routes.boxes.resource"),
-        (change(path_prefix="boxes"), "routes.boxes.path_prefix"),
-        (change(timeout_ms=0), "routes.boxes.timeout_ms"),
+        (snapshot_with_route(service="bix"), "routes.boxes.service"),
+        (snapshot_with_route(resource="letter"), "routes.boxes.resource"),
+        (snapshot_with_route(path_prefix="boxes"), "routes.boxes.path_prefix"),
+        (snapshot_with_route(timeout_ms=0), "routes.boxes.timeout_ms"),
         (
-            change(repeatable=True, claims=ClaimMode.REQUIRED),
+            snapshot_with_route(repeatable=True, claims=ClaimMode.REQUIRED),
             "routes.boxes.claims",
         ),
         (Snapshot((SERVICE, SERVICE), (ROUTE,)), "services.box"),
@@ -52,7 +52,7 @@
         ),
     ],
 )
-def test_problem_names_its_field_and_mend(snapshot, field):
+def test_problem_has_field_and_remedy(snapshot, field):
     problems = validate_snapshot(snapshot)
     assert field in [problem.field for problem in problems]
     assert all(problem.mend for problem in problems)
--- a/libs/model/auburnjunction/model/validators.py
+++ b/libs/model/auburnjunction/model/validators.py
@@ -1,4 +1,4 @@
-"""Checks that a snapshot is whole and consistent."""
+"""Validation of the names, ranges and references in a snapshot."""
 
 from collections import Counter
 from collections.abc import Iterator
@@ -18,7 +18,7 @@
 
 @attrs.frozen
 class Problem:
-    """One fault of a snapshot: where it is, what it is, how to mend it."""
+    """One validation error: the field, what is wrong, and the remedy."""
 
     field: str
     message: str
@@ -29,7 +29,7 @@
 
 
 class InvalidSnapshotError(AuburnError):
-    """A snapshot that may not come into force."""
+    """Raised for a snapshot that must not come into force."""
 
     code = ErrorCode.INVALID
 
@@ -39,7 +39,7 @@
 
 
 def validate_snapshot(snapshot: Snapshot) -> list[Problem]:
-    """Return every fault of the snapshot; none means it is valid."""
+    """Return all problems; an empty list means the snapshot is valid."""
     problems = list(_check_names(snapshot))
     for service in snapshot.services:
         problems += _check_service(service)
@@ -72,22 +72,22 @@
             if count > 1:
                 yield Problem(
                     f"{kind}.{name}",
-                    f"the name stands {count} times",
-                    "give each one its own name",
+                    f"the name is used {count} times",
+                    "use a unique name for each",
                 )
 
 
 def _check_service(service: Service) -> Iterator[Problem]:
-    where = f"services.{service.name}"
+    item_path = f"services.{service.name}"
     if not 1 <= service.attempt_timeout_ms <= MAX_TIMEOUT_MS:
         yield Problem(
-            f"{where}.attempt_timeout_ms",
+            f"{item_path}.attempt_timeout_ms",
             f"is {service.attempt_timeout_ms}",
             f"use 1 to {MAX_TIMEOUT_MS}",
         )
     if not 1 <= service.queue_limit <= MAX_QUEUE_LIMIT:
         yield Problem(
-            f"{where}.queue_limit",
+            f"{item_path}.queue_limit",
             f"is {service.queue_limit}",
             f"use 1 to {MAX_QUEUE_LIMIT}",
         )
@@ -96,8 +96,8 @@
 def _check_route(
     route: Route, services: dict[str, Service]
 ) -> Iterator[Problem]:
-    where = f"routes.{route.name}"
-    yield from _check_targets(where, route, services)
+    item_path = f"routes.{route.name}"
+    yield from _check_targets(item_path, route, services)
     service = services.get(route.service)
     if (
         service is not None
@@ -105,51 +105,51 @@
         and route.resource not in (service.resources)
     ):
         yield Problem(
-            f"{where}.resource",
+            f"{item_path}.resource",
             f"{route.resource!r} is not a resource of {service.name}",
             "add the resource to the service or name another",
         )
     if not route.path_prefix.startswith("/"):
         yield Problem(
-            f"{where}.path_prefix",
+            f"{item_path}.path_prefix",
             f"{route.path_prefix!r} does not start with /",
             "write a path such as /payments",
         )
     if not 1 <= route.timeout_ms <= MAX_TIMEOUT_MS:
         yield Problem(
-            f"{where}.timeout_ms",
+            f"{item_path}.timeout_ms",
             f"is {route.timeout_ms}",
             f"use 1 to {MAX_TIMEOUT_MS}",
         )
     if route.repeatable and route.claims is not ClaimMode.NONE:
         yield Problem(
-            f"{where}.claims",
+            f"{item_path}.claims",
             "a repeatable route needs no claims",
             "set repeatable to false or claims to none",
         )
 
 
 def _check_targets(
-    where: str, route: Route, services: dict[str, Service]
+    item_path: str, route: Route, services: dict[str, Service]
 ) -> Iterator[Problem]:
     if route.split and route.service:
         yield Problem(
-            f"{where}.split",
-            f"stands beside the service {route.service!r}",
+            f"{item_path}.split",
+            f"is set together with the service {route.service!r}",
             "name a service or a split, not both",
         )
     field = "split" if route.split else "service"
     for name in route.services:
         if name not in services:
             yield Problem(
-                f"{where}.{field}",
+                f"{item_path}.{field}",
                 f"{name!r} is not a service of this configuration",
                 "add the service or name another",
             )
     weights = [part.weight for part in route.split]
     if route.split and (min(weights) < 0 or not sum(weights)):
         yield Problem(
-            f"{where}.split",
+            f"{item_path}.split",
             f"has the weights {weights}",
             "use weights of 0 or more, with one above 0",
         )
@@ -163,7 +163,7 @@
             if key in seen:
                 yield Problem(
                     f"routes.{route.name}.path_prefix",
-                    f"{method} {route.path_prefix} is also taken by "
+                    f"{method} {route.path_prefix} is also used by route "
                     f"{seen[key]}",
                     "change the prefix or the methods of one of them",
                 )
