Reword the base library in plain terms

Docstrings and comments of the base library paraphrased mechanisms such as the token bucket of the log and the handling of reload signals.

They now use the usual terms. Log lines, settings messages and exit codes stay.

--- a/libs/base/auburnjunction/base/__init__.py
+++ b/libs/base/auburnjunction/base/__init__.py
@@ -1,1 +1,1 @@
-"""Clock, errors, settings, logs and metrics shared by every library."""
+"""Clocks, errors, settings, logs, metrics, signals and tasks."""
--- a/libs/base/auburnjunction/base/clocks.py
+++ b/libs/base/auburnjunction/base/clocks.py
@@ -1,4 +1,4 @@
-"""Time sources, passed in so that tests can drive them."""
+"""Time sources, injected so that tests can control the time."""
 
 import time
 from datetime import UTC, datetime
@@ -14,7 +14,7 @@
         """Return the wall-clock time in UTC."""
 
     def monotonic(self) -> float:
-        """Return seconds from an arbitrary start, never going back."""
+        """Return seconds since an arbitrary start; never decreases."""
 
     async def sleep(self, delay_s: float) -> None:
         """Wait for the given number of seconds."""
@@ -28,9 +28,9 @@
         return datetime.now(UTC)
 
     def monotonic(self) -> float:
-        """Return seconds from an arbitrary start, never going back.
+        """Return seconds since an arbitrary start; never decreases.
 
-        The value counts time in which the process was stopped.
+        Includes the time during which the process was stopped.
         """
         return time.monotonic()
 
@@ -40,24 +40,24 @@
 
 
 class ManualClock:
-    """Clock that moves only when told to; for tests."""
+    """Clock for tests that moves only through advance and sleep."""
 
     def __init__(self, start_s: float = 1000.0):
         self._time_s = start_s
 
     def now(self) -> datetime:
-        """Return the manual time as a UTC date."""
+        """Return the simulated time as a UTC datetime."""
         return datetime.fromtimestamp(self._time_s, UTC)
 
     def monotonic(self) -> float:
-        """Return the manual time in seconds."""
+        """Return the simulated time in seconds."""
         return self._time_s
 
     def advance(self, delay_s: float) -> None:
-        """Move the clock forward."""
+        """Advance the clock."""
         self._time_s += delay_s
 
     async def sleep(self, delay_s: float) -> None:
-        """Move the clock forward and let other tasks run."""
+        """Advance the clock and yield to other tasks."""
         self.advance(delay_s)
         await curio.sleep(0)
--- a/libs/base/auburnjunction/base/errors.py
+++ b/libs/base/auburnjunction/base/errors.py
@@ -1,10 +1,10 @@
-"""Base of the errors of every layer."""
+"""Base class of all errors, error codes and exit codes."""
 
 from enum import StrEnum
 
 
 class ErrorCode(StrEnum):
-    """Codes that callers, operators and logs see."""
+    """Error codes in responses to callers and operators and in logs."""
 
     INVALID = "invalid"
     NOT_FOUND = "not-found"
@@ -13,13 +13,13 @@
     UNKNOWN = "unknown"
     TIMEOUT = "timeout"
     OVERLOADED = "overloaded"
-    # No slot is free, and the call was not to wait.
+    # No slot is free, and the call must not be queued.
     BUSY = "busy"
-    # The node of the instance takes no connection.
+    # The node that owns the instance does not accept connections.
     UNREACHABLE = "unreachable"
-    # Refused by the backend server itself.
+    # The backend server itself refused the request.
     SHED = "shed"
-    # The instance is not where the request went.
+    # The node that received the request owns no such instance of the service.
     MISPLACED = "misplaced"
     DRAINING = "draining"
     UNRESPONSIVE = "unresponsive"
@@ -29,10 +29,10 @@
 
 
 class AuburnError(Exception):
-    """An error with a code and a message for people.
+    """Base class of errors with a code and a human-readable message.
 
-    Each layer derives its own errors and turns those of the layer below
-    into them.
+    Each layer derives its own errors and translates those of the layer
+    below into them.
     """
 
     code = ErrorCode.INTERNAL
--- a/libs/base/auburnjunction/base/logs.py
+++ b/libs/base/auburnjunction/base/logs.py
@@ -12,11 +12,11 @@
 
 STANDARD_OUTPUT = 1
 STANDARD_ERROR = 2
-# Lines that one process writes in a second, in the long run and at once:
-# formatting this many takes about a hundredth of a core.
+# Token bucket for the log lines of a process. Formatting lines at this rate
+# takes about 1 % of a core.
 LINES_PER_S = 50.0
 BURST_LINES = 400.0
-# What a pipe takes in one piece, or not at all (PIPE_BUF).
+# PIPE_BUF: up to this size a write to a pipe is atomic.
 MAX_LINE_BYTES = 4096
 
 
@@ -44,10 +44,11 @@
 
 
 class BoundedStream:
-    """Text stream that writes whole lines or none, and never waits.
+    """Non-blocking text stream that writes whole lines or drops them.
 
-    Lines above the rate, and those for which the reader leaves no room,
-    are left out; the next line that is written tells how many.
+    A line is dropped when it exceeds the rate limit or MAX_LINE_BYTES,
+    or when the descriptor is not writable because the reader lags. The
+    number of dropped lines is written before the next line.
     """
 
     def __init__(
@@ -57,49 +58,52 @@
         lines_per_s: float = LINES_PER_S,
         burst: float = BURST_LINES,
     ):
-        self.left_out = 0
+        self.dropped_lines = 0
         self._descriptor = descriptor
         self._clock = clock
         self._lines_per_s = lines_per_s
         self._burst = burst
         self._tokens = burst
-        self._filled_s = clock.monotonic()
+        self._refilled_s = clock.monotonic()
         self._poll = select.poll()
         self._poll.register(descriptor, select.POLLOUT)
 
     def write(self, text: str) -> None:
-        """Write a line if the rate and the reader allow it."""
-        if not self._take_token() or not self._has_room():
-            self.left_out += 1
+        """Write a line, or drop it if the rate or the reader requires it."""
+        if not self._take_token() or not self._is_writable():
+            self.dropped_lines += 1
             return
-        if self.left_out:
-            notice = {"message": "log lines left out", "count": self.left_out}
-            text = f"{orjson.dumps(notice).decode()}\n{text}"
+        if self.dropped_lines:
+            report = {
+                "message": "log lines left out",
+                "count": self.dropped_lines,
+            }
+            text = f"{orjson.dumps(report).decode()}\n{text}"
         content = text.encode()
         if len(content) > MAX_LINE_BYTES:
-            self.left_out += 1
+            self.dropped_lines += 1
             return
         os.write(self._descriptor, content)
-        self.left_out = 0
+        self.dropped_lines = 0
 
     def flush(self) -> None:
-        """Do nothing; lines are written at once."""
+        """Do nothing; lines are not buffered."""
 
     def close(self) -> None:
         """Leave the descriptor open; it belongs to the process."""
 
     def _take_token(self) -> bool:
         now_s = self._clock.monotonic()
-        earned = (now_s - self._filled_s) * self._lines_per_s
-        self._tokens = min(self._burst, self._tokens + earned)
-        self._filled_s = now_s
+        refill = (now_s - self._refilled_s) * self._lines_per_s
+        self._tokens = min(self._burst, self._tokens + refill)
+        self._refilled_s = now_s
         if self._tokens < 1.0:
             return False
         self._tokens -= 1.0
         return True
 
-    def _has_room(self) -> bool:
-        # A pipe is writable while it takes a line of MAX_LINE_BYTES.
+    def _is_writable(self) -> bool:
+        # poll reports a pipe as writable only if MAX_LINE_BYTES fit into it.
         return any(mask & select.POLLOUT for _, mask in self._poll.poll(0))
 
 
@@ -111,15 +115,15 @@
 ) -> None:
     """Send absl logs as JSON lines to a descriptor.
 
-    They are bounded and never block; see BoundedStream.
+    Logging is rate-limited and never blocks; see BoundedStream.
     """
     handler = logging.get_absl_handler()
     handler.python_handler.stream = BoundedStream(descriptor, SystemClock())
     handler.setFormatter(JsonFormatter(node, data_centre))
     logging.use_absl_handler()
-    # It warns of each wait that ends just after its time limit.
+    # curio.time warns of each wait that ends just after its time-out.
     standard_logging.getLogger("curio.time").setLevel(standard_logging.ERROR)
-    # Without this absl begins with a line that is not JSON.
+    # Suppresses absl's initial warning line, which is not JSON.
     logging._warn_preinit_stderr = False
     logging.set_verbosity(getattr(logging, level.upper()))
 
--- a/libs/base/auburnjunction/base/metrics.py
+++ b/libs/base/auburnjunction/base/metrics.py
@@ -1,4 +1,4 @@
-"""Metrics of one process, kept and rendered by aioprometheus."""
+"""Metrics of one process, stored and rendered by aioprometheus."""
 
 from aioprometheus import Counter, Gauge, Registry
 from aioprometheus.formats import text
@@ -7,7 +7,7 @@
 
 
 class MetricRegistry:
-    """Counters, gauges and histograms of one process."""
+    """Counters and gauges of one process, with common labels."""
 
     def __init__(self, labels: Labels | None = None):
         self._registry = Registry()
@@ -27,7 +27,7 @@
         )
 
     def add_collector(self, collect) -> None:
-        """Call the function before each rendering to refresh gauges."""
+        """Register a function that updates gauges before each rendering."""
         self._collectors.append(collect)
 
     def render(self) -> bytes:
--- a/libs/base/auburnjunction/base/programs.py
+++ b/libs/base/auburnjunction/base/programs.py
@@ -1,4 +1,4 @@
-"""What every binary does first and last: arguments, errors, exit codes."""
+"""Command line, error output and exit codes of the binaries."""
 
 import sys
 from collections.abc import Callable, Sequence
@@ -29,7 +29,7 @@
 def parse_arguments(
     command_class: type[T], argv: Sequence[str] | None = None
 ) -> T:
-    """Read the command line; exit with one line when it is wrong."""
+    """Parse the command line; if it is invalid, print one line and exit."""
     output = cappa.Output(
         error_console=Console(stderr=True, soft_wrap=True, highlight=False),
         error_format="{prog}: {message}",
@@ -47,17 +47,19 @@
 def parse_number(
     low: float, high: float, kind: type[int] | type[float] = int
 ) -> Callable[[str], float]:
-    """Return a parser of arguments that are numbers from low to high."""
-    wanted = "whole number" if kind is int else "number"
-    mend = f"write a {wanted} from {low} to {high}"
+    """Return a parser for numeric arguments from low to high."""
+    expected = "whole number" if kind is int else "number"
+    remedy = f"write a {expected} from {low} to {high}"
 
     def parse(text: str) -> float:
         try:
             value = kind(text)
         except ValueError:
-            raise ValueError(f"{text!r} is not a {wanted}; {mend}") from None
+            raise ValueError(
+                f"{text!r} is not a {expected}; {remedy}"
+            ) from None
         if not low <= value <= high:
-            raise ValueError(f"{text} is out of range; {mend}")
+            raise ValueError(f"{text} is out of range; {remedy}")
         return value
 
     return parse
@@ -72,10 +74,10 @@
     run: Callable[[T], int | None],
     exit_codes: dict[type[AuburnError], int] | None = None,
 ) -> None:
-    """Run a binary and exit with its code.
+    """Run a binary and exit with its exit code.
 
-    An AuburnError becomes one line on standard error, and its exit code
-    comes from exit_codes by class, else from the error's own code.
+    An AuburnError is printed as one line on standard error. Its exit
+    code is looked up in exit_codes by class, then by the error's code.
     """
     command = parse_arguments(command_class)
     try:
--- a/libs/base/auburnjunction/base/settings.py
+++ b/libs/base/auburnjunction/base/settings.py
@@ -1,4 +1,4 @@
-"""Reading of JSON settings into attrs classes, with checked fields."""
+"""Parsing of JSON settings into attrs classes, with validation."""
 
 from functools import cache
 from pathlib import Path
@@ -20,7 +20,7 @@
 
 
 class SettingsError(AuburnError):
-    """Settings that cannot be used; names the field and the mend."""
+    """Raised for invalid settings, with field, problem and remedy."""
 
     code = ErrorCode.INVALID
 
@@ -32,7 +32,7 @@
 
 
 class FieldError(ValueError):
-    """Raised by validators: a field's value, and the mend after a bar."""
+    """Raised by validators; its text is "problem|remedy"."""
 
     def __init__(self, field: str, problem: str, mend: str):
         super().__init__(f"{problem}|{mend}")
@@ -42,7 +42,7 @@
 def read_values(path: Path) -> dict:
     """Read the JSON object of a settings file as plain values.
 
-    Raise SettingsError when the file cannot be read or is no object.
+    Raise SettingsError when the file cannot be read or is not an object.
     """
     try:
         content = path.read_bytes()
@@ -56,7 +56,7 @@
 
 
 def parse_values(content: bytes) -> dict:
-    """Turn JSON text into plain values; raise SettingsError."""
+    """Parse a JSON object; raise SettingsError if it is not one."""
     try:
         values = orjson.loads(content)
     except orjson.JSONDecodeError as exc:
@@ -75,31 +75,31 @@
 def read_settings(path: Path, settings_class: type[T]) -> T:
     """Read settings from a JSON file.
 
-    Raise SettingsError when the file cannot be read or a field is wrong.
+    Raise SettingsError when the file is unreadable or a field is invalid.
     """
     return configure_settings(read_values(path), settings_class)
 
 
 def parse_settings(content: bytes, settings_class: type[T]) -> T:
-    """Turn JSON text into an instance of the settings class."""
+    """Parse JSON text into an instance of the settings class."""
     return configure_settings(parse_values(content), settings_class)
 
 
 def configure_settings(values: dict, settings_class: type[T]) -> T:
-    """Check plain values and build the settings class from them."""
+    """Validate plain values and build the settings class from them."""
     converter = _make_converter()
     try:
         return converter.structure(values, settings_class)
     except SettingsError:
         raise
     except Exception as exc:
-        raise _explain(exc, values, settings_class) from exc
+        raise _to_settings_error(exc, values, settings_class) from exc
 
 
 def keep_known(values: object, settings_class: type) -> object:
     """Return plain values without the fields that the class lacks.
 
-    For settings of another program, which may hold more than is used.
+    For settings of another program, of which only some fields are used.
     """
     if not isinstance(values, dict):
         return values
@@ -114,7 +114,7 @@
 
 
 def dump_settings(settings: object) -> bytes:
-    """Return settings as indented JSON."""
+    """Serialize settings to indented JSON."""
     values = _make_converter().unstructure(settings)
     return orjson.dumps(values, option=orjson.OPT_INDENT_2)
 
@@ -144,23 +144,28 @@
 
 @cache
 def _make_converter() -> cattrs.Converter:
-    # Making it compiles code for each class, which takes milliseconds.
+    # Cached, as the converter compiles code for each class, which takes
+    # milliseconds.
     converter = cattrs.Converter(forbid_extra_keys=True)
-    converter.register_structure_hook(str, _require(str, "a string"))
-    converter.register_structure_hook(bool, _require(bool, "true or false"))
-    converter.register_structure_hook(int, _require(int, "a whole number"))
+    converter.register_structure_hook(str, _require_type(str, "a string"))
     converter.register_structure_hook(
-        float, _require((int, float), "a number")
+        bool, _require_type(bool, "true or false")
+    )
+    converter.register_structure_hook(
+        int, _require_type(int, "a whole number")
+    )
+    converter.register_structure_hook(
+        float, _require_type((int, float), "a number")
     )
     converter.register_structure_hook_factory(attrs.has, _require_object)
     return converter
 
 
-def _require(kind, wanted: str):
+def _require_type(kind, expected: str):
     def check(value, _):
         is_bool = isinstance(value, bool)
         if not isinstance(value, kind) or (is_bool and kind is not bool):
-            raise TypeError(f"{value!r} is not {wanted}|write {wanted}")
+            raise TypeError(f"{value!r} is not {expected}|write {expected}")
         return value
 
     return check
@@ -179,12 +184,14 @@
     return check
 
 
-def _explain(exc: Exception, values: object, cls: type) -> SettingsError:
-    """Find the innermost cause of a cattrs error and name its field."""
+def _to_settings_error(
+    exc: Exception, values: object, cls: type
+) -> SettingsError:
+    """Convert a cattrs error to a SettingsError for its innermost cause."""
     path: list[str] = []
     while isinstance(exc, ClassValidationError | IterableValidationError):
         exc = exc.exceptions[0]
-        path += _path_of(exc)
+        path += _read_path(exc)
     field = ".".join(path) or "(file)"
     if isinstance(exc, ForbiddenExtraKeysError):
         name = sorted(exc.extra_fields)[0]
@@ -196,14 +203,14 @@
     if isinstance(exc, FieldError):
         field = ".".join([*path, exc.field])
     elif isinstance(exc, ValueError) and len(exc.args) > 1:
-        # The validators of attrs put the attribute behind the message.
+        # attrs validators raise ValueError(message, attribute, ...).
         field = ".".join([*path, exc.args[1].name])
         return SettingsError(field, exc.args[0], "correct the value")
     problem, _, mend = str(exc).partition("|")
     return SettingsError(field, problem, mend or "correct the value")
 
 
-def _path_of(exc: Exception) -> list[str]:
+def _read_path(exc: Exception) -> list[str]:
     for note in getattr(exc, "__notes__", []):
         name = getattr(note, "name", None)
         if name is not None:
@@ -229,11 +236,11 @@
 
 
 def check_port(_instance, attribute, value) -> None:
-    """Check, as an attrs validator, that a value is a TCP port."""
+    """Validate, for attrs, that a value is a TCP port (1 to 65535)."""
     check_range(1, 65535)(_instance, attribute, value)
 
 
 def check_not_empty(_instance, attribute, value) -> None:
-    """Check, as an attrs validator, that a string or list has content."""
+    """Validate, for attrs, that a string or list is not empty."""
     if not value:
         raise FieldError(attribute.name, "is empty", "give a value")
--- a/libs/base/auburnjunction/base/signals.py
+++ b/libs/base/auburnjunction/base/signals.py
@@ -1,4 +1,4 @@
-"""Stop signals of the operating system as something to wait for."""
+"""Awaitable stop and reload signals of the operating system."""
 
 import signal
 import socket
@@ -13,11 +13,11 @@
 
 
 def ignore_reload() -> None:
-    """Do nothing about changed settings."""
+    """Ignore a reload signal."""
 
 
 class StopSignal:
-    """Lets a curio task wait until the process is asked to stop."""
+    """Lets a curio task wait for a stop signal to the process."""
 
     def __init__(self, sock):
         self._sock = sock
@@ -27,7 +27,7 @@
     ) -> None:
         """Return when a stop signal has arrived.
 
-        Call on_reload at each signal that settings have changed.
+        Call on_reload at each reload signal.
         """
         while await self._sock.recv(1) == RELOAD_BYTE:
             on_reload()
@@ -37,8 +37,8 @@
 def catch_stop_signals():
     """Yield a StopSignal; main thread only.
 
-    It stands for SIGTERM and SIGINT, and for SIGHUP as the signal that
-    settings have changed.
+    It handles SIGTERM and SIGINT as stop signals and SIGHUP as the
+    reload signal, which announces changed settings.
     """
     reader, writer = socket.socketpair()
     writer.setblocking(False)
--- a/libs/base/auburnjunction/base/tasks.py
+++ b/libs/base/auburnjunction/base/tasks.py
@@ -1,4 +1,4 @@
-"""Ownership of background tasks."""
+"""Task groups and periodic background tasks."""
 
 from contextlib import asynccontextmanager
 
@@ -7,14 +7,14 @@
 
 
 class OwnedTaskGroup(curio.TaskGroup):
-    """Task group that forgets each task when it ends.
+    """Task group that releases each task when it ends.
 
-    Curio's group keeps every ended task that is no daemon until it is
-    joined, so a group that lives as long as its process would grow.
+    curio.TaskGroup keeps every ended non-daemon task until it is joined,
+    so a group that exists as long as its process would grow without bound.
     """
 
     async def spawn(self, coro, *args, daemon=True):
-        """Start a task that the group cancels when it is left."""
+        """Start a task that is cancelled when the group is closed."""
         return await super().spawn(coro, *args, daemon=daemon)
 
 
@@ -30,7 +30,7 @@
 
 
 async def run_forever(step, clock, interval_s) -> None:
-    """Call an async step again and again, logging its errors.
+    """Call an async function periodically and log its errors.
 
     The interval is a number of seconds or a function that returns one.
     """
--- a/libs/base/auburnjunction/base/tests/test_logs.py
+++ b/libs/base/auburnjunction/base/tests/test_logs.py
@@ -1,4 +1,4 @@
-"""Bounds of the log."""
+"""Rate limit, line size and non-blocking writes of the log stream."""
 
 import os
 
@@ -17,7 +17,7 @@
     os.close(writer)
 
 
-def test_lines_above_the_rate_are_counted_and_told(pipe):
+def test_lines_above_the_rate_are_counted_and_reported(pipe):
     reader, writer = pipe
     clock = ManualClock()
     stream = BoundedStream(writer, clock, lines_per_s=1.0, burst=2.0)
@@ -30,15 +30,15 @@
     assert lines[2] == {"message": "log lines left out", "count": 3}
 
 
-def test_reader_that_does_not_read_blocks_nothing(pipe):
+def test_full_pipe_drops_lines_without_blocking(pipe):
     _, writer = pipe
     stream = BoundedStream(writer, ManualClock(), 1e9, 1e9)
     for _ in range(100):
         stream.write("x" * (MAX_LINE_BYTES - 1) + "\n")
-    assert stream.left_out > 0
+    assert stream.dropped_lines > 0
 
 
-def test_count_survives_a_line_that_is_too_long(pipe):
+def test_drop_count_is_kept_when_a_line_is_too_long(pipe):
     reader, writer = pipe
     clock = ManualClock()
     stream = BoundedStream(writer, clock, lines_per_s=1.0, burst=1.0)
--- a/libs/base/auburnjunction/base/tests/test_settings.py
+++ b/libs/base/auburnjunction/base/tests/test_settings.py
@@ -1,4 +1,4 @@
-"""Checks of JSON settings."""
+"""Parsing, validation and description of JSON settings."""
 
 import attrs
 import orjson
@@ -34,7 +34,7 @@
     inner: Inner = attrs.field(factory=Inner)
 
 
-def test_defaults_fill_what_is_not_given():
+def test_missing_fields_take_defaults():
     cfg = parse_settings(b'{"name": "a", "inner": {"wait_s": 2}}', Outer)
     assert cfg == Outer("a", 80, False, Inner(2))
     assert parse_settings(dump_settings(cfg), Outer) == cfg
@@ -57,7 +57,7 @@
         ({"name": "a", "inner": 5}, "inner", "object"),
     ],
 )
-def test_error_names_field_and_mend(values, field, part):
+def test_error_names_field_and_remedy(values, field, part):
     with pytest.raises(SettingsError) as caught:
         configure_settings(values, Outer)
     assert caught.value.field == field
@@ -73,7 +73,7 @@
         (None, "cannot be read"),
     ],
 )
-def test_unreadable_file_is_explained(tmp_path, content, part):
+def test_unreadable_file_raises_settings_error(tmp_path, content, part):
     path = tmp_path / "settings.json"
     if content is not None:
         path.write_bytes(content)
--- a/libs/base/auburnjunction/base/tests/test_tasks.py
+++ b/libs/base/auburnjunction/base/tests/test_tasks.py
@@ -1,4 +1,4 @@
-"""Ownership of background tasks."""
+"""Release of ended tasks, and cancellation when a group is closed."""
 
 import weakref
 
@@ -11,7 +11,7 @@
     return None
 
 
-def test_group_forgets_tasks_that_have_ended():
+def test_group_releases_ended_tasks():
     async def main():
         async with open_task_group() as group:
             ended = weakref.WeakSet()
@@ -24,10 +24,10 @@
     curio.run(main)
 
 
-def test_group_cancels_tasks_that_still_run():
+def test_group_cancels_running_tasks():
     cancelled = []
 
-    async def run_on():
+    async def run_until_cancelled():
         try:
             await curio.sleep(60)
         finally:
@@ -36,7 +36,7 @@
     async def main():
         async with open_task_group() as group:
             for _ in range(3):
-                await group.spawn(run_on)
+                await group.spawn(run_until_cancelled)
             await curio.sleep(0)
 
     curio.run(main)
