Reword the tools in plain terms

The demo, the benches and the test runner used figurative names and paraphrases.

Docstrings, comments, printed lines and names local to the tools are reworded: commands to bench processes are run_on_all and run_on_one, the kill and start of all nodes is a restart, and time limits and shares are named after what they bound. Keys of the printed JSON and tables, options and file names stay.

--- a/tools/admission_targets.py
+++ b/tools/admission_targets.py
@@ -1,49 +1,51 @@
-"""Figures of the admission bench beside their targets."""
+"""Aggregates results of the admission bench and checks their targets."""
 
 import statistics
 
 from auburnjunction.model.priorities import Priority
 
 
-def combine(runs: list[dict]) -> dict:
-    """Return median, least and greatest of each figure."""
-    combined = {}
+def aggregate_runs(runs: list[dict]) -> dict:
+    """Return the median, minimum and maximum of each figure."""
+    aggregated = {}
     for group, figures in runs[0].items():
-        combined[group] = {}
+        aggregated[group] = {}
         for name in figures:
             values = [run[group][name] for run in runs]
             values = [value for value in values if value is not None]
-            combined[group][name] = (
+            aggregated[group][name] = (
                 [statistics.median(values), min(values), max(values)]
                 if values
                 else None
             )
-    return combined
+    return aggregated
 
 
 def check_targets(case: dict, flood: Priority) -> list[dict]:
-    """Return each target with the figure that was measured."""
-    quiet, full, over = (case[f"shares {f}x"] for f in (0.5, 1.0, 4.0))
+    """Return each target with its measured value and whether it is met."""
+    half_load, full_load, overload = (
+        case[f"shares {f}x"] for f in (0.5, 1.0, 4.0)
+    )
     rows = [
         (
             "goodput at 4x over 1x",
-            over["all"]["goodput_share_of_capacity"][0]
-            / full["all"]["goodput_share_of_capacity"][0],
+            overload["all"]["goodput_share_of_capacity"][0]
+            / full_load["all"]["goodput_share_of_capacity"][0],
             ">=",
             0.9,
         ),
-        ("wasted work at 4x", over["all"]["wasted_share"][0], "<=", 0.02),
+        ("wasted work at 4x", overload["all"]["wasted_share"][0], "<=", 0.02),
     ]
     if flood is Priority.LOW:
-        top, usual = over["critical"], quiet["critical"]
-        goodput = top["good_share"][0] / usual["good_share"][0]
-        latency = top["p99_ms"][0] / usual["p99_ms"][0]
+        critical, reference = overload["critical"], half_load["critical"]
+        goodput = critical["good_share"][0] / reference["good_share"][0]
+        latency = critical["p99_ms"][0] / reference["p99_ms"][0]
         rows.append(("critical goodput, 4x over quiet", goodput, ">=", 0.99))
         rows.append(("critical p99, 4x over quiet", latency, "<=", 1.5))
     else:
         for priority in list(Priority)[1:]:
             name = priority.name.lower()
-            kept = over[name]["kept_of_guarantee"][0]
+            kept = overload[name]["kept_of_guarantee"][0]
             rows.append((f"{name} kept of its guarantee", kept, ">=", 1.0))
     return [
         {
@@ -74,8 +76,10 @@
             f"  lag {total['loop_lag_p99_ms'][0]:.1f}"
         )
     for row in targets:
-        mark = "met" if row["met"] else "MISSED"
-        print(f"  {mark:6} {row['target']}: {row['measured']} {row['bound']}")
+        verdict = "met" if row["met"] else "MISSED"
+        print(
+            f"  {verdict:6} {row['target']}: {row['measured']} {row['bound']}"
+        )
 
 
 def _format(values) -> str:
--- a/tools/bench_admission.py
+++ b/tools/bench_admission.py
@@ -1,7 +1,8 @@
-"""Measures one owner node in floods, against two baselines.
+"""Measures one owner node under overload, against two baselines.
 
-One owner and a simulated backend server share a process and talk over
-loopback; each pair of deployment and flood has a process of its own.
+One owner and a simulated backend server share a process and communicate
+over loopback. A case is a deployment and the priority that floods the
+owner, and runs in its own process.
 The baselines are FIFO without limits and strict priority without
 shares. Prints a table and writes JSON.
 """
@@ -18,7 +19,7 @@
 
 import attrs
 import curio
-from admission_targets import check_targets, combine, print_case
+from admission_targets import aggregate_runs, check_targets, print_case
 
 from auburnjunction.base.clocks import SystemClock
 from auburnjunction.http.clients import Address
@@ -33,14 +34,14 @@
 
 HOST = "127.0.0.1"
 CLOCK = SystemClock()
-FACTORS = (0.5, 1.0, 2.0, 4.0)
+LOAD_FACTORS = (0.5, 1.0, 2.0, 4.0)
 REPEATS = 3
 WARM_UP_S = 0.5
-LENGTH_S = 3.5
+WINDOW_S = 3.5
 DEADLINE_S = 0.5
 LAG_INTERVAL_S = 0.02
 # Offered by each priority that does not flood, as a share of capacity.
-QUIET_SHARES = {
+BACKGROUND_SHARES = {
     Priority.CRITICAL: 0.15,
     Priority.HIGH: 0.15,
     Priority.NORMAL: 0.1,
@@ -52,7 +53,7 @@
 
 @attrs.frozen
 class Deployment:
-    """Slots and connections of an instance, and its service time."""
+    """Slots and connections of an instance, and its mean service time."""
 
     slots: int
     connections: int
@@ -60,7 +61,7 @@
 
     @property
     def capacity(self) -> float:
-        """Calls a second that the slots can carry."""
+        """Calls per second that the slots can process."""
         return self.slots / self.service_time_s
 
 
@@ -72,7 +73,7 @@
 
 @attrs.define
 class Sample:
-    """One call: when it came and, if answered, how long it took."""
+    """One call: its arrival time and, if it succeeded, its latency."""
 
     priority: Priority
     arrival_s: float
@@ -80,35 +81,33 @@
 
     @property
     def good(self) -> bool:
-        """Whether the answer came within the caller's deadline."""
+        """Whether the response arrived within the caller's deadline."""
         return self.latency_s is not None and self.latency_s <= DEADLINE_S
 
     @property
     def end_s(self) -> float:
-        """When the answer came."""
+        """Time at which the response arrived."""
         return self.arrival_s + self.latency_s
 
 
 @attrs.define
 class Backend:
-    """Simulated backend server that counts its work."""
+    """Simulated backend server that counts started and wasted requests."""
 
     service_time_s: float
-    source: random.Random
+    rng: random.Random
     started: int = 0
     wasted: int = 0
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
-        """Run one request; wasted if it ends too late or is cut off."""
+        """Run a request; it is wasted if cancelled or past its deadline."""
         if request.header(b"x-sent-s") is None:
             return HttpResponse(404)
         self.started += 1
         end_s = CLOCK.monotonic() + float(request.header(b"x-remaining-s"))
         end_s -= time.time() - float(request.header(b"x-sent-s"))
         try:
-            await curio.sleep(
-                self.service_time_s * self.source.uniform(0.5, 1.5)
-            )
+            await curio.sleep(self.service_time_s * self.rng.uniform(0.5, 1.5))
         except curio.CancelledError:
             self.wasted += 1
             raise
@@ -117,8 +116,8 @@
 
 
 def make_rates(capacity: float, flood: Priority, factor: float) -> dict:
-    """Return calls a second by priority, in all factor * capacity."""
-    rates = {p: share * capacity for p, share in QUIET_SHARES.items()}
+    """Return calls per second by priority; their sum is factor * capacity."""
+    rates = {p: share * capacity for p, share in BACKGROUND_SHARES.items()}
     others = sum(rate for p, rate in rates.items() if p is not flood)
     rates[flood] = factor * capacity - others
     return rates
@@ -140,7 +139,7 @@
 
 
 def make_call(number: int, priority: Priority, arrival_s: float) -> Call:
-    """Return a call whose deadline counts from its arrival."""
+    """Return a call whose deadline is relative to its arrival."""
     headers = [
         (b"host", b"bench"),
         (b"x-remaining-s", b"%f" % DEADLINE_S),
@@ -160,7 +159,7 @@
 
 
 async def run_sample(owner: InstanceOwner, number: int, sample: Sample):
-    """Run one call and keep its latency if it was answered."""
+    """Run one call and record its latency if it succeeds."""
     call = make_call(number, sample.priority, sample.arrival_s)
     try:
         await owner.run_call(call)
@@ -169,26 +168,26 @@
     sample.latency_s = CLOCK.monotonic() - sample.arrival_s
 
 
-async def watch_lag(lags: list[float]) -> None:
-    """Keep how late this process wakes up, in milliseconds."""
+async def record_lag(lags: list[float]) -> None:
+    """Record the event loop's lag periodically, in milliseconds."""
     while True:
         start_s = CLOCK.monotonic()
         await curio.sleep(LAG_INTERVAL_S)
         lags.append((CLOCK.monotonic() - start_s - LAG_INTERVAL_S) * 1000)
 
 
-async def offer_calls(owner, rates, source) -> list[Sample]:
-    """Offer calls in an open loop with exponential gaps."""
+async def offer_calls(owner, rates, rng) -> list[Sample]:
+    """Offer calls in an open loop with exponential interarrival times."""
     samples = []
     priorities, weights = list(rates), list(rates.values())
     start_s = due_s = CLOCK.monotonic()
     async with curio.TaskGroup(wait=None) as group:
-        while due_s < start_s + WARM_UP_S + LENGTH_S:
-            due_s += source.expovariate(sum(weights))
+        while due_s < start_s + WARM_UP_S + WINDOW_S:
+            due_s += rng.expovariate(sum(weights))
             delay_s = due_s - CLOCK.monotonic()
             if delay_s > 0:
                 await curio.sleep(delay_s)
-            priority = source.choices(priorities, weights)[0]
+            priority = rng.choices(priorities, weights)[0]
             sample = Sample(priority, due_s)
             samples.append(sample)
             await group.spawn(run_sample, owner, len(samples), sample)
@@ -198,8 +197,8 @@
 
 async def run_once(deployment, flood, factor, design, seed) -> dict:
     """Return the figures of one run."""
-    source = random.Random(seed)
-    backend = Backend(deployment.service_time_s, source)
+    rng = random.Random(seed)
+    backend = Backend(deployment.service_time_s, rng)
     cfg, service = make_settings(design)
     async with open_server(HOST, 0, backend.handle, CLOCK) as server:
         owner = InstanceOwner(
@@ -214,10 +213,10 @@
         )
         rates = make_rates(deployment.capacity, flood, factor)
         lags: list[float] = []
-        watch = await curio.spawn(watch_lag, lags, daemon=True)
+        lag_task = await curio.spawn(record_lag, lags, daemon=True)
         start_s = CLOCK.monotonic() + WARM_UP_S
-        samples = await offer_calls(owner, rates, source)
-        await watch.cancel()
+        samples = await offer_calls(owner, rates, rng)
+        await lag_task.cancel()
     result = {
         priority.name.lower(): summarize(
             [s for s in samples if s.priority is priority], start_s
@@ -235,36 +234,37 @@
 
 
 def add_shares(result: dict) -> None:
-    """Add how much of its guarantee each lower priority got.
+    """Add the fraction of its guarantee that each lower priority got.
 
     The guarantee is a share of the calls that ended in the window, or
-    all that were offered if those are fewer; one call is rounding.
+    all offered calls if those are fewer. One call is added to allow for
+    rounding.
     """
     total = sum(figures["ended_in_window"] for figures in result.values())
     for priority in list(Priority)[1:]:
         figures = result[priority.name.lower()]
         guaranteed = AdmissionSettings().shares.of(priority) * total
-        wanted = min(guaranteed, figures["offered_per_s"] * LENGTH_S)
-        got = figures["ended_in_window"] + 1
-        figures["kept_of_guarantee"] = got / wanted
+        expected = min(guaranteed, figures["offered_per_s"] * WINDOW_S)
+        ended = figures["ended_in_window"] + 1
+        figures["kept_of_guarantee"] = ended / expected
 
 
 def summarize(samples: list[Sample], start_s: float) -> dict:
     """Return goodput and latency of the calls of one priority.
 
-    Calls belong to the window by their arrival, but for those counted
-    as ended in it.
+    Calls are assigned to the window by their arrival, except in
+    ended_in_window, which counts them by their end.
     """
-    everything = samples
+    all_samples = samples
     samples = [s for s in samples if s.arrival_s >= start_s]
     latencies = sorted(s.latency_s * 1000 for s in samples if s.good)
     cuts = statistics.quantiles(latencies, n=100) if len(latencies) > 1 else []
     return {
-        "offered_per_s": len(samples) / LENGTH_S,
-        "good_per_s": len(latencies) / LENGTH_S,
+        "offered_per_s": len(samples) / WINDOW_S,
+        "good_per_s": len(latencies) / WINDOW_S,
         "ended_in_window": sum(
-            s.good and start_s <= s.end_s < start_s + LENGTH_S
-            for s in everything
+            s.good and start_s <= s.end_s < start_s + WINDOW_S
+            for s in all_samples
         ),
         "good_share": len(latencies) / max(1, len(samples)),
         "p50_ms": cuts[49] if cuts else None,
@@ -275,10 +275,10 @@
 def run_case(deployment_name: str, flood: Priority) -> dict:
     """Return the figures of one deployment and flood."""
     deployment = DEPLOYMENTS[deployment_name]
-    plan = [("shares", factor) for factor in FACTORS]
-    plan += [("strict", FACTORS[-1]), ("fifo", FACTORS[-1])]
+    plan = [("shares", factor) for factor in LOAD_FACTORS]
+    plan += [("strict", LOAD_FACTORS[-1]), ("fifo", LOAD_FACTORS[-1])]
     runs: dict = {f"{design} {factor}x": [] for design, factor in plan}
-    # The samples that the bench keeps would make collections long.
+    # Collections during a run would take long, as every sample is retained.
     gc.disable()
     for repeat in range(REPEATS):
         for design, factor in plan:
@@ -286,11 +286,11 @@
             runs[f"{design} {factor}x"].append(
                 curio.run(run_once, deployment, flood, factor, design, repeat)
             )
-    return {name: combine(results) for name, results in runs.items()}
+    return {name: aggregate_runs(results) for name, results in runs.items()}
 
 
 def run_all() -> dict:
-    """Run every case, each in a process of its own, at one time."""
+    """Run all cases concurrently, each in its own process."""
     procs = {}
     for deployment in DEPLOYMENTS:
         for flood in FLOODS:
--- a/tools/bench_distribution.py
+++ b/tools/bench_distribution.py
@@ -1,10 +1,10 @@
-"""Measures how revisions spread over nodes in three data centres.
+"""Measures the distribution of revisions to nodes in three data centres.
 
 The nodes are tasks of a few processes on loopback, each with its own
 listener, membership and distributor, on one platform stand-in.
-Exchanges between data centres take their round trip longer. Two
-baselines run beside the design: every node polls the platform, and
-whole snapshots are sent in place of deltas. JSON on standard output.
+Exchanges between data centres are delayed by a round trip. Two
+baselines are compared with the design: every node polls the platform,
+and whole snapshots are sent instead of deltas. Prints JSON.
 """
 
 import argparse
@@ -34,13 +34,15 @@
 )
 
 
-def holds(revision: int):
-    """Return a condition on a node's report."""
-    return lambda node: any(done >= revision for done, _ in node["applied"])
+def has_revision(revision: int):
+    """Return a predicate: a node's report has at least this revision."""
+    return lambda node: any(
+        applied >= revision for applied, _ in node["applied"]
+    )
 
 
 def sum_bytes(nodes: list[dict], *kinds: str) -> int:
-    """Return the bytes of some kinds over all nodes."""
+    """Return the bytes of the given kinds, summed over all nodes."""
     return sum(node[kind] for node in nodes for kind in kinds)
 
 
@@ -48,8 +50,8 @@
     """Run one trial and return its figures."""
     fleet = Fleet(trial)
     try:
-        fleet.ask_one(0, "commit", 0)
-        fleet.wait_for(holds(1))
+        fleet.run_on_one(0, "commit", 0)
+        fleet.wait_for(has_revision(1))
         fleet.wait_for(lambda node: node["alive"] == trial.nodes)
         result = {
             "nodes": trial.nodes,
@@ -67,12 +69,12 @@
 
 def measure_idle(fleet: Fleet) -> dict:
     """Measure a fleet whose configuration does not change."""
-    before, usage = fleet.report(), fleet.ask("measure")
-    reads = fleet.ask_platform("stats")["reads"]
+    before, usage = fleet.report(), fleet.run_on_all("measure")
+    reads = fleet.query_platform("stats")["reads"]
     idle_s = fleet.trial.idle_s
     time.sleep(idle_s)
-    after, used = fleet.report(), fleet.ask("measure")
-    reads = fleet.ask_platform("stats")["reads"] - reads
+    after, used = fleet.report(), fleet.run_on_all("measure")
+    reads = fleet.query_platform("stats")["reads"] - reads
     count = len(after) * idle_s
 
     def rate(kind: str) -> float:
@@ -91,15 +93,15 @@
 
 
 def measure_changes(fleet: Fleet, idle: dict) -> dict:
-    """Measure changes committed through one node after the other."""
+    """Measure changes, each committed at the next process in turn."""
     before = fleet.report()
     start_s = time.monotonic()
     delays = []
     for number in range(1, fleet.trial.changes + 1):
-        accepted_s = fleet.ask_one(number, "commit", number)
-        nodes = fleet.wait_for(holds(number + 1))
+        accepted_s = fleet.run_on_one(number, "commit", number)
+        nodes = fleet.wait_for(has_revision(number + 1))
         delays += [
-            1000 * max(0.0, find_time(node, number + 1) - accepted_s)
+            1000 * max(0.0, find_in_force_s(node, number + 1) - accepted_s)
             for node in nodes
         ]
         time.sleep(CHANGE_GAP_S)
@@ -109,8 +111,8 @@
 
     def per_change(kind: str) -> int:
         size = sum_bytes(after, kind) - sum_bytes(before, kind)
-        rest = idle.get(f"idle_{kind}_bytes_per_node_s", 0)
-        return round((size - rest * len(after) * elapsed_s) / changes)
+        idle_rate = idle.get(f"idle_{kind}_bytes_per_node_s", 0)
+        return round((size - idle_rate * len(after) * elapsed_s) / changes)
 
     delays.sort()
     remote = sum_bytes(after, "remote") - sum_bytes(before, "remote")
@@ -126,19 +128,19 @@
     }
 
 
-def find_time(node: dict, revision: int) -> float:
-    """Return when a node had at least the revision in force."""
-    return min(at for done, at in node["applied"] if done >= revision)
+def find_in_force_s(node: dict, revision: int) -> float:
+    """Return the time at which a node had at least the revision in force."""
+    return min(at for applied, at in node["applied"] if applied >= revision)
 
 
 def measure_storm(fleet: Fleet) -> dict:
-    """Restart every node at once."""
-    fleet.ask_platform("reset")
-    began_s = time.monotonic()
-    fleet.ask("restart")
+    """Restart every node at once and measure the load on the platform."""
+    fleet.query_platform("reset")
+    restart_s = time.monotonic()
+    fleet.run_on_all("restart")
     nodes = fleet.wait_for(lambda node: node["ready_s"] > 0)
-    stats = fleet.ask_platform("stats")
-    ready = sorted(node["ready_s"] - began_s for node in nodes)
+    stats = fleet.query_platform("stats")
+    ready = sorted(node["ready_s"] - restart_s for node in nodes)
     return {
         "storm_ready_s": {
             "p50": round(statistics.median(ready), 2),
@@ -150,7 +152,7 @@
 
 
 def find_ports(count: int, random: Random) -> int:
-    """Return the first of so many free ports in a row."""
+    """Return the first port of a range of free ports."""
     while True:
         first = random.randrange(FIRST_PORT, LAST_PORT - count)
         try:
@@ -172,7 +174,7 @@
 
 
 def main() -> int:
-    """Run the trials that fit into the time limit."""
+    """Run trials until the time limit; list the others as not run."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--sizes", default="6,24,60,150")
     parser.add_argument("--modes", default=",".join(MODES))
--- a/tools/bench_hops.py
+++ b/tools/bench_hops.py
@@ -1,10 +1,11 @@
-"""Measures what the nodes on a call's path add to it.
+"""Measures the latency and processor time that nodes add to a call.
 
 A backend server, an entry node with an instance of its own, an entry
 node without one and the owner node behind it run as processes on
-loopback. One client sends the same call straight to the backend server,
-over one node and over two nodes in turn, so that all three see the same
-machine. The result is JSON on standard output.
+loopback. One client sends the same call directly to the backend server,
+through one node and through two nodes in turn, so that all three paths
+are measured under the same machine load. The result is JSON on standard
+output.
 """
 
 import argparse
@@ -69,14 +70,14 @@
 
 
 class BackendRunner:
-    """Sends calls straight to one backend server."""
+    """Sends calls directly to one backend server."""
 
     def __init__(self, port: int, clock: SystemClock):
         self._clock = clock
         self._pool = PoolRegistry(clock).get(Address(HOST, port))
 
     async def run_call(self, call, _instance: str) -> Answer:
-        """Return the backend server's answer."""
+        """Return the backend server's response."""
         req = call.request
         headers = strip_headers(req.headers)
         forwarded = HttpRequest(req.method, req.target, headers, req.body)
@@ -86,7 +87,7 @@
 
 
 async def echo(request: HttpRequest) -> HttpResponse:
-    """Answer as a backend server."""
+    """Respond as a backend server, with the body of the request."""
     headers = [
         (b"content-type", b"application/json"),
         (b"date", b"Fri, 04 Dec 2026 07:00:00 GMT"),
@@ -140,7 +141,7 @@
 
 
 def run_server(role: str, port: int, pipe) -> None:
-    """Serve in a process of its own until the pipe speaks or closes."""
+    """Serve until the parent sends a message or closes the pipe."""
     gc.collect()
     gc.freeze()
 
@@ -149,12 +150,12 @@
         handler = make_handler(role, port, clock)
         async with open_server(HOST, 0, handler, clock) as server:
             pipe.send(server.port)
-            await curio.run_in_thread(_wait_for_end, pipe)
+            await curio.run_in_thread(_wait_for_stop, pipe)
 
     curio.run(main, selector=RetainingSelector())
 
 
-def _wait_for_end(pipe) -> None:
+def _wait_for_stop(pipe) -> None:
     try:
         pipe.recv()
     except EOFError:
@@ -163,7 +164,7 @@
 
 @attrs.frozen
 class Server:
-    """A process that serves one part of the path."""
+    """A server process on the path of a call."""
 
     process: multiprocessing.Process
     port: int
@@ -178,11 +179,11 @@
 
 def start_server(role: str, port: int, context, pipes: list) -> Server:
     """Start a process and wait until it listens."""
-    ours, theirs = context.Pipe()
-    process = context.Process(target=run_server, args=(role, port, theirs))
+    parent_end, child_end = context.Pipe()
+    process = context.Process(target=run_server, args=(role, port, child_end))
     process.start()
-    pipes.append(ours)
-    return Server(process, ours.recv())
+    pipes.append(parent_end)
+    return Server(process, parent_end.recv())
 
 
 @asynccontextmanager
@@ -192,13 +193,13 @@
     pipes: list = []
     servers: dict[str, Server] = {}
     try:
-        for role, behind in (
+        for role, upstream in (
             ("backend", None),
             ("owner", "backend"),
             ("one_node", "backend"),
             ("two_nodes", "owner"),
         ):
-            port = servers[behind].port if behind else 0
+            port = servers[upstream].port if upstream else 0
             servers[role] = start_server(role, port, context, pipes)
         yield servers
     finally:
@@ -209,14 +210,14 @@
 
 
 def connect(port: int) -> socket.socket:
-    """Return a connection without delays of its own."""
+    """Return a connection with Nagle's algorithm disabled."""
     sock = socket.create_connection((HOST, port), timeout=5)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return sock
 
 
 def exchange(sock: socket.socket) -> None:
-    """Send the call and read its whole answer."""
+    """Send the call and read the whole response."""
     sock.sendall(REQUEST)
     data = b""
     while not data.endswith(BODY):
@@ -229,7 +230,7 @@
 
 
 def measure_latencies(ports: dict[str, int], calls: int) -> dict[str, list]:
-    """Return the seconds of calls on each path, one call at a time."""
+    """Return the latencies in seconds on each path, for calls in turn."""
     socks = {path: connect(ports[path]) for path in PATHS}
     for sock in socks.values():
         for _ in range(WARM_UP_CALLS):
@@ -246,18 +247,18 @@
 
 
 def measure_rate(port: int, connections: int, duration_s: float) -> float:
-    """Return calls a second over several connections."""
+    """Return the calls per second over several connections."""
     counts = [0] * connections
     end_s = time.perf_counter() + duration_s
 
-    def work(index: int) -> None:
+    def send_calls(index: int) -> None:
         with connect(port) as sock:
             while time.perf_counter() < end_s:
                 exchange(sock)
                 counts[index] += 1
 
     threads = [
-        threading.Thread(target=work, args=(index,))
+        threading.Thread(target=send_calls, args=(index,))
         for index in range(connections)
     ]
     for thread in threads:
@@ -268,7 +269,7 @@
 
 
 def summarize(times: dict[str, list]) -> dict:
-    """Return milliseconds of each path and what each adds to direct."""
+    """Return each path's latency and its difference from the direct path."""
     direct = _percentiles(times["direct"])
     result = {"direct": direct}
     for path in PATHS[1:]:
@@ -289,7 +290,7 @@
 def measure_throughput(
     servers: dict[str, Server], connections: int, duration_s: float
 ) -> dict:
-    """Return calls a second and processor time a call by path."""
+    """Return calls per second and processor time per call, by path."""
     result = {}
     for path, roles in (
         ("direct", ("backend",)),
@@ -299,7 +300,7 @@
         port = servers[roles[0]].port
         before_s = [servers[role].read_processor_s() for role in roles]
         rate = measure_rate(port, connections, duration_s)
-        used_s = {
+        processor_s = {
             role: servers[role].read_processor_s() - start_s
             for role, start_s in zip(roles, before_s, strict=True)
         }
@@ -307,7 +308,8 @@
         result[path] = {
             "calls_per_s": round(rate),
             "processor_ms_per_call": {
-                role: round(s * 1000 / calls, 4) for role, s in used_s.items()
+                role: round(s * 1000 / calls, 4)
+                for role, s in processor_s.items()
             },
         }
     return result
@@ -332,7 +334,7 @@
 
 
 def main() -> None:
-    """Run the bench with options of the command line."""
+    """Run the bench with the options of the command line."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--calls", type=int, default=3000)
     parser.add_argument("--connections", type=int, default=16)
--- a/tools/bench_membership.py
+++ b/tools/bench_membership.py
@@ -1,9 +1,9 @@
-"""Measures what membership costs a node, and prints it as JSON.
+"""Measures the cost of membership per node and prints it as JSON.
 
 Memberships run as tasks in a few processes on loopback. For each size
 there is one idle period and one with changes. Bytes are those written
-to sockets, heads of messages included, without TCP and IP; processor
-time is that of the processes, divided by the number of nodes.
+to sockets, including message heads but not TCP and IP headers.
+Processor time is that of the processes, divided by the number of nodes.
 """
 
 import argparse
@@ -53,7 +53,7 @@
 
 @attrs.frozen
 class Reading:
-    """Totals of one process at one moment."""
+    """Counters of one process at one point in time."""
 
     time_s: float
     cpu_s: float
@@ -83,9 +83,9 @@
 class NodeGroup:
     """The memberships that run in one process."""
 
-    def __init__(self, size: int, part: int):
+    def __init__(self, size: int, process_index: int):
         self.size = size
-        self.indexes = range(part, size, PROCESSES)
+        self.indexes = range(process_index, size, PROCESSES)
         self.counter = ByteCounter()
         self.memberships = {}
 
@@ -140,7 +140,7 @@
         self.memberships[index].announce(announcement)
 
     async def wait_joined(self) -> float:
-        """Wait until all nodes are known here; return the seconds."""
+        """Wait until every membership lists all nodes; return the seconds."""
         start_s = time.monotonic()
         async with curio.timeout_after(JOIN_LIMIT_S):
             while not self._is_joined():
@@ -155,7 +155,7 @@
         )
 
     def read(self) -> Reading:
-        """Return the totals of now."""
+        """Return the current counters."""
         usage = resource.getrusage(resource.RUSAGE_SELF)
         stats = [m.stats for m in self.memberships.values()]
         return Reading(
@@ -170,7 +170,7 @@
         )
 
     async def make_changes(self, period_s: float) -> int:
-        """Change a local backend server again and again; count them."""
+        """Change local backend servers in turn; return the change count."""
         count = 0
         end_s = time.monotonic() + period_s
         interval_s = CHANGE_INTERVAL_S * PROCESSES
@@ -183,9 +183,9 @@
         return count
 
 
-async def run_group(size: int, part: int, barrier) -> dict:
+async def run_group(size: int, process_index: int, barrier) -> dict:
     """Run the nodes of one process and return its readings."""
-    group = NodeGroup(size, part)
+    group = NodeGroup(size, process_index)
     async with AsyncExitStack() as stack:
         await group.open(stack)
         joined_s = await group.wait_joined()
@@ -210,15 +210,15 @@
 
 
 def subtract(first: Reading, last: Reading) -> dict:
-    """Return how much each total grew."""
+    """Return the increase of each counter."""
     before, after = attrs.asdict(first), attrs.asdict(last)
     return {name: after[name] - before[name] for name in after}
 
 
-def run_process(size: int, part: int, barrier, results) -> None:
+def run_process(size: int, process_index: int, barrier, results) -> None:
     """Run one process of the bench."""
     sys.stderr = open(os.devnull, "w")  # noqa: SIM115
-    results.put(curio.run(run_group, size, part, barrier))
+    results.put(curio.run(run_group, size, process_index, barrier))
 
 
 def measure(size: int) -> dict:
@@ -301,7 +301,7 @@
             version=1,
             instances=(instance,),
         )
-        # Through bytes, as records come from the network.
+        # Encoded and decoded again, like records received from a peer.
         message = encode_record(record).SerializeToString()
         fleet.append(decode_record(NodeRecord.FromString(message)))
     return fleet
--- a/tools/bench_nodes.py
+++ b/tools/bench_nodes.py
@@ -1,8 +1,8 @@
-"""Measures what control costs real nodes, each in its own process.
+"""Measures the control overhead of real nodes, one process for each.
 
 For each size: convergence of changes, then processor time, memory and
-control bytes of idle nodes, then the return of all nodes together after
-a kill, with the reads that the platform sees. Prints JSON.
+control bytes of idle nodes, then the simultaneous restart of all nodes
+after a kill, with the load on the platform. Prints JSON.
 """
 
 import statistics
@@ -27,7 +27,7 @@
 CHANGES = 5
 IDLE_S = 10.0
 SETTLE_S = 5.0
-RETURN_LIMIT_S = 120.0
+RESTART_LIMIT_S = 120.0
 CONVERGENCE_LIMIT_S = 60.0
 PROCESSOR_METRIC = "auburn_process_cpu_seconds_total"
 MEMORY_METRIC = "auburn_process_peak_resident_bytes"
@@ -45,7 +45,7 @@
 @cappa.command(name="bench_nodes")
 @attrs.frozen
 class BenchCommand:
-    """Measure what control costs real nodes."""
+    """Measure the control overhead of real nodes."""
 
     sizes: Annotated[
         str, cappa.Arg(long=True, help="numbers of nodes, with commas")
@@ -57,7 +57,7 @@
 
 @attrs.frozen
 class NodeSample:
-    """Counts of one node at one time."""
+    """Counters of one node at one point in time."""
 
     time_s: float
     processor_s: float
@@ -68,20 +68,20 @@
 
 @attrs.frozen
 class IdleResult:
-    """What one idle node uses; platform reads are of all nodes."""
+    """Resource use of an idle node; platform reads are of all nodes."""
 
     processor_percent: float
     processor_max_percent: float
     bytes_per_s: float
-    # Of the node that sends most: a link between data centres.
+    # Of the node that sends the most, which is a link between data centres.
     bytes_per_s_max: float
     cross_bytes_per_s: float
     platform_reads_per_s: float
 
 
 @attrs.frozen
-class ReturnResult:
-    """What the return of all nodes took; peaks are since the start."""
+class RestartResult:
+    """Duration and platform load of a restart; peaks since the start."""
 
     lasted_s: float
     reads_per_s: float
@@ -91,9 +91,9 @@
 
 @attrs.frozen
 class SizeResult:
-    """What was measured with one number of nodes.
+    """Results for one fleet size.
 
-    Bytes are those of control exchanges as each sender counts them.
+    Bytes are those of control exchanges, as counted by each sender.
     """
 
     nodes: int
@@ -117,7 +117,7 @@
 
 
 def read_metrics(port: int) -> dict[str, float]:
-    """Return the sum of each metric of a node over its labels."""
+    """Return each metric of a node, summed over its labels."""
     totals: dict[str, float] = {}
     for line in fetch(port, "/metrics")[1].decode().splitlines():
         if line.startswith("#") or not line:
@@ -129,7 +129,7 @@
 
 
 def sample_node(port: int) -> NodeSample:
-    """Return the counts of one node."""
+    """Return the counters of one node."""
     metrics = read_metrics(port)
     return NodeSample(
         time.monotonic(),
@@ -141,7 +141,7 @@
 
 
 def sample_nodes(deployment: Deployment) -> list[NodeSample]:
-    """Return the counts of every node."""
+    """Return the counters of every node."""
     return [sample_node(host.admin_port) for host in deployment.hosts]
 
 
@@ -157,13 +157,13 @@
     system.wait_in_force(timeout_s=CONVERGENCE_LIMIT_S)
     committed = datetime.fromisoformat(result.values["committed_at"])
     return [
-        (find_time(system, name) - committed).total_seconds() * 1000
+        (find_in_force_time(system, name) - committed).total_seconds() * 1000
         for name in system.deployment.nodes
     ]
 
 
-def find_time(system: System, node: str) -> datetime:
-    """Return when a node logged the last revision as in force."""
+def find_in_force_time(system: System, node: str) -> datetime:
+    """Return the time when a node logged the last revision as in force."""
     for event in system.deployment.nodes[node].read_events():
         in_force = event.get("message") == "configuration in force"
         if in_force and event["revision"] == system.revision:
@@ -171,14 +171,14 @@
     raise RuntimeError(f"{node} did not log revision {system.revision}")
 
 
-def find_share(values: list[float], share: float) -> float:
-    """Return the value below which the share of the values lies."""
+def find_quantile(values: list[float], share: float) -> float:
+    """Return the quantile of the values for a share from 0 to 1."""
     ordered = sorted(values)
     return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
 
 
-def measure_return(system: System) -> ReturnResult:
-    """Kill all nodes, start them together; return what it took."""
+def measure_restart(system: System) -> RestartResult:
+    """Kill all nodes, start them together and measure until ready."""
     deployment = system.deployment
     for node in deployment.nodes.values():
         node.kill()
@@ -189,12 +189,12 @@
     for host in deployment.hosts:
         wait_until(
             lambda host=host: deployment.read_status(host).ready,
-            RETURN_LIMIT_S,
+            RESTART_LIMIT_S,
             f"{host.name} ready again",
         )
     lasted_s = time.monotonic() - start_s
     after = system.read_platform_stats()
-    return ReturnResult(
+    return RestartResult(
         lasted_s,
         (after["reads"] - before["reads"]) / lasted_s,
         after["peak_reads_per_s"],
@@ -205,7 +205,7 @@
 def measure_size(
     count: int, data_centre_count: int, directory: Path
 ) -> SizeResult:
-    """Start a deployment of this many nodes and measure it."""
+    """Start a deployment with this number of nodes and measure it."""
     data_centres = tuple(f"dc-{n:02}" for n in range(data_centre_count))
     workload = attrs.evolve(TUTTIPULLO, data_centres=data_centres)
     with open_deployment(
@@ -225,7 +225,7 @@
         delays = [d for _ in range(CHANGES) for d in measure_change(system)]
         lasted_s = time.monotonic() - started_s
         after = sample_nodes(deployment)
-        returned = measure_return(system)
+        restarted = measure_restart(system)
     local = sum(
         b.local_bytes - a.local_bytes
         for a, b in zip(before, after, strict=True)
@@ -240,7 +240,7 @@
         nodes=count,
         data_centres=len(data_centres),
         convergence_p50_ms=statistics.median(delays),
-        convergence_p99_ms=find_share(delays, 0.99),
+        convergence_p99_ms=find_quantile(delays, 0.99),
         convergence_max_ms=max(delays),
         change_bytes_per_node=(local + cross - idle_total) / CHANGES / count,
         change_cross_bytes=(cross - idle_cross) / CHANGES,
@@ -251,22 +251,22 @@
         idle_cross_bytes_per_s=idle.cross_bytes_per_s,
         memory_max_mb=max(s.memory_bytes for s in after) / 1e6,
         idle_platform_reads_per_s=idle.platform_reads_per_s,
-        return_s=returned.lasted_s,
-        return_reads_per_s=returned.reads_per_s,
-        peak_reads_per_s=returned.peak_reads_per_s,
-        peak_writes_per_s=returned.peak_writes_per_s,
+        return_s=restarted.lasted_s,
+        return_reads_per_s=restarted.reads_per_s,
+        peak_reads_per_s=restarted.peak_reads_per_s,
+        peak_writes_per_s=restarted.peak_writes_per_s,
     )
 
 
 def find_bytes_per_s(before: NodeSample, after: NodeSample) -> float:
-    """Return the bytes a second that a node has sent between samples."""
+    """Return the bytes per second that a node sent between two samples."""
     sent = after.local_bytes + after.cross_bytes
     sent -= before.local_bytes + before.cross_bytes
     return sent / (after.time_s - before.time_s)
 
 
 def measure_idle(system: System) -> IdleResult:
-    """Return what idle nodes use, on average and at most."""
+    """Return the mean and maximum resource use of idle nodes."""
     deployment = system.deployment
     reads = system.read_platform_stats()["reads"]
     before = sample_nodes(deployment)
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -1,9 +1,10 @@
-"""Runs a whole deployment on loopback and shows what it did.
+"""Runs a whole deployment on loopback and prints the results.
 
 Starts the platform stand-in, three data centres with two nodes and two
 backend server stand-ins each, creates a configuration through auburnctl,
 sends calls of every priority, changes the configuration while they run
-and stops everything. Exit code 1 if a call was lost, doubled or wrong.
+and stops everything. Exits with 1 if a call was lost, was executed more
+than once or got a wrong response.
 """
 
 import shutil
@@ -56,13 +57,13 @@
 
 
 class DemoError(Exception):
-    """The deployment did not do what the demo expects."""
+    """Raised when the deployment does not behave as expected."""
 
 
 @cappa.command(name="demo")
 @attrs.frozen
 class DemoCommand:
-    """Run a whole deployment on loopback and show what it did."""
+    """Run a whole deployment on loopback and print the results."""
 
     deployment: Annotated[
         str, cappa.Arg(long=True, help="tuttipullo or karafka")
@@ -74,7 +75,7 @@
 
 @attrs.frozen
 class ChangeResult:
-    """How one change came into force."""
+    """Delay from commit to in force on each node, for one revision."""
 
     revision: int
     times_s: tuple[float, ...]
@@ -84,12 +85,14 @@
     """Run auburnctl against the first node; return its JSON output."""
     command = [find_binary("auburnctl"), "--output", "json"]
     command += ["--address", deployment.operators_addresses[0]]
-    done = subprocess.run(
+    completed = subprocess.run(
         [*command, *arguments], capture_output=True, check=False
     )
-    if done.returncode:
-        raise DemoError(f"auburnctl {arguments[0]}: {done.stderr.decode()}")
-    return orjson.loads(done.stdout)
+    if completed.returncode:
+        raise DemoError(
+            f"auburnctl {arguments[0]}: {completed.stderr.decode()}"
+        )
+    return orjson.loads(completed.stdout)
 
 
 def write_snapshot(deployment: Deployment, snapshot: Snapshot) -> str:
@@ -100,14 +103,14 @@
 
 
 def create_configuration(deployment: Deployment) -> ChangeResult:
-    """Create the workload's configuration and wait for it."""
+    """Create the workload's configuration and measure its convergence."""
     path = write_snapshot(deployment, deployment.workload.snapshot)
     commit = run_auburnctl(deployment, "create", path)
     return measure_convergence(deployment, commit)
 
 
 def change_configuration(deployment: Deployment) -> ChangeResult:
-    """Change one route's timeout and wait until it is in force."""
+    """Change one route's timeout and measure the convergence."""
     snapshot = deployment.workload.snapshot
     first = attrs.evolve(snapshot.routes[0], timeout_ms=CHANGED_TIMEOUT_MS)
     changed = attrs.evolve(snapshot, routes=(first, *snapshot.routes[1:]))
@@ -117,7 +120,7 @@
 
 
 def measure_convergence(deployment: Deployment, commit: dict) -> ChangeResult:
-    """Wait for a commit on every node; return each one's delay."""
+    """Wait until a commit is in force on every node; return the delays."""
     revision = int(commit["revision"])
     wait_until(
         lambda: all(
@@ -128,15 +131,15 @@
         f"revision {revision} on every node",
     )
     times_s = [
-        find_adoption_s(deployment, name, revision)
+        find_in_force_s(deployment, name, revision)
         - datetime.fromisoformat(commit["committed_at"]).timestamp()
         for name in deployment.nodes
     ]
     return ChangeResult(revision, tuple(times_s))
 
 
-def find_adoption_s(deployment: Deployment, node: str, revision: int) -> float:
-    """Return when a node logged the revision as in force."""
+def find_in_force_s(deployment: Deployment, node: str, revision: int) -> float:
+    """Return the time at which a node logged the revision as in force."""
     for event in deployment.nodes[node].read_events():
         in_force = event.get("message") == "configuration in force"
         if in_force and event.get("revision") == revision:
@@ -145,7 +148,7 @@
 
 
 def make_mix(route: Route) -> CallMix:
-    """Return calls for one route."""
+    """Return the call mix for one route."""
     method = "GET" if route.repeatable else "POST"
     return CallMix(
         name=route.name,
@@ -159,7 +162,7 @@
 
 
 def make_plan(deployment: Deployment) -> LoadPlan:
-    """Return a load of every route, with executions checked."""
+    """Return a load plan that covers every route and checks executions."""
     routes = deployment.workload.snapshot.routes
     return LoadPlan(
         nodes=tuple(deployment.caller_addresses),
@@ -174,7 +177,7 @@
 def run_load_with_change(
     deployment: Deployment,
 ) -> tuple[LoadResult, ChangeResult]:
-    """Send calls, and change the configuration while they run."""
+    """Run the load and change the configuration while it runs."""
     changes: list[ChangeResult] = []
 
     def change() -> None:
@@ -215,7 +218,7 @@
 
 
 def print_changes(console: Console, changes: list[ChangeResult]) -> None:
-    """Print how long each change took to come into force."""
+    """Print the convergence time of each change."""
     table = Table(title="Changes, from commit to in force")
     for name in ("revision", "nodes", "median ms", "slowest ms"):
         table.add_column(name)
@@ -230,7 +233,7 @@
 
 
 def print_calls(console: Console, result: LoadResult) -> None:
-    """Print what became of the calls of each priority."""
+    """Print the outcomes and latencies of the calls by priority."""
     table = Table(title="Calls")
     names = ("priority", "sent", "ok", "not run", "unknown", "wrong")
     for name in (*names, "p50 ms", "p99 ms"):
@@ -250,13 +253,13 @@
 
 
 def find_faults(result: LoadResult, codes: dict) -> list[str]:
-    """Return what went wrong in the run, a line each."""
+    """Return the faults of the run, one line each."""
     faults = []
     if result.violations:
-        faults.append(f"{result.violations} calls broke a promise")
+        faults.append(f"{result.violations} calls violated a guarantee")
     lost = result.sent - sum(row.ok for row in result.by_priority)
     if lost:
-        faults.append(f"{lost} calls were not answered well")
+        faults.append(f"{lost} calls got no successful response")
     for name, code in codes.items():
         if code != 0:
             faults.append(f"{name} ended with exit code {code}")
@@ -288,7 +291,7 @@
 
 
 def run_command(command: DemoCommand) -> int:
-    """Run the demo in a directory of its own."""
+    """Run the demo in a temporary directory."""
     workload = WORKLOADS.get(command.deployment)
     if workload is None:
         names = " or ".join(WORKLOADS)
--- a/tools/distribution_fleets.py
+++ b/tools/distribution_fleets.py
@@ -1,4 +1,4 @@
-"""The processes of one trial, as the distribution bench drives them."""
+"""Control of the processes of one trial of the distribution bench."""
 
 import multiprocessing
 import time
@@ -15,7 +15,7 @@
 
 
 class Fleet:
-    """The processes of one trial, as the parent drives them."""
+    """Starts the processes of one trial and sends commands to them."""
 
     def __init__(self, trial: Trial):
         self.trial = trial
@@ -29,7 +29,7 @@
             )
         ]
         self._children[0].start()
-        self.ask_platform("stats")
+        self.query_platform("stats")
         self._conns = []
         for process in range(min(PROCESSES, trial.nodes)):
             conn, child = context.Pipe()
@@ -44,42 +44,46 @@
         for child in self._children[1:]:
             child.start()
 
-    def ask_platform(self, message: str) -> dict:
-        """Return the platform's counts."""
+    def query_platform(self, message: str) -> dict:
+        """Send a message to the platform and return its counts."""
         self._platform.send(message)
         return self._platform.recv()
 
-    def ask(self, *message) -> list:
-        """Return the answers of all processes."""
+    def run_on_all(self, *message) -> list:
+        """Send a command to all processes and return their results."""
         for conn in self._conns:
             conn.send(message)
         return [conn.recv() for conn in self._conns]
 
-    def ask_one(self, index: int, *message):
-        """Return the answer of one process."""
+    def run_on_one(self, index: int, *message):
+        """Send a command to one process and return its result."""
         conn = self._conns[index % len(self._conns)]
         conn.send(message)
         return conn.recv()
 
     def report(self) -> list[dict]:
-        """Return the counts of all nodes."""
-        return [node for answer in self.ask("report") for node in answer]
+        """Return the reports of all nodes."""
+        return [
+            node for result in self.run_on_all("report") for node in result
+        ]
 
     def wait_for(self, condition) -> list[dict]:
-        """Wait until a condition holds for every node's report."""
+        """Wait until every node's report meets a condition; return them."""
         end_s = time.monotonic() + WAIT_LIMIT_S
         while True:
             nodes = self.report()
             if all(condition(node) for node in nodes):
                 return nodes
             if time.monotonic() > end_s:
-                raise TimeoutError("the nodes did not get there in time")
+                raise TimeoutError(
+                    f"not every node met the condition in {WAIT_LIMIT_S} s"
+                )
             time.sleep(0.05)
 
     def stop(self) -> None:
         """End all processes."""
         with suppress(EOFError, OSError):
-            self.ask("stop")
+            self.run_on_all("stop")
         with suppress(OSError):
             self._platform.send("stop")
         for child in self._children:
--- a/tools/distribution_nodes.py
+++ b/tools/distribution_nodes.py
@@ -1,4 +1,4 @@
-"""Nodes of the distribution bench, as tasks of a few processes."""
+"""Nodes of the distribution bench, run as tasks of a few processes."""
 
 import resource
 import time
@@ -45,7 +45,7 @@
 
 
 class Traffic:
-    """Bytes by kind that one node's requests and their answers take."""
+    """Bytes of one node's requests and their responses, by kind."""
 
     def __init__(self):
         self.control = 0
@@ -55,7 +55,7 @@
 
 
 class MeasuredPool:
-    """Pool that counts bytes and delays exchanges over a link."""
+    """Connection pool that counts bytes and adds the delay of a link."""
 
     def __init__(self, pool, traffic: Traffic, kind: str, delay_s: float):
         self._pool = pool
@@ -64,7 +64,7 @@
         self._delay_s = delay_s
 
     async def exchange(self, request, timeout_s, max_idle_s=None):
-        """Exchange messages and count them."""
+        """Exchange a request and a response and count their bytes."""
         if self._delay_s:
             await curio.sleep(self._delay_s)
         response = await self._pool.exchange(request, timeout_s, max_idle_s)
@@ -82,7 +82,7 @@
         await self._pool.close()
 
     def count(self, request, response) -> None:
-        """Count one exchange."""
+        """Count the bytes of one exchange."""
         size = measure_exchange(request, response)
         kind = self._kind
         if kind == "peers":
@@ -101,14 +101,17 @@
     pool: MeasuredPool
 
     async def exchange(self, request, timeout_s):
-        """Exchange messages and count them."""
+        """Exchange a request and a response and count their bytes."""
         response = await self.conn.exchange(request, timeout_s)
         self.pool.count(request, response)
         return response
 
 
 class MeasuredPools:
-    """Pools of one node; a port tells the data centre of its node."""
+    """Connection pools of one node.
+
+    The data centre of a peer follows from its port number.
+    """
 
     def __init__(self, trial: Trial, number: int, traffic, kind: str):
         self._pools = PoolRegistry(SystemClock(), max_connections=16)
@@ -139,16 +142,16 @@
         self.applied: list[tuple[int, float]] = []
         self.ready_s = 0.0
         self.holder = SnapshotHolder()
-        self.holder.subscribe(self._note)
+        self.holder.subscribe(self._record_revision)
         self.distributor = None
         self.membership = None
 
-    def _note(self, revised: RevisedSnapshot) -> None:
+    def _record_revision(self, revised: RevisedSnapshot) -> None:
         self.applied.append((revised.mark.revision, time.monotonic()))
 
     @asynccontextmanager
     async def open(self):
-        """Run the node until the block ends."""
+        """Run the node until the context exits."""
         platform = Address(HOST, self.trial.platform_port)
         pools = MeasuredPools(
             self.trial, self.number, self.traffic, "platform"
@@ -244,7 +247,7 @@
 
 
 class BenchProcess:
-    """Nodes of one process, driven by the parent's messages."""
+    """Runs the nodes of one process and executes the parent's commands."""
 
     def __init__(self, trial: Trial, process: int, conn):
         self._trial = trial
@@ -253,19 +256,19 @@
         self._nodes: list[BenchNode] = []
 
     async def run(self) -> None:
-        """Serve the parent until it says stop; restart on request."""
+        """Execute commands until stop; on restart, open the nodes anew."""
         while True:
             async with AsyncExitStack() as stack:
                 self._nodes = [
                     BenchNode(self._trial, number)
-                    for number in self._trial.list_local(self._process)
+                    for number in self._trial.list_node_numbers(self._process)
                 ]
                 for node in self._nodes:
                     await stack.enter_async_context(node.open())
-                if not await self._serve():
+                if not await self._execute_commands():
                     return
 
-    async def _serve(self) -> bool:
+    async def _execute_commands(self) -> bool:
         while True:
             message = await curio.run_in_thread(self._conn.recv)
             if message[0] in ("stop", "restart"):
@@ -274,7 +277,7 @@
             self._conn.send(await getattr(self, message[0])(*message[1:]))
 
     async def commit(self, base: int) -> float:
-        """Commit a change through the first node; return its time."""
+        """Commit a change at the first node; return the time of acceptance."""
         node = self._nodes[0]
         platform = Address(HOST, self._trial.platform_port)
         pools = MeasuredPools(
@@ -297,7 +300,7 @@
         return accepted_s
 
     async def report(self) -> list[dict]:
-        """Return what the nodes have counted so far."""
+        """Return the state and byte counts of each node."""
         return [
             {
                 "applied": node.applied,
@@ -329,7 +332,7 @@
 
 
 def run_platform(port: int, conn) -> None:
-    """Run the platform stand-in and answer with its counts."""
+    """Run the platform stand-in; respond to messages with its counts."""
 
     async def main():
         clock = SystemClock()
--- a/tools/distribution_trials.py
+++ b/tools/distribution_trials.py
@@ -46,7 +46,7 @@
 
     @property
     def is_design(self) -> bool:
-        """Whether this is no baseline."""
+        """Whether this trial measures the design and not a baseline."""
         return self.mode == MODES[0]
 
     @property
@@ -56,16 +56,16 @@
 
     @property
     def idle_s(self) -> float:
-        """Time for which the idle fleet is measured."""
+        """Duration of the idle measurement."""
         return DESIGN_IDLE_S if self.is_design else BASELINE_IDLE_S
 
-    def list_local(self, process: int) -> list[int]:
+    def list_node_numbers(self, process: int) -> list[int]:
         """Return the numbers of the nodes of a process."""
         return list(range(process, self.nodes, PROCESSES))
 
 
 def make_snapshot(change: int) -> Snapshot:
-    """Return a configuration of the target's size, one route changed."""
+    """Return a configuration of the target size with one changed route."""
     services = tuple(
         Service(f"service-{i:03d}", ("forms", "lists"))
         for i in range(SERVICES)
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -1,4 +1,4 @@
-"""Runs seeds of the fault soak and prints which of them failed.
+"""Runs seeds of the fault soak and prints the seeds that failed.
 
     .venv/bin/python tools/soak.py --first 100 --count 10
 
@@ -30,7 +30,7 @@
 
 
 def run_seed(seed: int) -> bool:
-    """Run one seed, print its line and return whether it held."""
+    """Run one seed, print its result and return whether it passed."""
     directory = OUT / str(seed)
     shutil.rmtree(directory, ignore_errors=True)
     names = sorted({event.name for event in make_plan(seed, 12.0, 6)})
@@ -42,7 +42,9 @@
         print(f"seed {seed}: FAILED ({', '.join(names)}): {reason}")
         return False
     shutil.rmtree(directory, ignore_errors=True)
-    print(f"seed {seed}: held, {time.monotonic() - start_s:.0f} s", flush=True)
+    print(
+        f"seed {seed}: passed, {time.monotonic() - start_s:.0f} s", flush=True
+    )
     return True
 
 
--- a/tools/test.py
+++ b/tools/test.py
@@ -1,8 +1,7 @@
-"""Runs the tests; passes over just the entries of KNOWN-RED.txt.
+"""Runs the tests except those listed in KNOWN-RED.txt.
 
-Each entry of that file names one test by its pytest id on a line of its
-own that starts with "test: ". The entries are printed, and pytest runs
-without them.
+Each entry of that file has a line "test: " followed by a pytest id. These
+tests are printed and deselected.
 """
 
 import subprocess
@@ -28,10 +27,10 @@
 
 def main() -> int:
     """Run pytest and return its exit code."""
-    known = read_known_red(KNOWN_RED)
-    for test in known:
-        print(f"known red, passed over: {test}")
-    deselected = [f"--deselect={test}" for test in known]
+    known_red = read_known_red(KNOWN_RED)
+    for test in known_red:
+        print(f"known red, deselected: {test}")
+    deselected = [f"--deselect={test}" for test in known_red]
     command = [sys.executable, "-m", "pytest", *deselected, *sys.argv[1:]]
     return subprocess.run(command, cwd=ROOT, check=False).returncode
 
