--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,13 +1,13 @@
 #!/bin/sh
-# Puts the pinned packages and the project's libraries into target/deps,
-# compiled as they are run: without docstrings, which take 5 MB a process.
+# Installs the pinned packages and the project's libraries into target/deps,
+# compiled with -OO as at run time: docstrings would take 5 MB per process.
 set -eu
 deps=target/deps
 stamp=target/built
 mkdir -p target
 compile() {
-    # Copies of the tree may have other times of change, so that these say
-    # nothing of whether the compiled files are up to date.
+    # Copies of the tree may have different modification times, so compiled
+    # files can't be validated by time.
     python3 -OO -m compileall -q --invalidation-mode unchecked-hash "$1"
 }
 cat requirements.txt deploy/build.sh > target/wanted
