Reword the administration service in plain terms

Comments and names of the operators' package paraphrased the mechanisms. Rename the private names that were vague (taker, in_doubt, FINAL_CODES, STATUSES) and say in docstrings what each function does: error conversion, non-retryable codes, idempotent calls, drain timeout.

--- a/libs/operators/auburnjunction/operators/backends.py
+++ b/libs/operators/auburnjunction/operators/backends.py
@@ -1,4 +1,4 @@
-"""What the administration API does, behind its protocol."""
+"""Operations of the administration API, independent of its protocol."""
 
 from typing import Protocol
 
@@ -14,14 +14,14 @@
 
 
 class NodeDirectory(Protocol):
-    """Source of the nodes with their backend servers."""
+    """Lists the nodes of the mesh with their backend servers."""
 
     def list_records(self) -> list[NodeRecord]:
-        """Return every known node as its record."""
+        """Return the record of every known node."""
 
 
 class InstanceDrainer(Protocol):
-    """Drains backend servers, on this node or another."""
+    """Drains backend servers of this node or of another one."""
 
     async def drain(self, instance: str, drain: bool) -> InstanceRecord:
         """Start or end the draining of a backend server.
@@ -30,18 +30,18 @@
         """
 
 
-class RevisionTaker(Protocol):
-    """Takes what was committed here into force; the distributor."""
+class CommitPublisher(Protocol):
+    """Puts committed revisions into force; implemented by the distributor."""
 
     async def take_commit(self, revised: RevisedSnapshot) -> None:
-        """Adopt a revision and tell the other nodes."""
+        """Put a revision into force here and send it to the other nodes."""
 
 
 class AdministrationBackend(Protocol):
-    """Serves the calls of operators; runs in curio."""
+    """Implements the administration API; runs in curio."""
 
     async def validate(self, snapshot: Snapshot) -> list[Problem]:
-        """Return every fault of a snapshot."""
+        """Return every problem found in a snapshot."""
 
     async def apply(
         self,
@@ -63,13 +63,13 @@
         comment: str,
         timeout_s: float,
     ) -> Commit:
-        """Commit old content again; see CommitLog.rollback."""
+        """Commit an old revision's content; see CommitLog.rollback."""
 
     async def get(self, revision: int) -> CommittedSnapshot:
         """Return a revision; 0 means the head."""
 
     async def history(self, before: int, limit: int) -> list[Commit]:
-        """Return commits from revision before down."""
+        """Return the commits up to revision before, newest first."""
 
     async def find_operation(self, operation_id: str) -> Commit | None:
         """Return the commit of an operation id, or None."""
@@ -82,22 +82,22 @@
 
 
 class NodeAdministration:
-    """Administration on one node: its commit log and its peers."""
+    """Administration backend on a node's commit log and mesh membership."""
 
     def __init__(
         self,
         log: CommitLog,
-        taker: RevisionTaker,
+        publisher: CommitPublisher,
         directory: NodeDirectory,
         drainer: InstanceDrainer,
     ):
         self._log = log
-        self._taker = taker
+        self._publisher = publisher
         self._directory = directory
         self._drainer = drainer
 
     async def validate(self, snapshot: Snapshot) -> list[Problem]:
-        """Return every fault of a snapshot."""
+        """Return every problem found in a snapshot."""
         return validate_snapshot(snapshot)
 
     async def apply(
@@ -109,7 +109,7 @@
         comment: str,
         timeout_s: float,
     ) -> Commit:
-        """Commit a snapshot and bring it into force."""
+        """Commit a snapshot and put it into force."""
         commit = await self._log.apply(
             operation_id,
             base_revision,
@@ -118,7 +118,7 @@
             comment,
             timeout_s,
         )
-        await self._take(commit.mark, snapshot)
+        await self._publish(commit.mark, snapshot)
         return commit
 
     async def rollback(
@@ -130,7 +130,7 @@
         comment: str,
         timeout_s: float,
     ) -> Commit:
-        """Commit old content as a new revision and bring it into force."""
+        """Commit an old revision's content and put it into force."""
         old = await self._log.get(revision)
         return await self.apply(
             operation_id,
@@ -146,7 +146,7 @@
         return await self._log.get(revision)
 
     async def history(self, before: int, limit: int) -> list[Commit]:
-        """Return commits from revision before down."""
+        """Return the commits up to revision before, newest first."""
         return await self._log.history(before, limit)
 
     async def find_operation(self, operation_id: str) -> Commit | None:
@@ -161,5 +161,5 @@
         """Start or end the draining of a backend server."""
         return await self._drainer.drain(instance, drain)
 
-    async def _take(self, mark: RevisionMark, snapshot: Snapshot) -> None:
-        await self._taker.take_commit(RevisedSnapshot(mark, snapshot))
+    async def _publish(self, mark: RevisionMark, snapshot: Snapshot) -> None:
+        await self._publisher.take_commit(RevisedSnapshot(mark, snapshot))
--- a/libs/operators/auburnjunction/operators/clients.py
+++ b/libs/operators/auburnjunction/operators/clients.py
@@ -1,4 +1,4 @@
-"""Client of the administration API, on asyncio."""
+"""asyncio client of the administration API."""
 
 import asyncio
 import uuid
@@ -29,23 +29,26 @@
 from auburnjunction.schema.control_pb2 import InstanceRecord, NodeRecord
 from auburnjunction.schema.operators_grpc import AdministrationStub
 
-# Errors that another node would give as well.
-FINAL_CODES = frozenset(
+# Not retried at another node, which would return the same error.
+NON_RETRYABLE_CODES = frozenset(
     {ErrorCode.INVALID, ErrorCode.NOT_FOUND, ErrorCode.CONFLICT}
 )
-ASK_AFTER = "ask with 'auburnctl operation', or repeat with the same id"
+UNKNOWN_OUTCOME_REMEDY = (
+    "look it up with 'auburnctl operation', or repeat it with the same id"
+)
 
 
 def make_operation_id() -> str:
-    """Return a new id for one write."""
+    """Return a new unique id for a write operation."""
     return uuid.uuid4().hex
 
 
 class OperatorsClient:
-    """Calls nodes in turn until one answers.
+    """Calls nodes in turn until one responds.
 
-    Every call may be repeated at another node: reads change nothing, a
-    write carries its operation id, and draining sets a state.
+    Every call is idempotent, so it may be retried at another node: reads
+    change nothing, a write carries its operation id, and a drain sets an
+    absolute state.
     """
 
     def __init__(self, addresses: Sequence[Address], timeout_s: float = 10.0):
@@ -53,10 +56,10 @@
         self._timeout_s = timeout_s
 
     async def validate(self, snapshot: Snapshot) -> list[Problem]:
-        """Return every fault that a node finds in a snapshot."""
+        """Return every problem that a node finds in a snapshot."""
         request = pb.ValidateRequest(snapshot=encode_snapshot(snapshot))
-        answer = await self._call("Validate", request)
-        return [decode_problem(problem) for problem in answer.problems]
+        response = await self._call("Validate", request)
+        return [decode_problem(problem) for problem in response.problems]
 
     async def apply(
         self,
@@ -66,7 +69,7 @@
         operator: str = "",
         comment: str = "",
     ) -> Commit:
-        """Commit a snapshot; raise OperatorsError when not accepted."""
+        """Commit a snapshot; raise OperatorsError when it is not accepted."""
         request = pb.CommitRequest(
             operation_id=operation_id,
             base_revision=base_revision,
@@ -84,7 +87,7 @@
         operator: str = "",
         comment: str = "",
     ) -> Commit:
-        """Commit the content of an old revision again."""
+        """Commit the content of an old revision as a new revision."""
         request = pb.RollbackRequest(
             operation_id=operation_id,
             base_revision=base_revision,
@@ -98,27 +101,30 @@
 
     async def get(self, revision: int = 0) -> CommittedSnapshot:
         """Return a revision; 0 means the head."""
-        answer = await self._call("Get", pb.GetRequest(revision=revision))
+        response = await self._call("Get", pb.GetRequest(revision=revision))
         return CommittedSnapshot(
-            decode_commit(answer.commit), decode_snapshot(answer.snapshot)
+            decode_commit(response.commit), decode_snapshot(response.snapshot)
         )
 
     async def history(self, before: int = 0, limit: int = 20) -> list[Commit]:
-        """Return commits from revision before down; 0 is the head."""
+        """Return commits up to revision before, newest first.
+
+        0 starts at the head.
+        """
         request = pb.HistoryRequest(before=before, limit=limit)
-        answer = await self._call("History", request)
-        return [decode_commit(commit) for commit in answer.commits]
+        response = await self._call("History", request)
+        return [decode_commit(commit) for commit in response.commits]
 
     async def find_operation(self, operation_id: str) -> Commit | None:
         """Return the commit of an operation id, or None."""
         request = pb.OperationRequest(operation_id=operation_id)
-        answer = await self._call("Operation", request)
-        return decode_commit(answer.commit) if answer.applied else None
+        response = await self._call("Operation", request)
+        return decode_commit(response.commit) if response.applied else None
 
     async def list_nodes(self) -> list[NodeRecord]:
         """Return the nodes with their backend servers."""
-        answer = await self._call("Nodes", pb.NodesRequest())
-        return list(answer.nodes)
+        response = await self._call("Nodes", pb.NodesRequest())
+        return list(response.nodes)
 
     async def drain(self, instance: str, drain: bool) -> InstanceRecord:
         """Start or end the draining of a backend server."""
@@ -128,26 +134,26 @@
     async def _call(
         self, name: str, request: Message, operation_id: str = ""
     ) -> Message:
-        in_doubt = False
-        error = OperatorsError("no node is named", ErrorCode.INVALID)
+        maybe_applied = False
+        error = OperatorsError("no node address is given", ErrorCode.INVALID)
         for address in self._addresses:
             try:
                 return await self._call_node(address, name, request)
             except OperatorsError as exc:
                 error = exc
-            if error.code in FINAL_CODES:
+            if error.code in NON_RETRYABLE_CODES:
                 raise error
-            in_doubt = in_doubt or error.code is ErrorCode.UNKNOWN
-        if not in_doubt:
+            maybe_applied = maybe_applied or error.code is ErrorCode.UNKNOWN
+        if not maybe_applied:
             raise error
         if not operation_id:
             raise OperatorsError(
                 error.message, ErrorCode.UNAVAILABLE
             ) from error
         raise OperatorsError(
-            f"the change may be applied: {error.message}",
+            f"the change may have been applied: {error.message}",
             ErrorCode.UNKNOWN,
-            ErrorDetail(ASK_AFTER, operation_id),
+            ErrorDetail(UNKNOWN_OUTCOME_REMEDY, operation_id),
         ) from error
 
     async def _call_node(
@@ -170,9 +176,9 @@
             await channel.__connect__()
     except (OSError, TimeoutError) as exc:
         raise OperatorsError(
-            f"node {address} cannot be reached ({exc or 'no answer'})",
+            f"node {address} cannot be reached ({exc or 'no response'})",
             ErrorCode.UNAVAILABLE,
-            ErrorDetail("name the operators' address of a running node"),
+            ErrorDetail("give the operators' address of a running node"),
         ) from exc
 
 
@@ -198,6 +204,6 @@
         ProtocolError,
     ) as exc:
         raise OperatorsError(
-            f"node {address} gave no answer ({exc or 'timeout'})",
+            f"node {address} did not respond ({exc or 'timeout'})",
             ErrorCode.UNKNOWN,
         ) from exc
--- a/libs/operators/auburnjunction/operators/dispatchers.py
+++ b/libs/operators/auburnjunction/operators/dispatchers.py
@@ -1,4 +1,4 @@
-"""Turning of request messages into calls of the backend, in curio."""
+"""Dispatch of request messages to the administration backend, in curio."""
 
 from collections.abc import Awaitable, Callable
 from concurrent.futures import Future
@@ -18,28 +18,28 @@
 from auburnjunction.operators.backends import AdministrationBackend
 from auburnjunction.operators.errors import (
     OperatorsError,
-    describe_error,
+    convert_error,
     encode_problem,
 )
 from auburnjunction.schema import operators_pb2 as pb
 
-DEFAULT_HISTORY = 50
+DEFAULT_HISTORY_LIMIT = 50
 
 
 @attrs.define(eq=False)
 class OperatorCall:
-    """One call on its way from the gRPC thread to curio and back."""
+    """A request passed from the gRPC thread to curio, and its response."""
 
     request: Message
     timeout_s: float
-    answer: Future = attrs.field(factory=Future)
+    response: Future = attrs.field(factory=Future)
 
 
 Handler = Callable[[Message, float], Awaitable[Message]]
 
 
 class CallDispatcher:
-    """Runs calls on the backend and sets their answers."""
+    """Runs calls on the backend and sets their responses."""
 
     def __init__(self, backend: AdministrationBackend):
         self._backend = backend
@@ -55,21 +55,21 @@
         }
 
     async def run_call(self, call: OperatorCall) -> None:
-        """Run a call and set its answer or its OperatorsError."""
+        """Run a call and set its response or its OperatorsError."""
         name = type(call.request).__name__
         try:
             handler = self._handlers[type(call.request)]
-            answer = await handler(call.request, call.timeout_s)
+            response = await handler(call.request, call.timeout_s)
         except AuburnError as exc:
-            log_event("operator's call failed", call=name, code=exc.code)
-            call.answer.set_exception(describe_error(exc))
+            log_event("administration call failed", call=name, code=exc.code)
+            call.response.set_exception(convert_error(exc))
         except Exception:
-            logging.exception("operator's call %s failed", name)
-            call.answer.set_exception(
+            logging.exception("administration call %s failed", name)
+            call.response.set_exception(
                 OperatorsError("internal error", ErrorCode.INTERNAL)
             )
         else:
-            call.answer.set_result(answer)
+            call.response.set_result(response)
 
     async def _validate(
         self, request: pb.ValidateRequest, _timeout_s: float
@@ -120,7 +120,7 @@
         self, request: pb.HistoryRequest, _timeout_s: float
     ) -> pb.HistoryResponse:
         commits = await self._backend.history(
-            request.before, request.limit or DEFAULT_HISTORY
+            request.before, request.limit or DEFAULT_HISTORY_LIMIT
         )
         return pb.HistoryResponse(
             commits=[encode_commit(commit) for commit in commits]
--- a/libs/operators/auburnjunction/operators/errors.py
+++ b/libs/operators/auburnjunction/operators/errors.py
@@ -1,4 +1,4 @@
-"""Errors of the administration API and their form on the wire."""
+"""Errors of the administration API and their encoding."""
 
 import attrs
 from google.protobuf.message import DecodeError
@@ -10,7 +10,7 @@
 
 ERROR_KEY = "auburn-error-bin"
 
-STATUSES = {
+STATUS_BY_CODE = {
     ErrorCode.INVALID: Status.INVALID_ARGUMENT,
     ErrorCode.NOT_FOUND: Status.NOT_FOUND,
     ErrorCode.CONFLICT: Status.ABORTED,
@@ -21,7 +21,7 @@
     ErrorCode.DRAINING: Status.UNAVAILABLE,
 }
 
-CODES = {
+CODE_BY_STATUS = {
     Status.INVALID_ARGUMENT: ErrorCode.INVALID,
     Status.NOT_FOUND: ErrorCode.NOT_FOUND,
     Status.ABORTED: ErrorCode.CONFLICT,
@@ -34,7 +34,7 @@
 
 @attrs.frozen
 class ErrorDetail:
-    """What an operator is told of a failed call beside its message."""
+    """Details of a failed call beyond its code and message."""
 
     mend: str = ""
     operation_id: str = ""
@@ -44,7 +44,7 @@
 
 
 class OperatorsError(AuburnError):
-    """A call of the administration API that failed."""
+    """Raised when a call of the administration API fails."""
 
     def __init__(
         self,
@@ -56,8 +56,8 @@
         self.detail = detail or ErrorDetail()
 
 
-def describe_error(exc: AuburnError) -> OperatorsError:
-    """Turn an error of a layer below into one of this layer."""
+def convert_error(exc: AuburnError) -> OperatorsError:
+    """Convert an error of a lower layer to an OperatorsError."""
     if isinstance(exc, OperatorsError):
         return exc
     detail = ErrorDetail(
@@ -71,17 +71,17 @@
 
 
 def encode_problem(problem: Problem) -> pb.Problem:
-    """Return the message of a problem."""
+    """Return a problem as its protobuf message."""
     return pb.Problem(**attrs.asdict(problem))
 
 
 def decode_problem(message: pb.Problem) -> Problem:
-    """Return the problem of a message."""
+    """Return the problem of a protobuf message."""
     return Problem(message.field, message.message, message.mend)
 
 
 def encode_error(exc: OperatorsError) -> bytes:
-    """Return the value of the trailing metadata for an error."""
+    """Return an error as the value of the ERROR_KEY trailing metadata."""
     detail = exc.detail
     return pb.ErrorDetail(
         code=exc.code,
@@ -97,8 +97,12 @@
 def decode_error(
     status: Status, message: str | None, value: bytes | None
 ) -> OperatorsError:
-    """Return the error of a status and its trailing metadata."""
-    code = CODES.get(status, ErrorCode.INTERNAL)
+    """Return the error encoded in a status and its trailing metadata.
+
+    Falls back to the status alone where the metadata is missing or
+    cannot be decoded.
+    """
+    code = CODE_BY_STATUS.get(status, ErrorCode.INTERNAL)
     if value is None:
         return OperatorsError(message or status.name, code)
     try:
--- a/libs/operators/auburnjunction/operators/servers.py
+++ b/libs/operators/auburnjunction/operators/servers.py
@@ -1,4 +1,4 @@
-"""The operators' server: gRPC on one thread, its work in curio."""
+"""Administration server: gRPC on its own thread, handlers in curio."""
 
 import asyncio
 import errno
@@ -18,8 +18,8 @@
 from auburnjunction.operators.services import AdministrationService
 
 LISTEN_BACKLOG = 64
-DRAIN_LIMIT_S = 10.0
-WORKERS = 16
+DRAIN_TIMEOUT_S = 10.0
+WORKER_COUNT = 16
 
 
 @attrs.frozen
@@ -30,7 +30,7 @@
 
 
 class GrpcThread:
-    """Runs the gRPC service on an event loop of asyncio."""
+    """Runs the gRPC service on an asyncio event loop in its own thread."""
 
     def __init__(self, sock: socket.socket, calls: curio.UniversalQueue):
         self._sock = sock
@@ -41,12 +41,12 @@
         )
 
     def start(self) -> None:
-        """Start the thread; return when the server listens."""
+        """Start the thread and wait until the server is listening."""
         self._thread.start()
         self._started.result()
 
     def stop(self) -> None:
-        """Answer the calls in flight, then end the thread."""
+        """Finish the calls in flight, then end the thread."""
         loop, stopping = self._started.result()
         loop.call_soon_threadsafe(stopping.set)
         self._thread.join()
@@ -65,7 +65,7 @@
         stopping = asyncio.Event()
         self._started.set_result((asyncio.get_running_loop(), stopping))
         await stopping.wait()
-        await service.drain(DRAIN_LIMIT_S)
+        await service.drain(DRAIN_TIMEOUT_S)
         server.close()
         await server.wait_closed()
 
@@ -74,17 +74,17 @@
 async def open_operators_server(
     host: str, port: int, backend: AdministrationBackend
 ) -> AsyncIterator[OperatorsServer]:
-    """Yield a server of the administration API; port 0 takes a free one.
+    """Yield a server of the administration API; port 0 picks a free one.
 
-    Raise AddressInUseError when the address cannot be had. At the end,
-    calls in flight are answered first.
+    Raise AddressInUseError when the address cannot be bound. On exit,
+    waits up to DRAIN_TIMEOUT_S for calls in flight.
     """
     sock = bind_listener(host, port)
     calls = curio.UniversalQueue()
     dispatcher = CallDispatcher(backend)
     thread = GrpcThread(sock, calls)
     async with curio.TaskGroup(wait=None) as group:
-        for _ in range(WORKERS):
+        for _ in range(WORKER_COUNT):
             await group.spawn(_run_calls, calls, dispatcher)
         await curio.run_in_thread(thread.start)
         try:
@@ -103,7 +103,10 @@
 
 
 def bind_listener(host: str, port: int) -> socket.socket:
-    """Return a listening socket; raise AddressInUseError."""
+    """Return a listening socket.
+
+    Raise AddressInUseError when the address cannot be bound.
+    """
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
--- a/libs/operators/auburnjunction/operators/services.py
+++ b/libs/operators/auburnjunction/operators/services.py
@@ -1,4 +1,4 @@
-"""The gRPC service, on the asyncio thread."""
+"""The gRPC service, which runs on the asyncio thread."""
 
 import asyncio
 
@@ -10,7 +10,7 @@
 from auburnjunction.operators.dispatchers import OperatorCall
 from auburnjunction.operators.errors import (
     ERROR_KEY,
-    STATUSES,
+    STATUS_BY_CODE,
     OperatorsError,
     encode_error,
 )
@@ -18,54 +18,54 @@
 
 DEFAULT_TIMEOUT_S = 10.0
 MAX_TIMEOUT_S = 60.0
-# Left of the caller's deadline for the answer's way back.
-ANSWER_MARGIN_S = 0.2
+# Part of the client's deadline reserved for returning the response.
+RESPONSE_MARGIN_S = 0.2
 MIN_TIMEOUT_S = 0.1
-DRAIN_STEP_S = 0.02
+DRAIN_POLL_INTERVAL_S = 0.02
 
 
 class AdministrationService(AdministrationBase):
-    """Hands each call to curio and sends back its answer."""
+    """Passes each request to curio and returns its response."""
 
     def __init__(self, calls: UniversalQueue):
         self._calls = calls
         self._in_flight = 0
         self._closing = False
 
-    async def drain(self, limit_s: float) -> None:
-        """Refuse new calls and wait for those in flight."""
+    async def drain(self, timeout_s: float) -> None:
+        """Refuse new calls and wait for those in flight, up to a timeout."""
         self._closing = True
         loop = asyncio.get_running_loop()
-        end_s = loop.time() + limit_s
-        while self._in_flight and loop.time() < end_s:
-            await asyncio.sleep(DRAIN_STEP_S)
+        deadline_s = loop.time() + timeout_s
+        while self._in_flight and loop.time() < deadline_s:
+            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
 
     async def _serve(self, stream: Stream) -> None:
         request = await stream.recv_message()
         self._in_flight += 1
         try:
-            answer = await self._run(request, stream)
-            await stream.send_message(answer)
+            response = await self._submit(request, stream)
+            await stream.send_message(response)
         except OperatorsError as exc:
             await stream.send_trailing_metadata(
-                status=STATUSES.get(exc.code, Status.INTERNAL),
+                status=STATUS_BY_CODE.get(exc.code, Status.INTERNAL),
                 status_message=exc.message,
                 metadata={ERROR_KEY: encode_error(exc)},
             )
         finally:
             self._in_flight -= 1
 
-    async def _run(self, request, stream: Stream):
+    async def _submit(self, request, stream: Stream):
         if self._closing:
             raise OperatorsError(
                 "this node is shutting down", ErrorCode.UNAVAILABLE
             )
         call = OperatorCall(request, choose_timeout(stream))
         await self._calls.put(call)
-        return await asyncio.wrap_future(call.answer)
+        return await asyncio.wrap_future(call.response)
 
     async def Validate(self, stream: Stream) -> None:  # noqa: N802
-        """Check a configuration."""
+        """Validate a configuration."""
         await self._serve(stream)
 
     async def Apply(self, stream: Stream) -> None:  # noqa: N802
@@ -73,7 +73,7 @@
         await self._serve(stream)
 
     async def Rollback(self, stream: Stream) -> None:  # noqa: N802
-        """Commit old content again."""
+        """Commit the content of an old revision as a new revision."""
         await self._serve(stream)
 
     async def Get(self, stream: Stream) -> None:  # noqa: N802
@@ -85,7 +85,7 @@
         await self._serve(stream)
 
     async def Operation(self, stream: Stream) -> None:  # noqa: N802
-        """Look an operation up."""
+        """Look up the commit of an operation id."""
         await self._serve(stream)
 
     async def Nodes(self, stream: Stream) -> None:  # noqa: N802
@@ -98,8 +98,8 @@
 
 
 def choose_timeout(stream: Stream) -> float:
-    """Return the seconds in which a call has to be answered."""
+    """Return the timeout of a call in seconds, from the client's deadline."""
     if stream.deadline is None:
         return DEFAULT_TIMEOUT_S
-    left_s = stream.deadline.time_remaining() - ANSWER_MARGIN_S
-    return min(max(left_s, MIN_TIMEOUT_S), MAX_TIMEOUT_S)
+    remaining_s = stream.deadline.time_remaining() - RESPONSE_MARGIN_S
+    return min(max(remaining_s, MIN_TIMEOUT_S), MAX_TIMEOUT_S)
--- a/libs/operators/auburnjunction/operators/tests/support.py
+++ b/libs/operators/auburnjunction/operators/tests/support.py
@@ -1,4 +1,4 @@
-"""A server of the administration API on a platform in memory."""
+"""An administration server on in-memory storage, for tests."""
 
 import asyncio
 from contextlib import asynccontextmanager
@@ -19,13 +19,13 @@
 
 
 def make_snapshot(timeout_ms: int = 500) -> Snapshot:
-    """Return a valid snapshot that differs by its timeout."""
+    """Return a valid snapshot whose content varies with the timeout."""
     route = Route("pay", "/pay", "billing", timeout_ms=timeout_ms)
     return Snapshot((Service("billing"),), (route,))
 
 
 class FakeNode:
-    """Directory, drainer and taker of one node."""
+    """Fake directory, drainer and commit publisher of one node."""
 
     def __init__(self):
         self.revision = 0
@@ -61,7 +61,7 @@
 
 
 class Administration:
-    """What a test sees of the server."""
+    """The server under test, with its fakes and its address."""
 
     def __init__(self):
         self.table = MemoryTable()
@@ -81,7 +81,7 @@
 
 
 def run_with_server(function):
-    """Run an async function of asyncio beside a server in curio."""
+    """Run an asyncio coroutine function against a server run by curio."""
     administration = Administration()
 
     async def main():
--- a/libs/operators/auburnjunction/operators/tests/test_servers.py
+++ b/libs/operators/auburnjunction/operators/tests/test_servers.py
@@ -1,4 +1,4 @@
-"""Calls of the administration API over loopback."""
+"""Tests of the administration API over loopback."""
 
 import asyncio
 
@@ -24,15 +24,15 @@
 from auburnjunction.schema import control_pb2 as pb
 
 
-def test_every_call_returns_its_answer():
+def test_every_call_returns_its_response():
     async def check(administration):
         client = OperatorsClient([administration.address], 5.0)
         assert await client.validate(make_snapshot()) == []
         commit = await client.apply("one", 0, make_snapshot(1), "ada", "c")
         assert commit.revision == 1
         await client.apply("two", 1, make_snapshot(2))
-        back = await client.rollback("three", 2, 1)
-        assert back.revision == 3
+        rolled_back = await client.rollback("three", 2, 1)
+        assert rolled_back.revision == 3
         assert (await client.get()).snapshot == make_snapshot(1)
         assert [c.revision for c in await client.history()] == [3, 2, 1]
         assert await client.find_operation("one") == commit
@@ -88,7 +88,7 @@
     run_with_server(check)
 
 
-def test_next_node_is_called_when_one_cannot_be_reached():
+def test_next_node_is_called_when_one_is_unreachable():
     async def check(administration):
         sock = bind_listener("127.0.0.1", 0)
         closed = Address("127.0.0.1", sock.getsockname()[1])
@@ -103,16 +103,16 @@
     ("next_is_up", "code"),
     [(True, None), (False, ErrorCode.UNKNOWN)],
 )
-def test_silent_node_leaves_a_write_in_doubt(next_is_up, code):
-    """A node that takes the call and never answers may have run it."""
+def test_unresponsive_node_leaves_write_outcome_unknown(next_is_up, code):
+    """A node that accepts a call and never responds may have applied it."""
 
     async def check(administration):
-        silent = bind_listener("127.0.0.1", 0)
+        unresponsive = bind_listener("127.0.0.1", 0)
         closed = bind_listener("127.0.0.1", 0)
         closed_port = closed.getsockname()[1]
         closed.close()
         addresses = [
-            Address("127.0.0.1", silent.getsockname()[1]),
+            Address("127.0.0.1", unresponsive.getsockname()[1]),
             administration.address
             if next_is_up
             else Address("127.0.0.1", closed_port),
@@ -125,12 +125,12 @@
         except OperatorsError as exc:
             assert exc.code is code
             assert exc.detail.operation_id == "one"
-        silent.close()
+        unresponsive.close()
 
     run_with_server(check)
 
 
-def test_stop_answers_the_call_in_flight():
+def test_stop_completes_the_call_in_flight():
     async def main():
         administration = Administration()
         started, release = curio.Event(), curio.Event()
@@ -159,7 +159,7 @@
     await release.set()
 
 
-def test_address_in_use_is_named():
+def test_address_in_use_is_reported():
     async def main():
         sock = bind_listener("127.0.0.1", 0)
         port = sock.getsockname()[1]
