Reword auburnctl in plain terms

Help texts, docstrings and private names of auburnctl were terse or figurative ("ask after a write", "those that lack it"). The exit codes, flags, keys and matched words stay.

--- a/libs/commands/auburnjunction/commands/control_actions.py
+++ b/libs/commands/auburnjunction/commands/control_actions.py
@@ -1,4 +1,4 @@
-"""What each command of auburnctl does with the administration API."""
+"""Actions of the auburnctl commands on the administration API."""
 
 import asyncio
 from collections.abc import Callable
@@ -28,7 +28,7 @@
 from auburnjunction.operators.errors import OperatorsError
 from auburnjunction.schema import control_pb2 as pb
 
-POLL_S = 0.1
+POLL_INTERVAL_S = 0.1
 COMMIT_COLUMNS = (
     "revision",
     "base_revision",
@@ -67,7 +67,7 @@
 
 
 def validate_file(path: Path) -> View:
-    """Check a configuration file without asking a node."""
+    """Validate a configuration file locally, without a call to a node."""
     snapshot = read_configuration(path)
     problems = validate_snapshot(snapshot)
     if problems:
@@ -85,15 +85,15 @@
     )
 
 
-def view_commit(commit: Commit, title: str = "") -> View:
-    """Return the view of one commit."""
+def make_commit_view(commit: Commit, title: str = "") -> View:
+    """Return a view of one commit."""
     values = list_commit_values(commit)
     return View(values, [values], COMMIT_COLUMNS, title)
 
 
 @attrs.frozen
 class ChangeOptions:
-    """What a change is committed with."""
+    """Base revision and metadata of a change."""
 
     base_revision: int
     operation_id: str
@@ -104,7 +104,7 @@
 async def apply_file(
     client: OperatorsClient, path: Path, options: ChangeOptions
 ) -> View:
-    """Commit a configuration file."""
+    """Validate a configuration file and commit it."""
     validate_file(path)
     commit = await client.apply(
         options.operation_id,
@@ -113,13 +113,13 @@
         options.operator,
         options.comment,
     )
-    return view_commit(commit, f"accepted as revision {commit.revision}")
+    return make_commit_view(commit, f"accepted as revision {commit.revision}")
 
 
 async def roll_back(
     client: OperatorsClient, revision: int, options: ChangeOptions
 ) -> View:
-    """Commit the content of an old revision again."""
+    """Commit the content of an old revision as a new revision."""
     commit = await client.rollback(
         options.operation_id,
         options.base_revision,
@@ -127,7 +127,7 @@
         options.operator,
         options.comment,
     )
-    return view_commit(commit, f"accepted as revision {commit.revision}")
+    return make_commit_view(commit, f"accepted as revision {commit.revision}")
 
 
 async def get_configuration(client: OperatorsClient, revision: int) -> View:
@@ -145,7 +145,7 @@
 
 
 async def list_services(client: OperatorsClient) -> View:
-    """Return the services of the head with their routes' names."""
+    """Return the services of the head with the names of their routes."""
     found = await client.get()
     rows = [
         {
@@ -153,7 +153,7 @@
             "resources": list(service.resources),
             "queue_limit": service.queue_limit,
             "attempt_timeout_ms": service.attempt_timeout_ms,
-            "routes": _list_routes(found.snapshot, service.name),
+            "routes": _list_route_names(found.snapshot, service.name),
         }
         for service in found.snapshot.services
     ]
@@ -167,34 +167,34 @@
     return View(rows, rows, columns, f"revision {found.commit.revision}")
 
 
-def _list_routes(snapshot: Snapshot, service: str) -> list[str]:
+def _list_route_names(snapshot: Snapshot, service: str) -> list[str]:
     return [r.name for r in snapshot.routes if r.service == service]
 
 
 async def compare_revisions(
     client: OperatorsClient, old: str, new: str
 ) -> View:
-    """Return the differences of two revisions or files."""
-    before = await _load(client, old)
-    after = await _load(client, new)
+    """Return the differences between two revisions or files."""
+    before = await _load_snapshot(client, old)
+    after = await _load_snapshot(client, new)
     rows = [attrs.asdict(d) for d in compare_snapshots(before, after)]
     title = "" if rows else "no differences"
     columns = ("kind", "name", "change", "fields")
     return View(rows, rows, columns if rows else (), title)
 
 
-async def _load(client: OperatorsClient, place: str) -> Snapshot:
-    if place == "head":
+async def _load_snapshot(client: OperatorsClient, source: str) -> Snapshot:
+    if source == "head":
         return (await client.get()).snapshot
-    if place.isdigit():
-        return (await client.get(int(place))).snapshot
-    return read_configuration(Path(place))
+    if source.isdigit():
+        return (await client.get(int(source))).snapshot
+    return read_configuration(Path(source))
 
 
 async def list_history(
     client: OperatorsClient, before: int, limit: int
 ) -> View:
-    """Return commits, the newest first."""
+    """Return commits up to revision before, newest first."""
     rows = [list_commit_values(c) for c in await client.history(before, limit)]
     return View(rows, rows, COMMIT_COLUMNS)
 
@@ -207,15 +207,15 @@
     commit = await client.find_operation(operation_id)
     if commit is None:
         raise ControlError(
-            f"operation {operation_id} was not applied so far",
+            f"operation {operation_id} has not been applied",
             ErrorCode.NOT_FOUND,
-            "repeat the change with the same operation id to settle it",
+            "repeat the change with the same operation id; it is applied once",
         )
-    return view_commit(commit, f"applied as revision {commit.revision}")
+    return make_commit_view(commit, f"applied as revision {commit.revision}")
 
 
 async def list_nodes(client: OperatorsClient) -> View:
-    """Return the nodes with the revision that each has in force."""
+    """Return the nodes with the revision that is in force on each."""
     rows = [list_node_values(record) for record in await client.list_nodes()]
     rows.sort(key=lambda row: (row["data_centre"], row["node"]))
     return View(rows, rows, NODE_COLUMNS)
@@ -243,19 +243,22 @@
 
 @attrs.frozen
 class WaitOptions:
-    """What to wait for; zero nodes means every live node."""
+    """Revision, number of nodes and time to wait for.
+
+    Revision 0 means the head; 0 nodes means every live node.
+    """
 
     revision: int
     nodes: int
     deadline_s: float
 
 
-async def wait_in_force(
+async def wait_until_in_force(
     client: OperatorsClient,
     options: WaitOptions,
-    report: Callable[[str], None],
+    report_progress: Callable[[str], None],
 ) -> View:
-    """Wait until enough nodes have a revision in force.
+    """Wait until a revision is in force on enough nodes.
 
     Raise ControlError with TIMEOUT at the deadline.
     """
@@ -267,32 +270,36 @@
     progress = ""
     while True:
         try:
-            done, alive = _count(await client.list_nodes(), revision)
-            progress = f"{done} of {alive} nodes"
-            report(progress)
-            if done >= (options.nodes or max(alive, 1)):
-                return _view_wait(revision, done, alive)
+            in_force, alive = _count_in_force(
+                await client.list_nodes(), revision
+            )
+            progress = f"{in_force} of {alive} nodes"
+            report_progress(progress)
+            if in_force >= (options.nodes or max(alive, 1)):
+                return _make_wait_view(revision, in_force, alive)
         except OperatorsError as exc:
             if exc.code is not ErrorCode.UNAVAILABLE:
                 raise
             progress = exc.message
         if loop.time() - start_s >= options.deadline_s:
             raise ControlError(
-                f"revision {revision} is not in force everywhere after "
+                f"revision {revision} is not in force on enough nodes after "
                 f"{options.deadline_s:g} s ({progress})",
                 ErrorCode.TIMEOUT,
-                "see 'auburnctl nodes' for those that lack it",
+                "see 'auburnctl nodes' for the revision in force on each node",
             )
-        await asyncio.sleep(POLL_S)
+        await asyncio.sleep(POLL_INTERVAL_S)
 
 
-def _view_wait(revision: int, done: int, alive: int) -> View:
-    values = {"revision": revision, "in_force": done, "alive": alive}
-    title = f"revision {revision} is in force on {done} of {alive} nodes"
+def _make_wait_view(revision: int, in_force: int, alive: int) -> View:
+    values = {"revision": revision, "in_force": in_force, "alive": alive}
+    title = f"revision {revision} is in force on {in_force} of {alive} nodes"
     return View(values, title=title)
 
 
-def _count(records: list[pb.NodeRecord], revision: int) -> tuple[int, int]:
+def _count_in_force(
+    records: list[pb.NodeRecord], revision: int
+) -> tuple[int, int]:
     alive = [r for r in records if r.state == pb.NODE_STATE_ALIVE]
-    done = [r for r in alive if r.revision >= revision]
-    return len(done), len(alive)
+    in_force = [r for r in alive if r.revision >= revision]
+    return len(in_force), len(alive)
--- a/libs/commands/auburnjunction/commands/control_commands.py
+++ b/libs/commands/auburnjunction/commands/control_commands.py
@@ -1,4 +1,4 @@
-"""The commands of auburnctl with their options."""
+"""The subcommands of auburnctl and their options."""
 
 import getpass
 from pathlib import Path
@@ -19,7 +19,7 @@
     int,
     cappa.Arg(
         long="--revision",
-        help="Revision that the change is based on; 0 for the first.",
+        help="Revision that the change is based on; 0 for the first one.",
     ),
 ]
 OperationId = Annotated[
@@ -27,19 +27,19 @@
     cappa.Arg(
         long="--operation-id",
         default="",
-        help="Id of this write; repeat it to settle a lost answer.",
+        help="Id of this write; reuse it to retry after a lost response.",
     ),
 ]
 Operator = Annotated[
-    str, cappa.Arg(long=True, default="", help="Who makes the change.")
+    str, cappa.Arg(long=True, default="", help="Author of the change.")
 ]
 Comment = Annotated[
-    str, cappa.Arg(long=True, default="", help="Why it is made.")
+    str, cappa.Arg(long=True, default="", help="Reason for the change.")
 ]
 Instance = Annotated[str, cappa.Arg(help="Name of the backend server.")]
 
 
-def _options(command, base_revision: int) -> actions.ChangeOptions:
+def _make_change_options(command, base_revision: int) -> actions.ChangeOptions:
     return actions.ChangeOptions(
         base_revision,
         command.operation_id or make_operation_id(),
@@ -51,7 +51,7 @@
 @cappa.command(name="validate", help="Check a configuration file.")
 @attrs.define
 class Validate:
-    """Checks a file on this machine; asks no node."""
+    """Validates a file locally, without a call to a node."""
 
     file: File
 
@@ -72,13 +72,15 @@
 
     async def run(self, client: OperatorsClient) -> View:
         """Return the commit."""
-        return await actions.apply_file(client, self.file, _options(self, 0))
+        return await actions.apply_file(
+            client, self.file, _make_change_options(self, 0)
+        )
 
 
 @cappa.command(name="apply", help="Commit a change of the configuration.")
 @attrs.define
 class Apply:
-    """Commits a file on a base revision."""
+    """Commits a file as a change of a base revision."""
 
     file: File
     revision: Base
@@ -88,7 +90,7 @@
 
     async def run(self, client: OperatorsClient) -> View:
         """Return the commit."""
-        options = _options(self, self.revision)
+        options = _make_change_options(self, self.revision)
         return await actions.apply_file(client, self.file, options)
 
 
@@ -119,7 +121,7 @@
 @cappa.command(name="diff", help="Compare two revisions or files.")
 @attrs.define
 class Diff:
-    """Compares two places, each a revision, a file or 'head'."""
+    """Compares two configurations, each a revision, a file or 'head'."""
 
     old: Annotated[str, cappa.Arg(help="Revision, file or 'head'.")]
     new: Annotated[str, cappa.Arg(help="Revision, file or 'head'.")] = "head"
@@ -132,24 +134,28 @@
 @cappa.command(name="history", help="List commits, newest first.")
 @attrs.define
 class History:
-    """Lists commits from a revision down."""
+    """Lists commits up to a revision."""
 
     before: Annotated[
         int, cappa.Arg(long=True, default=0, help="0: the head.")
     ] = 0
-    limit: Annotated[int, cappa.Arg(long=True, help="Most to list.")] = 20
+    limit: Annotated[
+        int, cappa.Arg(long=True, help="Maximum number of commits.")
+    ] = 20
 
     async def run(self, client: OperatorsClient) -> View:
         """Return the commits."""
         return await actions.list_history(client, self.before, self.limit)
 
 
-@cappa.command(name="rollback", help="Commit old content again.")
+@cappa.command(
+    name="rollback", help="Commit the content of an old revision as a new one."
+)
 @attrs.define
 class Rollback:
     """Commits the content of an old revision as a new one."""
 
-    to: Annotated[int, cappa.Arg(long=True, help="Revision to take.")]
+    to: Annotated[int, cappa.Arg(long=True, help="Revision to restore.")]
     revision: Base
     operation_id: OperationId = ""
     operator: Operator = ""
@@ -157,14 +163,14 @@
 
     async def run(self, client: OperatorsClient) -> View:
         """Return the commit."""
-        options = _options(self, self.revision)
+        options = _make_change_options(self, self.revision)
         return await actions.roll_back(client, self.to, options)
 
 
 @cappa.command(name="wait", help="Wait until a revision is in force.")
 @attrs.define
 class Wait:
-    """Waits until enough nodes have a revision, or a deadline."""
+    """Waits until a revision is in force on enough nodes, or a deadline."""
 
     revision: Annotated[
         int, cappa.Arg(long=True, default=0, help="0: the head.")
@@ -177,17 +183,19 @@
     ] = 30.0
 
     async def run(self, client: OperatorsClient) -> View:
-        """Return how many nodes have it."""
+        """Return the number of nodes on which it is in force."""
         options = actions.WaitOptions(
             self.revision, self.nodes, self.deadline_s
         )
-        return await actions.wait_in_force(client, options, lambda _: None)
+        return await actions.wait_until_in_force(
+            client, options, lambda _: None
+        )
 
 
-@cappa.command(name="operation", help="Ask after a write by its id.")
+@cappa.command(name="operation", help="Look up a write by its operation id.")
 @attrs.define
 class Operation:
-    """Tells whether a write was applied."""
+    """Shows the commit of a write, if it was applied."""
 
     operation_id: Annotated[str, cappa.Arg(help="Id of the write.")]
 
@@ -199,7 +207,7 @@
 @cappa.command(name="nodes", help="List nodes and their revisions.")
 @attrs.define
 class Nodes:
-    """Lists the nodes that the asked node knows."""
+    """Lists the nodes that the called node has in its membership view."""
 
     async def run(self, client: OperatorsClient) -> View:
         """Return the nodes."""
@@ -212,7 +220,8 @@
     """Lists backend servers, of one service or of all."""
 
     service: Annotated[
-        str, cappa.Arg(long=True, default="", help="Only these.")
+        str,
+        cappa.Arg(long=True, default="", help="Only those of this service."),
     ] = ""
 
     async def run(self, client: OperatorsClient) -> View:
@@ -220,7 +229,9 @@
         return await actions.list_backends(client, self.service)
 
 
-@cappa.command(name="drain", help="Give a backend server no new work.")
+@cappa.command(
+    name="drain", help="Stop sending new calls to a backend server."
+)
 @attrs.define
 class Drain:
     """Starts the draining of a backend server."""
@@ -232,7 +243,9 @@
         return await actions.drain_instance(client, self.instance, True)
 
 
-@cappa.command(name="undrain", help="Give a drained one work again.")
+@cappa.command(
+    name="undrain", help="Resume sending calls to a drained backend server."
+)
 @attrs.define
 class Undrain:
     """Ends the draining of a backend server."""
--- a/libs/commands/auburnjunction/commands/control_differences.py
+++ b/libs/commands/auburnjunction/commands/control_differences.py
@@ -1,4 +1,4 @@
-"""Differences of two configurations, as auburnctl prints them."""
+"""Differences between two configurations, for auburnctl diff."""
 
 import attrs
 
@@ -17,15 +17,15 @@
 
 
 def compare_snapshots(old: Snapshot, new: Snapshot) -> list[Difference]:
-    """Return the differences, services first, by name."""
+    """Return the differences, services before routes, sorted by name."""
     before, after = list_snapshot_values(old), list_snapshot_values(new)
     differences = []
     for kind in ("services", "routes"):
-        differences += _compare(kind, before[kind], after[kind])
+        differences += _compare_items(kind, before[kind], after[kind])
     return differences
 
 
-def _compare(kind: str, before: list, after: list) -> list[Difference]:
+def _compare_items(kind: str, before: list, after: list) -> list[Difference]:
     old = {item["name"]: item for item in before}
     new = {item["name"]: item for item in after}
     differences = []
@@ -35,12 +35,12 @@
         elif name not in old:
             differences.append(Difference(kind, name, "added"))
         elif old[name] != new[name]:
-            fields = _list_fields(old[name], new[name])
+            fields = _describe_changed_fields(old[name], new[name])
             differences.append(Difference(kind, name, "changed", fields))
     return differences
 
 
-def _list_fields(old: dict, new: dict) -> tuple[str, ...]:
+def _describe_changed_fields(old: dict, new: dict) -> tuple[str, ...]:
     return tuple(
         f"{field}: {old[field]} -> {new[field]}"
         for field in new
--- a/libs/commands/auburnjunction/commands/control_errors.py
+++ b/libs/commands/auburnjunction/commands/control_errors.py
@@ -1,4 +1,4 @@
-"""Errors of auburnctl and the exit codes they lead to."""
+"""Errors of auburnctl and their exit codes."""
 
 from auburnjunction.base.errors import AuburnError, ErrorCode, ExitCode
 from auburnjunction.operators.errors import ErrorDetail, OperatorsError
@@ -14,7 +14,7 @@
 
 
 class ControlError(AuburnError):
-    """A command that failed, with what to do about it."""
+    """Raised when a command fails; mend is the suggested remedy."""
 
     def __init__(self, message: str, code: ErrorCode, mend: str = ""):
         super().__init__(message, code)
@@ -22,7 +22,7 @@
 
 
 class UsageError(ControlError):
-    """An option or a file name that cannot be used."""
+    """Raised for an invalid option or an unreadable file."""
 
     def __init__(self, message: str, mend: str):
         super().__init__(message, ErrorCode.INVALID, mend)
@@ -36,7 +36,7 @@
 
 
 def list_error_values(exc: AuburnError) -> dict[str, object]:
-    """Return an error as plain values for JSON."""
+    """Return an error as JSON-compatible values."""
     values = {"code": str(exc.code), "message": exc.message}
     detail = exc.detail if isinstance(exc, OperatorsError) else ErrorDetail()
     values["mend"] = getattr(exc, "mend", "") or detail.mend
@@ -54,7 +54,7 @@
 
 
 def format_error(exc: AuburnError) -> str:
-    """Return an error as one line for people."""
+    """Return an error as one line of text."""
     values = list_error_values(exc)
     parts = [exc.message]
     if values["mend"]:
--- a/libs/commands/auburnjunction/commands/control_files.py
+++ b/libs/commands/auburnjunction/commands/control_files.py
@@ -1,4 +1,4 @@
-"""Configuration files as auburnctl reads them."""
+"""Reading of configuration files for auburnctl."""
 
 from pathlib import Path
 
@@ -10,7 +10,7 @@
 
 
 class InvalidFileError(ControlError):
-    """A configuration file with faults."""
+    """Raised for a configuration file that fails validation."""
 
     def __init__(self, path: Path, problems: list[Problem]):
         super().__init__(
--- a/libs/commands/auburnjunction/commands/control_views.py
+++ b/libs/commands/auburnjunction/commands/control_views.py
@@ -1,4 +1,4 @@
-"""What auburnctl prints: rows for people, plain values for tooling."""
+"""Output of auburnctl as tables or JSON."""
 
 from collections.abc import Sequence
 from datetime import UTC, datetime
@@ -20,8 +20,8 @@
 class View:
     """The result of a command.
 
-    Values are printed as JSON; the columns, keys of each row, as a
-    table.
+    JSON output prints the values. Table output prints the title and the
+    rows; columns are the keys of a row to show.
     """
 
     values: object
@@ -58,7 +58,7 @@
 
 
 def list_commit_values(commit: Commit) -> Values:
-    """Return a commit as plain values."""
+    """Return a commit as JSON-compatible values."""
     return {
         "revision": commit.revision,
         "digest": commit.digest.hex(),
@@ -71,12 +71,12 @@
 
 
 def list_snapshot_values(snapshot: Snapshot) -> Values:
-    """Return a configuration as in its JSON file."""
+    """Return a configuration in the structure of its JSON file."""
     return orjson.loads(dump_snapshot_json(snapshot))
 
 
 def list_node_values(record: pb.NodeRecord) -> Values:
-    """Return a node as plain values."""
+    """Return a node as JSON-compatible values."""
     return {
         "node": record.node,
         "data_centre": record.data_centre,
@@ -90,7 +90,7 @@
 def list_backend_values(
     instance: pb.InstanceRecord, record: pb.NodeRecord | None = None
 ) -> Values:
-    """Return a backend server as plain values."""
+    """Return a backend server as JSON-compatible values."""
     values = {
         "instance": instance.instance,
         "service": instance.service,
@@ -106,11 +106,11 @@
 
 
 def format_state(enum, value: int) -> str:
-    """Return the last part of an enumerated value's name."""
+    """Return the lower-case name of a protobuf state without its prefix."""
     return enum.Name(value).rpartition("STATE_")[2].lower()
 
 
 def format_time(time: datetime) -> str:
-    """Return a time in UTC to the millisecond."""
+    """Return a time as ISO 8601 in UTC with milliseconds."""
     text = time.astimezone(UTC).isoformat(timespec="milliseconds")
     return text.replace("+00:00", "Z")
--- a/libs/commands/auburnjunction/commands/controls.py
+++ b/libs/commands/auburnjunction/commands/controls.py
@@ -1,4 +1,4 @@
-"""auburnctl: drives configurations and backend servers from a terminal."""
+"""The auburnctl program: manages configurations and backend servers."""
 
 import asyncio
 import sys
@@ -30,7 +30,7 @@
 )
 @attrs.define
 class Auburnctl:
-    """Options of every command, and the command."""
+    """The subcommand and the options common to all subcommands."""
 
     command: cappa.Subcommands[Command]
     address: Annotated[
@@ -38,17 +38,19 @@
         cappa.Arg(
             long=True,
             propagate=True,
-            help="Operators' HOST:PORT of a node; more are tried in turn.",
+            help="Operators' HOST:PORT of a node; repeat to add fallbacks.",
         ),
     ] = attrs.field(factory=list)
     output: Annotated[
         Literal["table", "json"],
-        cappa.Arg(long=True, propagate=True, help="Form of the output."),
+        cappa.Arg(long=True, propagate=True, help="Output format."),
     ] = "table"
     timeout_s: Annotated[
         float,
         cappa.Arg(
-            long="--timeout-s", propagate=True, help="Seconds for a call."
+            long="--timeout-s",
+            propagate=True,
+            help="Timeout of a call in seconds.",
         ),
     ] = 10.0
 
@@ -56,7 +58,7 @@
 def run_command(options: Auburnctl) -> int:
     """Run a parsed command and return its exit code."""
     try:
-        addresses = read_addresses(options.address or [DEFAULT_ADDRESS])
+        addresses = parse_addresses(options.address or [DEFAULT_ADDRESS])
         client = OperatorsClient(addresses, options.timeout_s)
         view = asyncio.run(options.command.run(client))
     except AuburnError as exc:
@@ -68,8 +70,8 @@
     return ExitCode.OK
 
 
-def read_addresses(texts: list[str]) -> list[Address]:
-    """Return the addresses of the option; raise UsageError."""
+def parse_addresses(texts: list[str]) -> list[Address]:
+    """Parse the values of --address; raise UsageError when invalid."""
     try:
         return [parse_address(text) for text in texts]
     except ValueError as exc:
