Reword the load generator and auburn-node in plain terms

Use the usual terms: open-loop load, Poisson arrivals, exponential backoff, percentiles, violated guarantees. Say why a call stays unknown when a refusal follows an attempt of unknown outcome, and which interval IDLE_INTERVAL_S is used for. JSON keys, settings and outcomes stay.

--- a/libs/commands/auburnjunction/commands/__init__.py
+++ b/libs/commands/auburnjunction/commands/__init__.py
@@ -1,1 +1,1 @@
-"""The binaries."""
+"""The command-line programs of Auburn Junction."""
--- a/libs/commands/auburnjunction/commands/callers.py
+++ b/libs/commands/auburnjunction/commands/callers.py
@@ -1,4 +1,4 @@
-"""Callers that retry as a real one does, and judge their answers."""
+"""Simulated callers, which retry calls and classify their responses."""
 
 import random
 from enum import StrEnum
@@ -21,20 +21,20 @@
 
 
 class CallOutcome(StrEnum):
-    """What a caller knows of its call at the end."""
+    """Final outcome of a call, as its caller sees it."""
 
     OK = "ok"
-    # A whole answer of its own that tells of a failure.
+    # The backend server returned a complete response with an error.
     FAILED = "failed"
     NOT_RUN = "not-run"
     UNKNOWN = "unknown"
-    # An answer that is not that of the call.
+    # The response belongs to another call.
     WRONG = "wrong"
 
 
 @attrs.define(slots=True)
 class CallRecord:
-    """One call as its caller saw it; times in seconds of the load."""
+    """One call as seen by its caller; times are in seconds of the load."""
 
     call_id: str
     mix: CallMix
@@ -46,12 +46,12 @@
 
     @property
     def latency_s(self) -> float:
-        """Time from when the call was due until it ended."""
+        """Seconds from the time the call was due until it ended."""
         return self.ended_s - self.due_s
 
 
 class Caller:
-    """Sends calls to nodes and retries those that may be repeated."""
+    """Sends calls to nodes and retries those that are safe to repeat."""
 
     def __init__(
         self,
@@ -67,22 +67,29 @@
         self._nodes = [parse_address(text) for text in plan.nodes]
 
     async def call(self, record: CallRecord, number: int) -> None:
-        """Make one call, with retries, and fill in its record."""
-        end_s = self._clock.monotonic() + self._plan.timeout_ms / 1000
-        pause_s = self._plan.retries.first_pause_ms / 1000
+        """Make one call with retries and fill in its record.
+
+        Each retry goes to another node, if there is one, after an
+        exponential backoff with jitter.
+        """
+        deadline_s = self._clock.monotonic() + self._plan.timeout_ms / 1000
+        backoff_s = self._plan.retries.first_pause_ms / 1000
         node = self._random.choice(self._nodes)
-        seen: set[CallOutcome] = set()
+        outcomes: set[CallOutcome] = set()
         while True:
-            request = self._make_request(record, number, node, end_s)
-            outcome = await self._attempt(record, request, node, end_s)
-            seen.add(outcome)
-            left_s = end_s - self._clock.monotonic()
-            if not self._may_retry(record, outcome) or left_s <= pause_s:
+            request = self._make_request(record, number, node, deadline_s)
+            outcome = await self._attempt(record, request, node, deadline_s)
+            outcomes.add(outcome)
+            remaining_s = deadline_s - self._clock.monotonic()
+            if (
+                not self._may_retry(record, outcome)
+                or remaining_s <= backoff_s
+            ):
                 break
-            await self._clock.sleep(pause_s * self._random.uniform(0.5, 1.5))
-            pause_s *= self._plan.retries.pause_factor
-            node = self._choose_other(node)
-        record.outcome = _conclude(outcome, seen)
+            await self._clock.sleep(backoff_s * self._random.uniform(0.5, 1.5))
+            backoff_s *= self._plan.retries.pause_factor
+            node = self._choose_other_node(node)
+        record.outcome = _combine_outcomes(outcome, outcomes)
 
     def _may_retry(self, record: CallRecord, outcome: CallOutcome) -> bool:
         if record.attempts >= self._plan.retries.max_attempts:
@@ -91,12 +98,12 @@
             return record.mix.repeatable or record.mix.keyed
         return outcome is CallOutcome.NOT_RUN
 
-    def _choose_other(self, node: Address) -> Address:
+    def _choose_other_node(self, node: Address) -> Address:
         others = [other for other in self._nodes if other != node]
         return self._random.choice(others or self._nodes)
 
     def _make_request(
-        self, record: CallRecord, number: int, node: Address, end_s: float
+        self, record: CallRecord, number: int, node: Address, deadline_s: float
     ) -> HttpRequest:
         mix = record.mix
         call_id = record.call_id.encode("ascii")
@@ -107,8 +114,8 @@
         if mix.keyed and not mix.repeatable:
             headers.append((IDEMPOTENCY_KEY_HEADER, call_id))
         if mix.deadline_ms:
-            left_s = end_s - self._clock.monotonic()
-            limit_ms = min(mix.deadline_ms, max(1, int(left_s * 1000)))
+            remaining_s = deadline_s - self._clock.monotonic()
+            limit_ms = min(mix.deadline_ms, max(1, int(remaining_s * 1000)))
             headers.append((DEADLINE_HEADER, b"%d" % limit_ms))
         path = mix.path.replace("{n}", str(number)).encode("ascii")
         body = make_body(record)
@@ -119,32 +126,36 @@
         record: CallRecord,
         request: HttpRequest,
         node: Address,
-        end_s: float,
+        deadline_s: float,
     ) -> CallOutcome:
         record.attempts += 1
-        left_s = max(0.001, end_s - self._clock.monotonic())
+        remaining_s = max(0.001, deadline_s - self._clock.monotonic())
         try:
-            response = await self._pools.get(node).exchange(request, left_s)
+            response = await self._pools.get(node).exchange(
+                request, remaining_s
+            )
         except NotSentError:
             return CallOutcome.NOT_RUN
         except HttpError:
             return CallOutcome.UNKNOWN
-        return judge_response(record, response)
+        return classify_response(record, response)
 
 
 def make_body(record: CallRecord) -> bytes:
-    """Return a body that no other call of the load has."""
+    """Return a request body that is unique to the call."""
     size = record.mix.body_bytes
     if not size:
         return b""
     return record.call_id.encode("ascii").ljust(size, b".")
 
 
-def judge_response(record: CallRecord, response: HttpResponse) -> CallOutcome:
-    """Tell what a response says of its call.
+def classify_response(
+    record: CallRecord, response: HttpResponse
+) -> CallOutcome:
+    """Return the outcome of a call from its response.
 
-    A node says so itself; without its word the response is that of a
-    backend server.
+    A node marks calls that were not run or whose outcome is unknown in
+    its headers. Any other response is that of the backend server.
     """
     outcome = response.header(OUTCOME_HEADER)
     if outcome == CallOutcome.NOT_RUN.value.encode():
@@ -163,10 +174,16 @@
     return CallOutcome.OK
 
 
-def _conclude(last: CallOutcome, seen: set[CallOutcome]) -> CallOutcome:
-    """Return the outcome of a call from those of its attempts."""
-    if CallOutcome.WRONG in seen:
+def _combine_outcomes(
+    last: CallOutcome, outcomes: set[CallOutcome]
+) -> CallOutcome:
+    """Return the outcome of a call from the outcomes of its attempts.
+
+    A call that was refused on its last attempt may still have run in an
+    earlier attempt with unknown outcome, so it stays unknown.
+    """
+    if CallOutcome.WRONG in outcomes:
         return CallOutcome.WRONG
-    if last is CallOutcome.NOT_RUN and CallOutcome.UNKNOWN in seen:
+    if last is CallOutcome.NOT_RUN and CallOutcome.UNKNOWN in outcomes:
         return CallOutcome.UNKNOWN
     return last
--- a/libs/commands/auburnjunction/commands/histories.py
+++ b/libs/commands/auburnjunction/commands/histories.py
@@ -1,4 +1,4 @@
-"""Check of a load's calls against what backend servers have run."""
+"""Consistency check of a load's calls against recorded executions."""
 
 from collections import defaultdict
 
@@ -18,14 +18,14 @@
 
 
 class HistoryError(AuburnError):
-    """Executions that could not be read."""
+    """Raised when executions cannot be read from a backend server."""
 
     code = ErrorCode.UNAVAILABLE
 
 
 @attrs.frozen(slots=True)
 class ExecutionRecord:
-    """One run of a call at a backend server."""
+    """One execution of a call at a backend server."""
 
     call_id: str
     instance: str
@@ -35,12 +35,13 @@
 
 @attrs.define
 class HistoryResult:
-    """What the check of calls against executions found.
+    """Result of checking calls against executions.
 
-    Doubled: calls that may not be repeated and ran more than once.
-    Ran although refused: answered "not run", and ran all the same.
-    Lost: answered "ok" without having run to the end.
-    Wasted: executions that were of no use to a caller.
+    - doubled: non-repeatable calls that were executed more than once
+    - ran_although_refused: calls with outcome "not run" that were
+      executed
+    - lost: calls with outcome "ok" without a finished execution
+    - wasted: executions beyond the one whose result the caller received
     """
 
     checked_calls: int = 0
@@ -53,11 +54,11 @@
 
     @property
     def violations(self) -> int:
-        """Calls for which a promise was broken."""
+        """Number of violated guarantees; wasted executions do not count."""
         return self.doubled + self.ran_although_refused + self.lost
 
-    def note(self, problem: str, record: CallRecord) -> None:
-        """Keep the first few calls that broke a promise."""
+    def add_example(self, problem: str, record: CallRecord) -> None:
+        """Record a call that violated a guarantee, up to MAX_EXAMPLES."""
         if len(self.examples) < MAX_EXAMPLES:
             self.examples.append(
                 f"{problem}: {record.call_id} ({record.mix.name})"
@@ -67,53 +68,58 @@
 def check_history(
     records: list[CallRecord], executions: list[ExecutionRecord]
 ) -> HistoryResult:
-    """Compare each call with its executions."""
-    by_call: dict[str, list[ExecutionRecord]] = defaultdict(list)
+    """Check the outcome of each call against its executions."""
+    executions_by_call: dict[str, list[ExecutionRecord]] = defaultdict(list)
     for execution in executions:
-        by_call[execution.call_id].append(execution)
+        executions_by_call[execution.call_id].append(execution)
     result = HistoryResult(checked_calls=len(records))
     for record in records:
-        runs = by_call.get(record.call_id, [])
-        result.executions += len(runs)
-        result.wasted += _count_wasted(record, runs)
-        _check_call(record, runs, result)
+        call_executions = executions_by_call.get(record.call_id, [])
+        result.executions += len(call_executions)
+        result.wasted += _count_wasted(record, call_executions)
+        _check_call(record, call_executions, result)
     return result
 
 
 def _check_call(
-    record: CallRecord, runs: list[ExecutionRecord], result: HistoryResult
+    record: CallRecord,
+    call_executions: list[ExecutionRecord],
+    result: HistoryResult,
 ) -> None:
-    if len(runs) > 1 and not record.mix.repeatable:
+    if len(call_executions) > 1 and not record.mix.repeatable:
         result.doubled += 1
-        result.note("doubled", record)
-    if runs and record.outcome is CallOutcome.NOT_RUN:
+        result.add_example("doubled", record)
+    if call_executions and record.outcome is CallOutcome.NOT_RUN:
         result.ran_although_refused += 1
-        result.note("ran although refused", record)
-    finished = any(run.state in FINISHED_STATES for run in runs)
+        result.add_example("ran although refused", record)
+    finished = any(item.state in FINISHED_STATES for item in call_executions)
     if record.outcome is CallOutcome.OK and not finished:
         result.lost += 1
-        result.note("lost", record)
+        result.add_example("lost", record)
 
 
-def _count_wasted(record: CallRecord, runs: list[ExecutionRecord]) -> int:
+def _count_wasted(
+    record: CallRecord, call_executions: list[ExecutionRecord]
+) -> int:
     useful = record.outcome in (CallOutcome.OK, CallOutcome.FAILED)
-    return len(runs) - (1 if useful and runs else 0)
+    return len(call_executions) - (1 if useful and call_executions else 0)
 
 
 async def read_executions(
     backends: tuple[str, ...], pools: PoolRegistry
 ) -> list[ExecutionRecord]:
-    """Return what the backend server stand-ins have run.
+    """Return the executions recorded by backend server stand-ins.
 
-    Raise HistoryError when one cannot be reached.
+    Raise HistoryError when one cannot be reached or its response is
+    invalid.
     """
     executions: list[ExecutionRecord] = []
     for address in backends:
-        executions += await _read_backend(address, pools)
+        executions += await _read_backend_executions(address, pools)
     return executions
 
 
-async def _read_backend(
+async def _read_backend_executions(
     address: str, pools: PoolRegistry
 ) -> list[ExecutionRecord]:
     executions: list[ExecutionRecord] = []
@@ -146,7 +152,8 @@
         ]
     except (KeyError, TypeError, ValueError) as exc:
         raise HistoryError(
-            f"{address} is not a backend server stand-in: {exc}"
+            f"{address} returned invalid executions, so it is not a "
+            f"backend server stand-in: {exc}"
         ) from exc
 
 
@@ -157,6 +164,6 @@
     pools: PoolRegistry,
     settle_s: float,
 ) -> HistoryResult:
-    """Read the executions after a pause and check the calls."""
+    """Wait settle_s for executions to end, then check the calls."""
     await clock.sleep(settle_s)
     return check_history(records, await read_executions(backends, pools))
--- a/libs/commands/auburnjunction/commands/load_results.py
+++ b/libs/commands/auburnjunction/commands/load_results.py
@@ -1,4 +1,4 @@
-"""Results of a load, by priority."""
+"""Results of a load run, by priority."""
 
 from collections import Counter
 
@@ -24,7 +24,7 @@
 
 @attrs.frozen
 class PriorityResult:
-    """What became of the calls of one priority."""
+    """Outcomes and latency of the calls of one priority."""
 
     priority: str
     due: int
@@ -41,11 +41,12 @@
 
 @attrs.frozen
 class LoadResult:
-    """Results of a whole load, without those of its warm-up.
+    """Results of a load run, excluding its warm-up.
 
-    Not sent counts calls beyond the limits of the plan. The start delay
-    is how long after they were due calls were started: when it is high,
-    the sender is overloaded rather than the nodes.
+    not_sent counts calls beyond max_calls or max_in_flight of the plan.
+    start_delay is the time from when calls were due until they were
+    started; a high value means that the load generator is overloaded
+    rather than the nodes.
     """
 
     duration_s: float
@@ -59,12 +60,12 @@
 
     @property
     def violations(self) -> int:
-        """Calls for which a promise was broken."""
+        """Number of wrong responses and of violated guarantees."""
         found = self.history.violations if self.history else 0
         return self.wrong + found
 
     def find_priority(self, priority: str) -> PriorityResult | None:
-        """Return the results of one priority, if calls of it were due."""
+        """Return the results of one priority, or None if no call was due."""
         for result in self.by_priority:
             if result.priority == priority:
                 return result
@@ -72,7 +73,7 @@
 
 
 class ResultCollector:
-    """Gathers the records of a load."""
+    """Collects the call records of a load run."""
 
     def __init__(self, warm_up_s: float = 0.0):
         self.records: list[CallRecord] = []
@@ -80,14 +81,17 @@
         self._due: Counter[str] = Counter()
 
     def count_due(self, priority: str, due_s: float) -> None:
-        """Count a call that is due, whether or not it can be sent."""
+        """Count a call that is due, whether or not it is sent.
+
+        Calls that are due during the warm-up are not counted.
+        """
         if due_s >= self._warm_up_s:
             self._due[priority] += 1
 
     def summarise(
         self, duration_s: float, history: HistoryResult | None
     ) -> LoadResult:
-        """Return the results by priority, most urgent first."""
+        """Return the results, highest priority first."""
         measured_s = duration_s - self._warm_up_s
         records = [r for r in self.records if r.due_s >= self._warm_up_s]
         by_priority = tuple(
@@ -102,7 +106,7 @@
             sent=len(records),
             not_sent=due - len(records),
             wrong=sum(result.wrong for result in by_priority),
-            start_delay=measure_latency(
+            start_delay=compute_percentiles(
                 [record.started_s - record.due_s for record in records]
             ),
             by_priority=by_priority,
@@ -114,7 +118,7 @@
     ) -> PriorityResult:
         records = [r for r in measured if r.mix.priority == priority]
         outcomes = Counter(record.outcome for record in records)
-        served = [r for r in records if r.outcome is CallOutcome.OK]
+        successful = [r for r in records if r.outcome is CallOutcome.OK]
         return PriorityResult(
             priority=priority,
             due=self._due[priority],
@@ -126,12 +130,12 @@
             wrong=outcomes[CallOutcome.WRONG],
             attempts=sum(record.attempts for record in records),
             ok_per_s=round(outcomes[CallOutcome.OK] / duration_s, 2),
-            latency=measure_latency([r.latency_s for r in served]),
+            latency=compute_percentiles([r.latency_s for r in successful]),
         )
 
 
-def measure_latency(latencies_s: list[float]) -> LatencyResult:
-    """Return the distribution of latencies; zeros when there are none."""
+def compute_percentiles(latencies_s: list[float]) -> LatencyResult:
+    """Return percentiles of latencies; zeros when there are none."""
     if not latencies_s:
         return LatencyResult(0.0, 0.0, 0.0)
     histogram = HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_FIGURES)
--- a/libs/commands/auburnjunction/commands/loads.py
+++ b/libs/commands/auburnjunction/commands/loads.py
@@ -1,4 +1,4 @@
-"""The binary auburn-load: open-loop load on nodes, with its results."""
+"""The auburn-load program: open-loop load generator for nodes."""
 
 import random
 import sys
@@ -26,12 +26,13 @@
 from auburnjunction.commands.mixes import CallMix, LoadPlan
 from auburnjunction.http.clients import PoolRegistry
 
-# Shortest wait for the next arrival when a mix is at rest.
-REST_INTERVAL_S = 0.02
+# Step of time while a mix has no arrivals, and polling interval while
+# the last calls are in flight.
+IDLE_INTERVAL_S = 0.02
 
 
 class LoadRunner:
-    """Sends calls when they are due, whatever became of earlier ones."""
+    """Open-loop generator: sends each call when due, regardless of others."""
 
     def __init__(self, plan: LoadPlan, clock: Clock, pools: PoolRegistry):
         self._plan = plan
@@ -45,29 +46,37 @@
         self.results = ResultCollector(plan.warm_up_s)
 
     async def run(self) -> None:
-        """Send every call of the plan and wait until all have ended."""
+        """Send all calls of the plan and wait until they have ended.
+
+        Raise the first unexpected exception of a call, if any.
+        """
         self._start_s = self._clock.monotonic()
         async with open_task_group() as calls:
             async with curio.TaskGroup(wait=all) as arrivals:
                 for index, mix in enumerate(self._plan.mixes):
                     rng = random.Random(self._plan.seed * 1000 + index)
-                    await arrivals.spawn(self._arrive, mix, rng, calls)
+                    await arrivals.spawn(
+                        self._generate_arrivals, mix, rng, calls
+                    )
             while self._in_flight:
-                await self._clock.sleep(REST_INTERVAL_S)
+                await self._clock.sleep(IDLE_INTERVAL_S)
         if self._failure is not None:
             raise self._failure
 
-    async def _arrive(
+    async def _generate_arrivals(
         self, mix: CallMix, rng: random.Random, calls: curio.TaskGroup
     ) -> None:
-        """Start the calls of one mix at random times."""
+        """Start the calls of one mix at Poisson arrivals.
+
+        Each interval is drawn for the mean rate at the previous arrival.
+        """
         due_s = 0.0
         while True:
             rate_per_s = mix.find_rate_per_s(due_s)
             if rate_per_s > 0:
                 due_s += rng.expovariate(rate_per_s)
             else:
-                due_s += REST_INTERVAL_S
+                due_s += IDLE_INTERVAL_S
             if due_s >= self._plan.duration_s:
                 return
             wait_s = due_s - self._elapsed_s()
@@ -81,16 +90,16 @@
     ) -> None:
         self.results.count_due(mix.priority, due_s)
         number = len(self.results.records)
-        full = self._in_flight >= self._plan.max_in_flight
-        if full or number >= self._plan.max_calls:
+        saturated = self._in_flight >= self._plan.max_in_flight
+        if saturated or number >= self._plan.max_calls:
             return
         record = CallRecord(f"{self._load_id}-{number}", mix, due_s)
         self.results.records.append(record)
         self._in_flight += 1
-        # The group forgets daemon tasks when they end.
-        await calls.spawn(self._call, record, number, daemon=True)
+        # A task group does not retain daemon tasks after they end.
+        await calls.spawn(self._run_call, record, number, daemon=True)
 
-    async def _call(self, record: CallRecord, number: int) -> None:
+    async def _run_call(self, record: CallRecord, number: int) -> None:
         record.started_s = self._elapsed_s()
         try:
             await self._caller.call(record, number)
@@ -105,9 +114,9 @@
 
 
 async def run_load(plan: LoadPlan, clock: Clock) -> LoadResult:
-    """Run a load to its end and return its results.
+    """Run a load plan and return its results.
 
-    Raise HistoryError when executions to check cannot be read.
+    Raise HistoryError when the executions cannot be read for the check.
     """
     pools = PoolRegistry(clock, max_connections=plan.max_connections_per_node)
     runner = LoadRunner(plan, clock, pools)
@@ -133,7 +142,7 @@
 
 
 def make_result_table(result: LoadResult) -> Table:
-    """Return the results by priority as a table for terminals."""
+    """Return the results by priority as a table for the terminal."""
     table = Table(box=SIMPLE_HEAD, padding=(0, 1, 0, 0))
     table.add_column("priority", no_wrap=True)
     for name in (
@@ -172,8 +181,8 @@
 class LoadCommand:
     """Send calls to nodes at the rates of a plan and report the results.
 
-    Exit code 1 means that a call was wrong, lost, doubled, or ran
-    although it was refused as not run.
+    Exit code 1 means that a call got the wrong response, was lost, was
+    executed twice, or was executed although it was refused.
     """
 
     settings: Annotated[
@@ -181,9 +190,7 @@
     ]
     output: Annotated[
         str,
-        cappa.Arg(
-            long=True, choices=["table", "json"], help="form of the results"
-        ),
+        cappa.Arg(long=True, choices=["table", "json"], help="output format"),
     ] = "table"
     check: Annotated[
         bool, cappa.Arg(long=True, help="check the plan and exit")
@@ -203,7 +210,7 @@
         raise SettingsError(
             "backends",
             "is empty, so there are no executions to check",
-            "list HOST:PORT of the backend server stand-ins",
+            "list the HOST:PORT of each backend server stand-in",
         )
     if not command.check_executions:
         plan = attrs.evolve(plan, backends=())
@@ -211,7 +218,7 @@
 
 
 def run_command(command: LoadCommand) -> int:
-    """Run the load of a command and print its results."""
+    """Run a command: load, print the results, return the exit code."""
     plan = _read_plan(command)
     if command.check:
         print(f"{command.settings}: the plan is valid")
@@ -230,7 +237,7 @@
     console.print(make_result_table(result))
     delay = result.start_delay
     print(
-        f"calls started after they were due: p50 {delay.p50_ms:.1f} ms, "
+        f"start delay of calls: p50 {delay.p50_ms:.1f} ms, "
         f"p99 {delay.p99_ms:.1f} ms"
     )
     if result.not_sent:
@@ -248,7 +255,7 @@
 
 
 def main() -> None:
-    """Run the binary."""
+    """Run auburn-load with the arguments of the process."""
     exit_codes = {HistoryError: ExitCode.FAILED}
     run_program(LoadCommand, run_command, exit_codes)
 
--- a/libs/commands/auburnjunction/commands/mixes.py
+++ b/libs/commands/auburnjunction/commands/mixes.py
@@ -1,4 +1,4 @@
-"""Plans of a load: which calls arrive when, and what callers do."""
+"""Load plans: arrival rates of calls, and retries of their callers."""
 
 import attrs
 
@@ -16,7 +16,7 @@
 
 
 def check_addresses(_instance, attribute, value) -> None:
-    """Check, as an attrs validator, that each item is HOST:PORT."""
+    """Validate, for attrs, that each item is HOST:PORT."""
     for text in value:
         try:
             parse_address(text)
@@ -27,7 +27,7 @@
 
 @attrs.frozen
 class Flood:
-    """Calls that arrive beside the usual ones for a while."""
+    """Additional load of a mix during part of the run."""
 
     rate_per_s: float = attrs.field(validator=check_range(0, MAX_RATE_PER_S))
     start_s: float = attrs.field(
@@ -38,16 +38,17 @@
     )
 
     def is_active(self, elapsed_s: float) -> bool:
-        """Tell whether the flood lasts at this time of the load."""
+        """Return whether the flood is active at a time of the load."""
         return self.start_s <= elapsed_s < self.start_s + self.duration_s
 
 
 @attrs.frozen
 class CallMix:
-    """One kind of calls, arriving at random times at a mean rate.
+    """Calls of one kind, with Poisson arrivals at a mean rate.
 
-    In the path {n} stands for the number of the call. Priority groups
-    the results; the node's own routes decide how a call is served.
+    {n} in the path is replaced by the number of the call. The priority
+    only groups the results; the routes of the node decide how a call is
+    served.
     """
 
     name: str = attrs.field(validator=check_not_empty)
@@ -66,14 +67,14 @@
     repeatable: bool = True
     # Whether calls that are not repeatable carry an idempotency key.
     keyed: bool = True
-    # Sent as auburn-deadline-ms; 0 sends none.
+    # Value of the auburn-deadline-ms header; 0 sends no header.
     deadline_ms: int = attrs.field(
         default=0, validator=check_range(0, 300_000)
     )
     floods: tuple[Flood, ...] = ()
 
     def find_rate_per_s(self, elapsed_s: float) -> float:
-        """Return the rate of arrivals at a time of the load."""
+        """Return the mean arrival rate at a time of the load."""
         return self.rate_per_s + sum(
             flood.rate_per_s
             for flood in self.floods
@@ -83,7 +84,7 @@
 
 @attrs.frozen
 class RetrySettings:
-    """How a caller tries again, each time at another node."""
+    """Retries of a caller, each at another node, with exponential backoff."""
 
     max_attempts: int = attrs.field(default=3, validator=check_range(1, 20))
     first_pause_ms: float = attrs.field(
@@ -96,9 +97,9 @@
 
 @attrs.frozen
 class LoadPlan:
-    """A whole load: nodes, mixes, limits and the check afterwards."""
+    """Plan of a load run: nodes, mixes, limits and the final check."""
 
-    # HOST:PORT of the nodes' listeners for callers.
+    # HOST:PORT of the caller listener of each node.
     nodes: tuple[str, ...] = attrs.field(
         validator=[check_not_empty, check_addresses]
     )
@@ -106,12 +107,13 @@
     duration_s: float = attrs.field(
         default=10.0, validator=check_range(0.01, MAX_DURATION_S)
     )
-    # Calls that are due earlier are sent and checked, but not measured.
+    # Calls that are due earlier are sent and checked, but not counted in
+    # the results.
     warm_up_s: float = attrs.field(
         default=0.0, validator=check_range(0, MAX_DURATION_S)
     )
     seed: int = 1
-    # Time that a call may take with all its attempts.
+    # Timeout of a call, including all its attempts.
     timeout_ms: int = attrs.field(
         default=5000, validator=check_range(1, 300_000)
     )
@@ -119,7 +121,7 @@
     max_calls: int = attrs.field(
         default=200_000, validator=check_range(1, 2_000_000)
     )
-    # Calls that come while so many are open are counted as not sent.
+    # Calls that are due beyond this limit are counted as not sent.
     max_in_flight: int = attrs.field(
         default=2000, validator=check_range(1, 20_000)
     )
@@ -130,11 +132,11 @@
     backends: tuple[str, ...] = attrs.field(
         default=(), validator=check_addresses
     )
-    # Time given to executions to end before they are checked.
+    # Wait for executions to end before they are checked.
     settle_s: float = attrs.field(default=1.0, validator=check_range(0, 60))
 
     def __attrs_post_init__(self) -> None:
-        """Check that the warm-up leaves time to measure."""
+        """Check that the warm-up is shorter than the load."""
         if self.warm_up_s >= self.duration_s:
             raise FieldError(
                 "warm_up_s",
--- a/libs/commands/auburnjunction/commands/nodes.py
+++ b/libs/commands/auburnjunction/commands/nodes.py
@@ -1,4 +1,4 @@
-"""The binary auburn-node: runs one node from its settings."""
+"""The auburn-node program: runs one node from a settings file."""
 
 import gc
 from pathlib import Path
@@ -36,7 +36,7 @@
 @cappa.command(name="auburn-node")
 @attrs.frozen
 class NodeCommand:
-    """Run one node until SIGTERM or SIGINT, which drain it first."""
+    """Run one node until SIGTERM or SIGINT, then drain and stop it."""
 
     settings: Annotated[
         Path | None, cappa.Arg(long=True, help="JSON settings file")
@@ -46,10 +46,15 @@
     ] = False
     check_platform: Annotated[
         bool,
-        cappa.Arg(long=True, help="Check settings and platform, and exit"),
+        cappa.Arg(
+            long=True, help="Check the settings and the platform, and exit"
+        ),
     ] = False
     describe: Annotated[
-        bool, cappa.Arg(long=True, help="List every setting and exit")
+        bool,
+        cappa.Arg(
+            long=True, help="List all settings with their defaults and exit"
+        ),
     ] = False
 
 
@@ -60,7 +65,7 @@
 
 
 def run_command(command: NodeCommand) -> int:
-    """Run the node, or do what the options ask for instead."""
+    """Run the node, or the check or listing that the options select."""
     if command.describe:
         print_settings()
         return ExitCode.OK
@@ -82,7 +87,10 @@
 
 
 def load_settings(command: NodeCommand) -> NodeSettings:
-    """Return the settings of the command; raise SettingsError."""
+    """Read the settings file of the command.
+
+    Raise SettingsError when it is not given or invalid.
+    """
     if command.settings is None:
         raise SettingsError(
             "--settings", "missing", "give the path of a JSON settings file"
@@ -91,7 +99,7 @@
 
 
 def main() -> None:
-    """Run the binary."""
+    """Run auburn-node with the arguments of the process."""
     run_program(NodeCommand, run_command, EXIT_CODES)
 
 
