Reword the burn rate report in plain terms

Name the mechanisms in docstrings and names: burn rate, error budget, prefix sums over buckets, counter increases between scrapes, firing windows. Error messages name the input and the remedy. JSON keys, table headings, HTML classes and settings stay.

--- a/libs/commands/auburnjunction/commands/access_logs.py
+++ b/libs/commands/auburnjunction/commands/access_logs.py
@@ -1,4 +1,4 @@
-"""Reading of calls from the access logs of nodes."""
+"""Parsing of calls from the access logs of nodes."""
 
 from collections.abc import Iterable
 from datetime import datetime
@@ -21,16 +21,16 @@
 
 
 class AccessLogError(AuburnError):
-    """A log that cannot be read or has no calls."""
+    """Raised when a log cannot be read or no log contains a call."""
 
     code = ErrorCode.NOT_FOUND
 
 
 @attrs.frozen
 class LoggedCall:
-    """One line of an access log.
+    """A call parsed from an access log line.
 
-    The weight is the number of calls that the line stands for.
+    The weight is the number of calls that a sampled line represents.
     """
 
     key: SeriesKey
@@ -39,29 +39,29 @@
     duration_ms: float
     weight: float
 
-    def judge(self, objective: Objective) -> CallCounts:
-        """Return the counts of the call under an objective."""
+    def classify(self, objective: Objective) -> CallCounts:
+        """Return the call counted as good, failed or slow by an objective."""
         if self.outcome != Outcome.OK:
             return CallCounts(self.weight, failed=self.weight)
-        bound_ms = objective.latency_ms
-        if bound_ms and self.duration_ms > bound_ms:
+        limit_ms = objective.latency_ms
+        if limit_ms and self.duration_ms > limit_ms:
             return CallCounts(self.weight, slow=self.weight)
         return CallCounts(self.weight)
 
 
 @attrs.define
 class LogTotals:
-    """Lines that were read, and those without meaning."""
+    """Numbers of lines read, of calls among them and of invalid lines."""
 
     lines: int = 0
     calls: int = 0
     bad_lines: int = 0
 
 
-def name_priority(value: object) -> str:
-    """Return the word for a priority given as number or word.
+def parse_priority_name(value: object) -> str:
+    """Return the lower-case name of a priority given by number or name.
 
-    Raise ValueError when it is neither.
+    Raise ValueError when there is no such priority.
     """
     text = str(value)
     if text.isdigit():
@@ -72,21 +72,21 @@
 
 
 def parse_call(line: bytes) -> LoggedCall | None:
-    """Return the call of a log line, or None for another event.
+    """Return the call of a log line, or None for any other event.
 
     Raise ValueError when the line is not a JSON object, or is a call
-    with a missing or bad field.
+    with a missing or invalid field.
     """
     values = orjson.loads(line)
     if not isinstance(values, dict):
-        raise ValueError("not a JSON object")
+        raise ValueError("log line is not a JSON object")
     if values.get("message") != CALL_MESSAGE:
         return None
     try:
         return LoggedCall(
             SeriesKey(
                 values["service"] or "(none)",
-                name_priority(values["priority"]),
+                parse_priority_name(values["priority"]),
             ),
             datetime.fromisoformat(values["time"]).timestamp(),
             str(values["outcome"]),
@@ -94,7 +94,9 @@
             float(values.get("weight", 1.0)),
         )
     except (KeyError, TypeError) as exc:
-        raise ValueError(f"a field is missing: {exc}") from exc
+        raise ValueError(
+            f"call has a missing or invalid field: {exc}"
+        ) from exc
 
 
 def read_lines(
@@ -103,7 +105,7 @@
     series: SeriesSet,
     totals: LogTotals,
 ) -> None:
-    """Add the calls of log lines to the series."""
+    """Add the calls of log lines to the series and update the totals."""
     for line in lines:
         totals.lines += 1
         try:
@@ -116,7 +118,7 @@
         totals.calls += 1
         key = call.key
         objective = settings.find_objective(key.service, key.priority)
-        series.add(key, call.time_s, call.judge(objective))
+        series.add(key, call.time_s, call.classify(objective))
 
 
 def read_logs(
@@ -124,7 +126,8 @@
 ) -> LogTotals:
     """Add the calls of log files to the series.
 
-    Raise AccessLogError when a file cannot be read or none has calls.
+    Raise AccessLogError when a file cannot be read or no file contains
+    a call.
     """
     totals = LogTotals()
     names = []
@@ -136,11 +139,11 @@
         except OSError as exc:
             raise AccessLogError(
                 f"log {path} cannot be read ({exc.strerror}); "
-                "give the path of a node's log"
+                "give the path of a node's log file"
             ) from exc
     if not totals.calls:
         raise AccessLogError(
-            f"no call in {', '.join(names)} ({totals.lines} lines); "
+            f"no call found in {', '.join(names)} ({totals.lines} lines); "
             "give logs of nodes whose access_log_share is above 0"
         )
     return totals
--- a/libs/commands/auburnjunction/commands/burns.py
+++ b/libs/commands/auburnjunction/commands/burns.py
@@ -1,4 +1,4 @@
-"""Burn rates and error budgets from series of calls."""
+"""Burn rates and error budgets, computed from series of calls."""
 
 import attrs
 
@@ -21,7 +21,7 @@
 
 @attrs.frozen
 class BurnRate:
-    """Burn rates over one pair of windows."""
+    """Burn rates over the long and the short window of a pair."""
 
     window: str
     severity: str
@@ -32,13 +32,13 @@
 
     @property
     def burn(self) -> float:
-        """The lower of both rates, which is held against the limit."""
+        """The lower of both rates, which is compared with the limit."""
         return min(self.long_burn, self.short_burn)
 
 
 @attrs.frozen
 class BurnPoint:
-    """State at one moment: seconds since the epoch, burn, budget."""
+    """Burn rate and budget left at one time, in seconds since the epoch."""
 
     time_s: float
     burn: float
@@ -47,28 +47,28 @@
 
 @attrs.frozen
 class ServiceBurn:
-    """How one service and priority keeps its objective."""
+    """Objective of one service and priority, and how it is met."""
 
     service: str
     priority: str
     objective: Objective
     counts: CallCounts
     good_share: float
-    # Share of the error budget that is left; below 0 it is overdrawn.
+    # Remaining share of the error budget; negative when it is exceeded.
     budget_left: float
     burns: tuple[BurnRate, ...]
     points: tuple[BurnPoint, ...]
 
     @property
     def state(self) -> str:
-        """The gravest severity that fires, or ok."""
+        """The highest severity among the firing windows, or ok."""
         firing = [burn.severity for burn in self.burns if burn.firing]
         return max(firing, key=SEVERITIES.index, default="ok")
 
 
 @attrs.frozen
 class BurnReport:
-    """Burn of all services at the time of the last calls."""
+    """Burn rates of all services at the time of the last call."""
 
     time_s: float
     source: str
@@ -76,13 +76,13 @@
 
     @property
     def state(self) -> str:
-        """The gravest state of a service."""
+        """The highest severity among the services, or ok."""
         states = [service.state for service in self.services]
         return max(states, key=SEVERITIES.index, default="ok")
 
 
 class BurnCalculator:
-    """Works out burn rates under the settings of a report."""
+    """Computes burn rates according to the settings of a report."""
 
     def __init__(self, settings: ReportSettings):
         self._settings = settings
@@ -90,7 +90,7 @@
         self._period_s = settings.scaled_period_s
 
     def report(self, series_set: SeriesSet, source: str) -> BurnReport:
-        """Return the burn of every series, most urgent first."""
+        """Return the burn rates of all series, highest priority first."""
         end_s = series_set.last_s
         services = [
             self._report_series(key, series, end_s)
@@ -112,15 +112,15 @@
             objective=objective,
             counts=counts,
             good_share=1.0 - counts.bad_share,
-            budget_left=measure_budget(counts, objective),
+            budget_left=compute_budget_left(counts, objective),
             burns=tuple(
-                self._measure_window(series, objective, window, end_s)
+                self._evaluate_window(series, objective, window, end_s)
                 for window in self._windows
             ),
-            points=self._trace(series, objective, end_s),
+            points=self._sample_points(series, objective, end_s),
         )
 
-    def _measure_window(
+    def _evaluate_window(
         self,
         series: CallSeries,
         objective: Objective,
@@ -129,22 +129,26 @@
     ) -> BurnRate:
         long = series.count(end_s - window.long_s, end_s)
         short = series.count(end_s - window.short_s, end_s)
-        long_burn = measure_burn(long, objective)
-        short_burn = measure_burn(short, objective)
-        high = min(long_burn, short_burn) > window.max_burn
+        long_burn = compute_burn_rate(long, objective)
+        short_burn = compute_burn_rate(short, objective)
+        exceeded = min(long_burn, short_burn) > window.max_burn
         return BurnRate(
             window=window.name,
             severity=window.severity,
             max_burn=window.max_burn,
             long_burn=long_burn,
             short_burn=short_burn,
-            firing=high and long.calls >= self._settings.min_calls,
+            firing=exceeded and long.calls >= self._settings.min_calls,
         )
 
-    def _trace(
+    def _sample_points(
         self, series: CallSeries, objective: Objective, end_s: float
     ) -> tuple[BurnPoint, ...]:
-        """Return the burn over the first short window, and the budget."""
+        """Return points of the burn rate and the budget for plots.
+
+        The burn rate is that over the first short window, or over the
+        step between two points where that is longer.
+        """
         start_s = max(series.first_s, end_s - self._period_s)
         step_s = (end_s - start_s) / PLOT_POINTS
         window_s = max(self._windows[0].short_s, step_s)
@@ -152,21 +156,24 @@
         for index in range(1, PLOT_POINTS + 1):
             time_s = start_s + index * step_s
             recent = series.count(time_s - window_s, time_s)
-            so_far = series.count(time_s - self._period_s, time_s)
+            within_period = series.count(time_s - self._period_s, time_s)
             point = BurnPoint(
                 time_s,
-                measure_burn(recent, objective),
-                measure_budget(so_far, objective),
+                compute_burn_rate(recent, objective),
+                compute_budget_left(within_period, objective),
             )
             points.append(point)
         return tuple(points)
 
 
-def measure_burn(counts: CallCounts, objective: Objective) -> float:
-    """Return the share of bad calls in terms of the share allowed."""
+def compute_burn_rate(counts: CallCounts, objective: Objective) -> float:
+    """Return the share of bad calls divided by the share allowed."""
     return counts.bad_share / (1.0 - objective.good_share)
 
 
-def measure_budget(counts: CallCounts, objective: Objective) -> float:
-    """Return the share of the error budget of these calls that is left."""
-    return 1.0 - measure_burn(counts, objective)
+def compute_budget_left(counts: CallCounts, objective: Objective) -> float:
+    """Return the share of the error budget that these calls leave.
+
+    The value is negative when the budget is exceeded.
+    """
+    return 1.0 - compute_burn_rate(counts, objective)
--- a/libs/commands/auburnjunction/commands/call_series.py
+++ b/libs/commands/auburnjunction/commands/call_series.py
@@ -1,4 +1,4 @@
-"""Good and bad calls over time, by service and priority."""
+"""Time series of good and bad calls, by service and priority."""
 
 from bisect import bisect_left
 from itertools import accumulate
@@ -6,15 +6,15 @@
 import attrs
 from sortedcontainers import SortedDict
 
-# Calls are counted together for so long.
-RESOLUTION_S = 0.1
+BUCKET_WIDTH_S = 0.1
 
 
 @attrs.define(slots=True)
 class CallCounts:
-    """Numbers of calls; weighted ones need not be whole.
+    """Numbers of calls, which may be fractional due to weights.
 
-    Failed calls did not end ok, slow ones ended ok too late.
+    Failed calls did not end ok; slow calls ended ok, but exceeded the
+    latency of their objective.
     """
 
     calls: float = 0.0
@@ -23,32 +23,36 @@
 
     @property
     def bad(self) -> float:
-        """Calls that were not good."""
+        """Number of calls that failed or were slow."""
         return self.failed + self.slow
 
     @property
     def bad_share(self) -> float:
-        """Share of calls that were not good; 0 without calls."""
+        """Share of calls that failed or were slow; 0 without calls."""
         return self.bad / self.calls if self.calls else 0.0
 
     def add(self, other: "CallCounts") -> None:
-        """Add other counts to these."""
+        """Add other counts to these in place."""
         self.calls += other.calls
         self.failed += other.failed
         self.slow += other.slow
 
 
 class CallSeries:
-    """Counts of one service and priority over time."""
+    """Call counts of one service and priority, in buckets of time.
+
+    Counts of a time range come from prefix sums over the buckets, which
+    are rebuilt after calls were added.
+    """
 
     def __init__(self):
         self._buckets: SortedDict = SortedDict()
         self._times: list[float] = []
-        self._sums: list[tuple[float, ...]] = []
+        self._prefix_sums: list[tuple[float, ...]] = []
 
     def add(self, time_s: float, counts: CallCounts) -> None:
         """Add calls that ended at a time."""
-        index = int(time_s / RESOLUTION_S)
+        index = int(time_s / BUCKET_WIDTH_S)
         bucket = self._buckets.get(index)
         if bucket is None:
             bucket = self._buckets[index] = CallCounts()
@@ -57,28 +61,30 @@
 
     @property
     def first_s(self) -> float:
-        """Time of the first calls."""
-        return self._buckets.peekitem(0)[0] * RESOLUTION_S
+        """Start of the first bucket with calls."""
+        return self._buckets.peekitem(0)[0] * BUCKET_WIDTH_S
 
     @property
     def last_s(self) -> float:
-        """End of the time of the last calls."""
-        return (self._buckets.peekitem(-1)[0] + 1) * RESOLUTION_S
+        """End of the last bucket with calls."""
+        return (self._buckets.peekitem(-1)[0] + 1) * BUCKET_WIDTH_S
 
     def count(self, start_s: float, end_s: float) -> CallCounts:
-        """Return the calls from start up to, but not at, end."""
-        self._sum_up()
-        low = self._sums[bisect_left(self._times, start_s)]
-        high = self._sums[bisect_left(self._times, end_s)]
+        """Return the counts of the buckets that start in [start_s, end_s)."""
+        self._update_prefix_sums()
+        low = self._prefix_sums[bisect_left(self._times, start_s)]
+        high = self._prefix_sums[bisect_left(self._times, end_s)]
         calls, failed, slow = (b - a for a, b in zip(low, high, strict=True))
         return CallCounts(calls, failed, slow)
 
-    def _sum_up(self) -> None:
+    def _update_prefix_sums(self) -> None:
         if self._times:
             return
-        self._times = [index * RESOLUTION_S for index in self._buckets]
+        self._times = [index * BUCKET_WIDTH_S for index in self._buckets]
         rows = [attrs.astuple(item) for item in self._buckets.values()]
-        self._sums = list(accumulate(rows, _add_rows, initial=(0.0, 0.0, 0.0)))
+        self._prefix_sums = list(
+            accumulate(rows, _add_rows, initial=(0.0, 0.0, 0.0))
+        )
 
 
 def _add_rows(left: tuple, right: tuple) -> tuple:
@@ -87,14 +93,14 @@
 
 @attrs.frozen(order=True)
 class SeriesKey:
-    """Names one series; priority as a word."""
+    """Key of a series; the priority is its lower-case name."""
 
     service: str
     priority: str
 
 
 class SeriesSet:
-    """Series of every service and priority seen."""
+    """The series of all services and priorities that had calls."""
 
     def __init__(self):
         self._series: dict[SeriesKey, CallSeries] = {}
@@ -113,5 +119,5 @@
 
     @property
     def last_s(self) -> float:
-        """Time of the last calls of all; the set must not be empty."""
+        """End of the latest bucket with calls; the set must not be empty."""
         return max(series.last_s for series in self._series.values())
--- a/libs/commands/auburnjunction/commands/metric_scrapes.py
+++ b/libs/commands/auburnjunction/commands/metric_scrapes.py
@@ -1,4 +1,4 @@
-"""Reading of calls from the /metrics of nodes over a while."""
+"""Periodic scraping of call counters from the /metrics of nodes."""
 
 import math
 import re
@@ -8,7 +8,7 @@
 
 from auburnjunction.base.clocks import Clock
 from auburnjunction.base.errors import AuburnError, ErrorCode
-from auburnjunction.commands.access_logs import name_priority
+from auburnjunction.commands.access_logs import parse_priority_name
 from auburnjunction.commands.call_series import (
     CallCounts,
     SeriesKey,
@@ -29,44 +29,46 @@
 
 
 class ScrapeError(AuburnError):
-    """Metrics that cannot be read."""
+    """Raised when metrics cannot be read."""
 
     code = ErrorCode.UNAVAILABLE
 
 
 @attrs.define
 class CallTotals:
-    """Counters of one service and priority at one node."""
+    """Cumulative counters of one service and priority at one node."""
 
     calls: float = 0.0
     ok: float = 0.0
-    # Calls that ended ok, by the upper bound of their time in seconds.
+    # Calls that ended ok, by upper bound of the histogram bucket in seconds.
     ok_within: dict[float, float] = attrs.field(factory=dict)
 
-    def judge(self, latency_ms: float) -> CallCounts:
-        """Return the counts so far under a bound of the latency.
+    def classify(self, latency_ms: float) -> CallCounts:
+        """Return the cumulative counts for a latency limit; 0 sets none.
 
-        The bound is taken up to that of the next bucket.
+        The limit is rounded up to the next bound of a histogram bucket.
         """
-        within = self.ok
+        fast = self.ok
         if latency_ms:
             bounds = [b for b in self.ok_within if b >= latency_ms / 1000]
             bound = min(bounds, default=math.inf)
-            within = self.ok_within.get(bound, self.ok)
-        return CallCounts(self.calls, self.calls - self.ok, self.ok - within)
+            fast = self.ok_within.get(bound, self.ok)
+        return CallCounts(self.calls, self.calls - self.ok, self.ok - fast)
 
 
 NodeTotals = dict[SeriesKey, CallTotals]
 
 
 def read_totals(text: str) -> NodeTotals:
-    """Return the call counters in a node's metrics."""
+    """Parse the call counters in the text of a node's metrics."""
     totals: NodeTotals = defaultdict(CallTotals)
     for name, labels_text, value in _LINE.findall(text):
         if name not in (CALLS_METRIC, BUCKETS_METRIC):
             continue
         labels = dict(_LABEL.findall(labels_text))
-        key = SeriesKey(labels["service"], name_priority(labels["priority"]))
+        key = SeriesKey(
+            labels["service"], parse_priority_name(labels["priority"])
+        )
         _add_value(totals[key], name, labels, float(value))
     return dict(totals)
 
@@ -83,7 +85,7 @@
 
 
 class MetricScraper:
-    """Reads the metrics of nodes and adds what is new to series."""
+    """Scrapes the metrics of nodes and adds the increases to series."""
 
     def __init__(
         self,
@@ -98,21 +100,24 @@
         self._clock = clock
         self._pools = pools
         self._series = series
-        self._last: dict[str, NodeTotals] = {}
+        self._previous: dict[str, NodeTotals] = {}
 
     async def scrape(self) -> int:
-        """Read every node; return how many answered."""
-        answered = 0
+        """Scrape every node; return the number of nodes that responded.
+
+        The first scrape of a node only sets the baseline of its counters.
+        """
+        responded = 0
         for node in self._nodes:
             try:
                 totals = await self._read_node(node)
             except ScrapeError:
                 continue
-            answered += 1
-            if node in self._last:
-                self._add_new(self._last[node], totals)
-            self._last[node] = totals
-        return answered
+            responded += 1
+            if node in self._previous:
+                self._add_increases(self._previous[node], totals)
+            self._previous[node] = totals
+        return responded
 
     async def _read_node(self, node: str) -> NodeTotals:
         pool = self._pools.get(parse_address(node))
@@ -123,19 +128,19 @@
         except (HttpError, KeyError, ValueError) as exc:
             raise ScrapeError(f"metrics of {node}: {exc}") from exc
 
-    def _add_new(self, last: NodeTotals, totals: NodeTotals) -> None:
+    def _add_increases(self, previous: NodeTotals, totals: NodeTotals) -> None:
         now_s = self._clock.now().timestamp()
         for key, current in totals.items():
             objective = self._settings.find_objective(
                 key.service, key.priority
             )
-            before = last.get(key, CallTotals())
+            before = previous.get(key, CallTotals())
             if current.calls < before.calls:
-                # The node has been restarted.
+                # The node was restarted, which reset its counters.
                 before = CallTotals()
             counts = _subtract(
-                current.judge(objective.latency_ms),
-                before.judge(objective.latency_ms),
+                current.classify(objective.latency_ms),
+                before.classify(objective.latency_ms),
             )
             if counts.calls:
                 self._series.add(key, now_s, counts)
@@ -152,13 +157,13 @@
 async def scrape_nodes(
     scraper: MetricScraper, clock: Clock, duration_s: float, interval_s: float
 ) -> None:
-    """Read metrics at an interval for a while.
+    """Scrape metrics at an interval for a duration.
 
-    Raise ScrapeError when no node answers at first.
+    Raise ScrapeError when no node responds to the first scrape.
     """
     if not await scraper.scrape():
         raise ScrapeError(
-            "no node answered GET /metrics; give HOST:PORT of nodes' "
+            "no node responded to GET /metrics; give HOST:PORT of nodes' "
             "administration listeners"
         )
     end_s = clock.monotonic() + duration_s
--- a/libs/commands/auburnjunction/commands/objectives.py
+++ b/libs/commands/auburnjunction/commands/objectives.py
@@ -1,4 +1,4 @@
-"""Service-level objectives and the windows of their burn rates."""
+"""Service-level objectives and their burn rate windows."""
 
 import attrs
 
@@ -12,22 +12,22 @@
 
 @attrs.frozen
 class Objective:
-    """Share of calls that must be good.
+    """Target share of good calls for a service and priority.
 
-    A call is good when it ended ok, and within the latency if there is
-    one. Service * stands for every service.
+    A call is good when it ended ok, and within latency_ms if that is set.
+    Service * applies to every service.
     """
 
     priority: str = attrs.field(validator=attrs.validators.in_(PRIORITIES))
     good_share: float = attrs.field(validator=check_range(0.0, 0.999_999))
-    # 0 sets no bound.
+    # 0 means no limit.
     latency_ms: float = attrs.field(
         default=0.0, validator=check_range(0, 300_000)
     )
     service: str = attrs.field(default=ANY_SERVICE, validator=check_not_empty)
 
     def applies(self, service: str, priority: str) -> bool:
-        """Tell whether the objective is meant for these calls."""
+        """Return whether the objective applies to a service and priority."""
         same_service = self.service in (ANY_SERVICE, service)
         return same_service and self.priority == priority
 
@@ -42,9 +42,10 @@
 
 @attrs.frozen
 class BurnWindow:
-    """Fires when the burn rate is high over a long and a short time.
+    """Fires when the burn rates over a long and a short window are high.
 
-    A burn rate of 1 uses up the error budget just within its period.
+    Both must be above max_burn. At a burn rate of 1 the error budget is
+    used up exactly at the end of its period.
     """
 
     name: str = attrs.field(validator=check_not_empty)
@@ -65,9 +66,9 @@
 
 @attrs.frozen
 class ReportSettings:
-    """Objectives, windows and the period of the error budget."""
+    """Objectives, burn rate windows and the error budget period."""
 
-    # The first that applies counts; the defaults stand behind them.
+    # The first one that applies is used; DEFAULT_OBJECTIVES come last.
     objectives: tuple[Objective, ...] = ()
     windows: tuple[BurnWindow, ...] = attrs.field(
         default=DEFAULT_WINDOWS, validator=check_not_empty
@@ -75,17 +76,17 @@
     period_s: float = attrs.field(
         default=30 * DAY_S, validator=check_range(0.001, MAX_WINDOW_S)
     )
-    # Multiplies every window and the period, for short trials.
+    # Factor on every window and the period, to shorten them for tests.
     time_scale: float = attrs.field(
         default=1.0, validator=check_range(0.000_001, 1.0)
     )
-    # A window with fewer calls does not fire.
+    # Minimum number of calls in the long window for it to fire.
     min_calls: int = attrs.field(
         default=10, validator=check_range(1, 1_000_000)
     )
 
     def find_objective(self, service: str, priority: str) -> Objective:
-        """Return the objective for calls of a service and priority."""
+        """Return the objective that applies to a service and priority."""
         for objective in (*self.objectives, *DEFAULT_OBJECTIVES):
             if objective.applies(service, priority):
                 return objective
@@ -93,7 +94,7 @@
 
     @property
     def scaled_windows(self) -> tuple[BurnWindow, ...]:
-        """The windows as the scale makes them."""
+        """The windows, multiplied by time_scale."""
         return tuple(
             attrs.evolve(
                 window,
@@ -105,5 +106,5 @@
 
     @property
     def scaled_period_s(self) -> float:
-        """The period of the error budget as the scale makes it."""
+        """The error budget period, multiplied by time_scale."""
         return self.period_s * self.time_scale
--- a/libs/commands/auburnjunction/commands/plots.py
+++ b/libs/commands/auburnjunction/commands/plots.py
@@ -1,4 +1,4 @@
-"""Line plots as inline SVG."""
+"""Line plots rendered as inline SVG."""
 
 from datetime import UTC, datetime
 from html import escape
@@ -16,7 +16,7 @@
 
 @attrs.frozen
 class PlotPoint:
-    """One point: seconds since the epoch, and a value."""
+    """A value at a time in seconds since the epoch."""
 
     time_s: float
     value: float
@@ -24,7 +24,7 @@
 
 @attrs.frozen
 class PlotLimit:
-    """A dashed line at a value, with its label."""
+    """A labelled dashed line that marks a limit."""
 
     value: float
     label: str
@@ -32,14 +32,14 @@
 
 @attrs.frozen
 class LinePlot:
-    """One line over time, with limits."""
+    """A plot of one value over time, with limits."""
 
     title: str
     points: tuple[PlotPoint, ...]
     limits: tuple[PlotLimit, ...] = ()
     low: float = 0.0
     high: float = 1.0
-    # Format of the values at the axis, such as ".1f" or ".0%".
+    # Format of the axis labels, such as ".1f" or ".0%".
     value_format: str = ".1f"
 
     def render(self) -> str:
@@ -51,7 +51,7 @@
             *self._draw_grid(),
             *(self._draw_limit(limit) for limit in self.limits),
             self._draw_line(),
-            *self._draw_times(),
+            *self._draw_time_labels(),
             "</svg>",
         ]
         return "".join(parts)
@@ -60,8 +60,8 @@
         parts = []
         for index in range(GRID_LINES + 1):
             value = self.low + (self.high - self.low) * index / GRID_LINES
-            y = self._find_y(value)
-            parts.append(_draw_rule(y, "grid"))
+            y = self._scale_y(value)
+            parts.append(_draw_horizontal_line(y, "grid"))
             label = format(value, self.value_format)
             parts.append(
                 f'<text class="tick" x="{LEFT - 6}" y="{y + 3:.1f}" '
@@ -70,21 +70,21 @@
         return parts
 
     def _draw_limit(self, limit: PlotLimit) -> str:
-        y = self._find_y(limit.value)
+        y = self._scale_y(limit.value)
         return (
-            f"{_draw_rule(y, 'limit')}"
+            f"{_draw_horizontal_line(y, 'limit')}"
             f'<text class="limit-label" x="{WIDTH - RIGHT}" y="{y - 4:.1f}" '
             f'text-anchor="end">{escape(limit.label)}</text>'
         )
 
     def _draw_line(self) -> str:
         pairs = (
-            f"{self._find_x(point.time_s):.1f},{self._find_y(point.value):.1f}"
+            f"{self._scale_x(point.time_s):.1f},{self._scale_y(point.value):.1f}"
             for point in self.points
         )
         return f'<polyline class="line" points="{" ".join(pairs)}"/>'
 
-    def _draw_times(self) -> list[str]:
+    def _draw_time_labels(self) -> list[str]:
         if not self.points:
             return []
         y = HEIGHT - 8
@@ -98,18 +98,18 @@
             for point, x, anchor in ends
         ]
 
-    def _find_x(self, time_s: float) -> float:
+    def _scale_x(self, time_s: float) -> float:
         start_s = self.points[0].time_s
         span_s = (self.points[-1].time_s - start_s) or 1.0
         return LEFT + (WIDTH - LEFT - RIGHT) * (time_s - start_s) / span_s
 
-    def _find_y(self, value: float) -> float:
+    def _scale_y(self, value: float) -> float:
         span = (self.high - self.low) or 1.0
         share = min(1.0, max(0.0, (value - self.low) / span))
         return TOP + (HEIGHT - TOP - BOTTOM) * (1.0 - share)
 
 
-def _draw_rule(y: float, css_class: str) -> str:
+def _draw_horizontal_line(y: float, css_class: str) -> str:
     return (
         f'<line class="{css_class}" x1="{LEFT}" x2="{WIDTH - RIGHT}" '
         f'y1="{y:.1f}" y2="{y:.1f}"/>'
@@ -117,5 +117,5 @@
 
 
 def format_time(time_s: float) -> str:
-    """Return a time of day in UTC."""
+    """Return the UTC time of day of seconds since the epoch."""
     return datetime.fromtimestamp(time_s, UTC).strftime("%H:%M:%S")
--- a/libs/commands/auburnjunction/commands/report_pages.py
+++ b/libs/commands/auburnjunction/commands/report_pages.py
@@ -1,4 +1,4 @@
-"""The report on service-level burn as one HTML page."""
+"""Rendering of the burn rate report as an HTML page."""
 
 from datetime import UTC, datetime
 from html import escape
@@ -52,11 +52,12 @@
   stroke-linejoin: round; }
 """
 
-BUDGET_LOW = -1.0
+# Lower values are drawn at this limit of the axis.
+BUDGET_AXIS_MIN = -1.0
 
 
 def render_page(report: BurnReport) -> str:
-    """Return the report as a page that needs no other file."""
+    """Return the report as a self-contained HTML page."""
     time = datetime.fromtimestamp(report.time_s, UTC)
     cards = "".join(_render_card(service) for service in report.services)
     return (
@@ -68,9 +69,9 @@
         f"{escape(report.source)}. State: {_render_state(report.state)}</p>"
         f"<h2>Objectives</h2>{_render_table(report)}"
         f'<h2>Over time</h2><div class="cards">{cards}</div>'
-        "<p>A burn rate of 1 uses up the error budget just within its "
-        "period. A window fires when its long and its short rate are both "
-        "above its limit.</p></body></html>\n"
+        "<p>At a burn rate of 1 the error budget is used up exactly at "
+        "the end of its period. A window fires when both its long and its "
+        "short burn rate are above its limit.</p></body></html>\n"
     )
 
 
@@ -120,7 +121,7 @@
 
 
 def describe_objective(objective: Objective) -> str:
-    """Return an objective as people write it."""
+    """Return an objective as text, such as 99.9% in 500 ms."""
     share = f"{objective.good_share * 100:g}%"
     if not objective.latency_ms:
         return share
@@ -160,7 +161,7 @@
             for point in service.points
         ),
         limits=(PlotLimit(0.0, "used up"),),
-        low=0.0 if lowest >= 0 else max(BUDGET_LOW, lowest),
+        low=0.0 if lowest >= 0 else max(BUDGET_AXIS_MIN, lowest),
         high=1.0,
         value_format=".0%",
     )
--- a/libs/commands/auburnjunction/commands/reports.py
+++ b/libs/commands/auburnjunction/commands/reports.py
@@ -1,4 +1,4 @@
-"""The binary auburn-report: burn of service-level objectives."""
+"""The auburn-report program: burn rates of service-level objectives."""
 
 import sys
 from pathlib import Path
@@ -40,13 +40,13 @@
 
 
 class ArgumentError(AuburnError):
-    """Arguments that do not go together."""
+    """Raised for an invalid combination of arguments."""
 
     code = ErrorCode.INVALID
 
 
 class ReportError(AuburnError):
-    """A report that cannot be written."""
+    """Raised when the report cannot be written."""
 
 
 @cappa.command(name="auburn-report")
@@ -54,9 +54,9 @@
 class ReportCommand:
     """Report how fast services use up their error budgets.
 
-    Calls come from nodes' access logs (--log) or from nodes' metrics,
-    read for a while (--node). Exit code 1 with --fail-on means that an
-    objective burns at that severity or above.
+    Calls are read from the access logs of nodes (--log), or scraped from
+    their metrics during --duration-s (--node). Exit code 1 with --fail-on
+    means that a burn rate window fires at that severity or above.
     """
 
     settings: Annotated[
@@ -64,13 +64,15 @@
         cappa.Arg(long=True, help="JSON file with objectives and windows"),
     ] = None
     log: Annotated[
-        list[Path], cappa.Arg(long=True, help="log of a node; repeat")
+        list[Path],
+        cappa.Arg(long=True, help="log file of a node; may be repeated"),
     ] = attrs.field(factory=list)
     node: Annotated[
         list[str],
         cappa.Arg(
             long=True,
-            help="HOST:PORT of a node's administration listener; repeat",
+            help="HOST:PORT of a node's administration listener; "
+            "may be repeated",
         ),
     ] = attrs.field(factory=list)
     duration_s: Annotated[
@@ -78,7 +80,7 @@
         cappa.Arg(
             long=True,
             parse=parse_number(0.1, 86_400, float),
-            help="time for which metrics are read",
+            help="seconds for which metrics are scraped",
         ),
     ] = 30.0
     interval_s: Annotated[
@@ -86,24 +88,22 @@
         cappa.Arg(
             long=True,
             parse=parse_number(0.1, 3600, float),
-            help="time between readings of metrics",
+            help="seconds between scrapes",
         ),
     ] = 1.0
     output: Annotated[
         str,
-        cappa.Arg(
-            long=True, choices=["table", "json"], help="form of the report"
-        ),
+        cappa.Arg(long=True, choices=["table", "json"], help="output format"),
     ] = "table"
     html: Annotated[
-        Path | None, cappa.Arg(long=True, help="HTML page to write")
+        Path | None, cappa.Arg(long=True, help="path of an HTML page to write")
     ] = None
     fail_on: Annotated[
         str,
         cappa.Arg(
             long=True,
             choices=["never", "ticket", "page"],
-            help="severity that makes the exit code 1",
+            help="lowest severity that sets exit code 1",
         ),
     ] = "never"
     check: Annotated[
@@ -118,9 +118,10 @@
     duration_s: float,
     interval_s: float,
 ) -> SeriesSet:
-    """Return the calls that nodes count for a while.
+    """Return the calls that nodes count during a time.
 
-    Raise ScrapeError when no node answers or no call was counted.
+    Raise ScrapeError when no node responds to the first scrape or no
+    call was counted.
     """
     series = SeriesSet()
     pools = PoolRegistry(clock)
@@ -132,13 +133,13 @@
     if not series:
         raise ScrapeError(
             f"no call was counted within {duration_s:g} s; "
-            "read for longer with --duration-s"
+            "scrape for longer with --duration-s"
         )
     return series
 
 
 def make_report(command: ReportCommand, clock: Clock) -> BurnReport:
-    """Return the report that a command asks for."""
+    """Return the report from the logs or nodes of a command."""
     settings = ReportSettings()
     if command.settings is not None:
         settings = read_settings(command.settings, ReportSettings)
@@ -147,8 +148,8 @@
         series = SeriesSet()
         totals = read_logs(command.log, settings, series)
         source = (
-            f"{totals.calls} lines of calls in {len(command.log)} logs"
-            f" ({totals.bad_lines} lines not understood)"
+            f"{totals.calls} call lines in {len(command.log)} logs"
+            f" ({totals.bad_lines} invalid lines skipped)"
         )
         return calculator.report(series, source)
     nodes = tuple(command.node)
@@ -165,7 +166,7 @@
 
 
 def make_report_table(report: BurnReport) -> Table:
-    """Return the report as a table for terminals."""
+    """Return the report as a table for the terminal."""
     table = Table(box=SIMPLE_HEAD, padding=(0, 1, 0, 0))
     for name in ("service", "priority", "state", "objective"):
         table.add_column(name, no_wrap=True)
@@ -207,8 +208,7 @@
 def _check_command(command: ReportCommand) -> None:
     if bool(command.log) is bool(command.node):
         raise ArgumentError(
-            "calls must come either from --log or from --node; "
-            "give one or more of just one of them"
+            "exactly one of --log and --node is needed; either may be repeated"
         )
     for text in command.node:
         try:
@@ -229,7 +229,7 @@
 
 
 def run_command(command: ReportCommand) -> int:
-    """Make the report, print and write it, and return the exit code."""
+    """Print the report, write its page and return the exit code."""
     if command.check:
         if command.settings is not None:
             read_settings(command.settings, ReportSettings)
@@ -245,14 +245,18 @@
         Console(width=width).print(make_report_table(report))
     if command.html is not None:
         _write_page(report, command.html)
-    failing = {"never": (), "ticket": ("ticket", "page"), "page": ("page",)}
-    if report.state in failing[command.fail_on]:
+    failing_states = {
+        "never": (),
+        "ticket": ("ticket", "page"),
+        "page": ("page",),
+    }
+    if report.state in failing_states[command.fail_on]:
         return ExitCode.FAILED
     return ExitCode.OK
 
 
 def main() -> None:
-    """Run the binary."""
+    """Run auburn-report with the arguments of the process."""
     exit_codes = {
         ArgumentError: ExitCode.USAGE,
         ScrapeError: ExitCode.FAILED,
