Reword the tests of the programs

Name the scripted steps of the fake node after what they do (duplicate, false_refuse, no_execution instead of twice, lie, skip), list them in its docstring, and name tests after the behaviour that they check.

--- a/libs/commands/auburnjunction/commands/tests/support.py
+++ b/libs/commands/auburnjunction/commands/tests/support.py
@@ -1,4 +1,4 @@
-"""A node's listener for callers, played by a script, for tests."""
+"""A fake caller listener of a node with scripted responses, for tests."""
 
 from contextlib import asynccontextmanager
 
@@ -15,32 +15,44 @@
 
 @attrs.define
 class ScriptedNode:
-    """Answers calls as its script says and lists what it ran.
+    """Responds to calls as scripted and records their executions.
 
-    Steps are ok, twice (runs two times), refuse (503, not run), lie
-    (runs, then says not run), skip (says ok without running), drop
-    (runs, then closes the connection), unknown, wrong and fail. The
-    last step goes on for ever.
+    Each call takes the next step; the last step repeats:
+
+    - ok: executes the call and responds with 200
+    - duplicate: executes the call twice and responds with 200
+    - refuse: responds with 503 and outcome not-run, without execution
+    - false_refuse: executes the call, but responds as refuse does
+    - no_execution: responds with 200 without execution
+    - drop: executes the call, then closes the connection
+    - unknown: responds with 502 and outcome unknown, without execution
+    - wrong: executes the call, but responds with another call's id
+    - fail: executes the call and responds with 500
     """
 
     steps: list[str]
-    runs: list[str] = attrs.field(factory=list)
+    executions: list[str] = attrs.field(factory=list)
     calls: int = 0
 
     async def handle(self, request):
         if request.path == "/executions":
-            return self._list_runs(request)
+            return self._list_executions(request)
         index = min(self.calls, len(self.steps) - 1)
         self.calls += 1
-        return self._answer(self.steps[index], request)
+        return self._respond(self.steps[index], request)
 
-    def _answer(self, step, request):
+    def _respond(self, step, request):
         call_id = request.header(b"x-call-id")
-        runs = {"refuse": 0, "skip": 0, "unknown": 0, "twice": 2}.get(step, 1)
-        self.runs += [call_id.decode()] * runs
+        executions = {
+            "refuse": 0,
+            "no_execution": 0,
+            "unknown": 0,
+            "duplicate": 2,
+        }.get(step, 1)
+        self.executions += [call_id.decode()] * executions
         if step == "drop":
             raise PeerGoneError
-        if step in ("refuse", "lie"):
+        if step in ("refuse", "false_refuse"):
             return HttpResponse(503, [(b"auburn-outcome", b"not-run")])
         if step == "unknown":
             return HttpResponse(502, [(b"auburn-outcome", b"unknown")])
@@ -51,30 +63,30 @@
         headers = [(b"auburn-outcome", b"ok"), (b"x-call-id", call_id)]
         return HttpResponse(200, headers, request.body)
 
-    def _list_runs(self, request):
+    def _list_executions(self, request):
         after = int(request.target.rpartition(b"=")[2])
         values = [
             {
-                "call_id": run,
+                "call_id": executed_id,
                 "instance": "i",
                 "state": "finished",
                 "late": False,
             }
-            for run in self.runs[after:]
+            for executed_id in self.executions[after:]
         ]
         return HttpResponse(200, [], orjson.dumps({"executions": values}))
 
 
 @asynccontextmanager
 async def open_node(steps):
-    """Yield a ScriptedNode and its address."""
+    """Run a ScriptedNode; yield it and its address."""
     node = ScriptedNode(list(steps))
     async with open_server(HOST, 0, node.handle, SystemClock()) as server:
         yield node, f"{HOST}:{server.port}"
 
 
 def make_plan(address, *, attempts=3, check=True, **mix_options) -> LoadPlan:
-    """Return a short plan with one mix."""
+    """Return a plan of a 0.2 s load with one mix."""
     options = {"rate_per_s": 200.0, "priority": "critical"} | mix_options
     mix = CallMix(name="payments", path="/payments/{n}", **options)
     return LoadPlan(
--- a/libs/commands/auburnjunction/commands/tests/test_binaries.py
+++ b/libs/commands/auburnjunction/commands/tests/test_binaries.py
@@ -1,4 +1,4 @@
-"""auburn-load and auburn-report as binaries: arguments and exit codes."""
+"""Arguments and exit codes of auburn-load and auburn-report."""
 
 import sys
 
@@ -12,7 +12,7 @@
 
 
 def run_main(module, arguments, monkeypatch, capsys):
-    """Return exit code, output and error lines of a binary's main."""
+    """Run a program's main; return exit code, stdout and stderr lines."""
     monkeypatch.setattr(sys, "argv", ["auburn", *arguments])
     with pytest.raises(SystemExit) as caught:
         module.main()
@@ -27,7 +27,7 @@
 
 @pytest.mark.parametrize("module", [loads, reports])
 @pytest.mark.parametrize("argument", ["--help", "--version"])
-def test_help_and_version(module, argument, monkeypatch, capsys):
+def test_help_and_version_exit_ok(module, argument, monkeypatch, capsys):
     code, output, lines = run_main(module, [argument], monkeypatch, capsys)
     assert (code, lines) == (ExitCode.OK, [])
     assert output
@@ -79,7 +79,7 @@
         (reports, ["--duration-s", "x"], None, ExitCode.USAGE, ["'x'"]),
     ],
 )
-def test_bad_input_gives_one_line(
+def test_invalid_input_prints_one_error_line(
     module, arguments, values, code, words, tmp_path, monkeypatch, capsys
 ):
     if values is not None:
@@ -113,7 +113,7 @@
         ("unknown", "never", ExitCode.OK),
     ],
 )
-def test_report_fails_on_burn(
+def test_fail_on_sets_exit_code_by_severity(
     outcome, fail_on, code, tmp_path, monkeypatch, capsys
 ):
     log = write_log(tmp_path / "node.log", outcome)
--- a/libs/commands/auburnjunction/commands/tests/test_burns.py
+++ b/libs/commands/auburnjunction/commands/tests/test_burns.py
@@ -1,4 +1,4 @@
-"""Burn rates from logs and metrics, and the pages that show them."""
+"""Tests of burn rates from logs and metrics, and of the HTML report."""
 
 import xml.etree.ElementTree as ET
 
@@ -38,7 +38,7 @@
 
 
 def make_series(bad_shares, calls=100):
-    """Return a series with one minute for each share of bad calls."""
+    """Return a series with one minute of calls per share of bad calls."""
     series = SeriesSet()
     for minute, share in enumerate(bad_shares):
         counts = CallCounts(calls, failed=calls * share)
@@ -53,13 +53,15 @@
         ([0.0] * 60, 0.0, 0.0, "ok"),
         ([0.1] * 60, 1.0, 1.0, "ok"),
         ([0.6] * 60, 6.0, 6.0, "page"),
-        # High over the hour, ended in the last five minutes.
+        # Above the limit over the hour, but not over the last five minutes.
         ([0.6] * 60 + [0.0] * 5, 5.5, 0.0, "ok"),
-        # High just now, low over the hour.
+        # Above the limit over the last five minutes, but not over the hour.
         ([0.0] * 55 + [0.6] * 5, 0.5, 6.0, "ok"),
     ],
 )
-def test_both_windows_must_burn(bad_shares, long_burn, short_burn, state):
+def test_fires_only_when_both_windows_exceed_the_limit(
+    bad_shares, long_burn, short_burn, state
+):
     series = make_series(bad_shares)
     report = BurnCalculator(SETTINGS).report(series, "test")
     (service,) = report.services
@@ -72,14 +74,14 @@
 @pytest.mark.parametrize(
     ("share", "budget_left"), [(0.0, 1.0), (0.05, 0.5), (0.2, -1.0)]
 )
-def test_budget_left_is_that_of_the_period(share, budget_left):
+def test_budget_left_over_the_period(share, budget_left):
     report = BurnCalculator(SETTINGS).report(make_series([share] * 10), "")
     (service,) = report.services
     assert service.budget_left == pytest.approx(budget_left)
     assert service.points[-1].budget_left == pytest.approx(budget_left)
 
 
-def test_few_calls_do_not_fire():
+def test_window_below_min_calls_does_not_fire():
     series = make_series([1.0] * 5, calls=1)
     assert BurnCalculator(SETTINGS).report(series, "").state == "ok"
 
@@ -111,7 +113,7 @@
         (b"[]", None, 1),
     ],
 )
-def test_log_line_becomes_counts(line, counts, bad_lines):
+def test_log_line_is_counted(line, counts, bad_lines):
     series = SeriesSet()
     totals = LogTotals()
     read_lines([line], SETTINGS, series, totals)
@@ -141,11 +143,11 @@
     [
         ((10, 0, 10), (30, 5, 20), (25, 5, 10)),
         ((10, 0, 10), (10, 0, 10), None),
-        # The node has been restarted.
+        # The node was restarted, which reset its counters.
         ((100, 9, 90), (4, 1, 4), (5, 1, 0)),
     ],
 )
-def test_new_calls_are_read_from_metrics(before, after, counts):
+def test_counter_increases_between_scrapes_are_counted(before, after, counts):
     async def main():
         pages = [
             METRICS.format(ok=ok, bad=bad, fast=fast)
@@ -172,13 +174,13 @@
     curio.run(main)
 
 
-def test_page_is_whole_and_escapes_names():
+def test_page_is_well_formed_and_escapes_names():
     series = make_series([0.3] * 20)
     series.add(SeriesKey("<b>&", "low"), START_S, CallCounts(50, failed=50))
     report = BurnCalculator(SETTINGS).report(series, "<source>")
     page = render_page(report)
     _, _, content = page.partition("\n")
-    # As XML it is stricter than HTML: every element is closed.
+    # Parsed as XML, which requires that every element is closed.
     closed = content.replace('charset="utf-8">', 'charset="utf-8"/>')
     closed = closed.replace('device-width">', 'device-width"/>')
     root = ET.fromstring(closed)
--- a/libs/commands/auburnjunction/commands/tests/test_controls.py
+++ b/libs/commands/auburnjunction/commands/tests/test_controls.py
@@ -1,4 +1,4 @@
-"""auburnctl against a server of the administration API."""
+"""Tests of auburnctl against an administration server."""
 
 import curio
 import orjson
@@ -19,7 +19,7 @@
 
 
 def run_steps(steps, administration=None):
-    """Run command lines against one server; return their exit codes."""
+    """Run auburnctl commands against one server; return their exit codes."""
     administration = administration or Administration()
     codes = []
 
@@ -54,7 +54,7 @@
     }
 
 
-def test_commands_follow_a_configuration(files, capsys):
+def test_commands_succeed_over_a_configuration_lifecycle(files, capsys):
     first, second = files["first"], files["second"]
     codes = run_steps(
         [
@@ -78,15 +78,15 @@
     assert [commit["revision"] for commit in history] == [3, 2, 1]
 
 
-def test_get_gives_what_apply_takes(files, tmp_path, capsys):
+def test_get_output_is_accepted_as_configuration_file(files, tmp_path, capsys):
     administration = Administration()
     steps = [["create", files["first"]], ["get", "--output", "json"]]
     assert run_steps(steps, administration) == [0, 0]
     output = capsys.readouterr().out
     got = orjson.loads(output[output.index("\n{") :])
-    again = tmp_path / "again.json"
-    again.write_bytes(orjson.dumps(got["configuration"]))
-    diff = ["diff", str(again), "head", "--output", "json"]
+    copy = tmp_path / "copy.json"
+    copy.write_bytes(orjson.dumps(got["configuration"]))
+    diff = ["diff", str(copy), "head", "--output", "json"]
     assert run_steps([diff], administration) == [0]
     assert orjson.loads(capsys.readouterr().out) == []
 
@@ -109,7 +109,7 @@
         (["nodes", "--address", "nowhere"], 2, ["nowhere", "HOST:PORT"]),
     ],
 )
-def test_failures_have_one_line_and_their_exit_code(
+def test_failure_prints_one_line_and_sets_exit_code(
     files, capsys, step, code, words
 ):
     step = [files.get(word, word) for word in step]
@@ -120,28 +120,28 @@
     assert all(word in error for word in words), error
 
 
-def lose_answer_and_go_down(table):
-    """Let the next write of the head take effect and the table stop."""
+def lose_response_and_stop_table(table):
+    """Apply the next head write, lose its response and stop the table."""
     put_if = table.put_if
 
-    async def put_then_stop(key, *args):
+    async def put_and_stop(key, *args):
         if key != HEAD_KEY:
             return await put_if(key, *args)
         table.put_if = put_if
         await put_if(key, *args)
         table.available = False
-        raise UnknownOutcomeError("the answer was lost")
+        raise UnknownOutcomeError("the response was lost")
 
-    table.put_if = put_then_stop
+    table.put_if = put_and_stop
 
 
-def test_lost_answer_is_settled_by_its_operation_id(files, capsys):
+def test_lost_response_is_resolved_by_operation_id(files, capsys):
     administration = Administration()
     table = administration.table
     run_steps([["create", files["first"]]], administration)
     step = ["apply", files["second"], "--revision", "1", "--timeout-s", "1"]
     step += ["--operation-id", "two"]
-    lose_answer_and_go_down(table)
+    lose_response_and_stop_table(table)
     assert run_steps([step], administration) == [ExitCode.UNKNOWN_OUTCOME]
     assert "operation id two" in capsys.readouterr().err
     codes = run_steps([step], administration)
--- a/libs/commands/auburnjunction/commands/tests/test_loads.py
+++ b/libs/commands/auburnjunction/commands/tests/test_loads.py
@@ -1,4 +1,4 @@
-"""The load, its callers and its checks."""
+"""Tests of load plans, callers and the check of executions."""
 
 import attrs
 import curio
@@ -38,7 +38,9 @@
         (["wrong"], {}, "wrong", 1),
     ],
 )
-def test_caller_judges_and_retries(steps, options, outcome, attempts_each):
+def test_caller_classifies_and_retries_calls(
+    steps, options, outcome, attempts_each
+):
     _, result = run_against(steps, check=False, **options)
     (row,) = result.by_priority
     assert row.due == row.sent == getattr(row, outcome) > 0
@@ -59,24 +61,24 @@
     [
         (["ok"], POST, {}),
         (["refuse"], POST, {}),
-        (["twice"], POST, {"doubled"}),
-        (["twice"], {}, set()),
+        (["duplicate"], POST, {"doubled"}),
+        (["duplicate"], {}, set()),
         (["drop"], POST, {"doubled"}),
-        (["lie"], POST | {"attempts": 1}, {"ran_although_refused"}),
-        (["skip"], {}, {"lost"}),
+        (["false_refuse"], POST | {"attempts": 1}, {"ran_although_refused"}),
+        (["no_execution"], {}, {"lost"}),
     ],
 )
-def test_history_check_finds_broken_promises(steps, options, found):
+def test_history_check_finds_violations(steps, options, found):
     node, result = run_against(steps, **options)
     history = result.history
     kinds = ("doubled", "ran_although_refused", "lost")
     assert {kind for kind in kinds if getattr(history, kind)} == set(found)
     assert bool(result.violations) is bool(found)
-    assert history.executions == len(node.runs)
+    assert history.executions == len(node.executions)
     assert bool(history.examples) is bool(found)
 
 
-def test_latency_counts_from_when_a_call_was_due():
+def test_latency_is_measured_from_due_time():
     async def main():
         clock = SystemClock()
         async with open_node(["ok"]) as (_, address):
@@ -88,7 +90,7 @@
     curio.run(main)
 
 
-def test_calls_beyond_the_limits_are_not_sent():
+def test_calls_beyond_max_calls_are_not_sent():
     async def main():
         async with open_node(["ok"]) as (node, address):
             values = {
@@ -105,7 +107,7 @@
     curio.run(main)
 
 
-def test_warm_up_is_checked_but_not_measured():
+def test_warm_up_calls_are_checked_but_not_counted():
     async def main():
         async with open_node(["ok"]) as (node, address):
             plan = attrs.evolve(make_plan(address), warm_up_s=0.1)
@@ -120,7 +122,7 @@
 @pytest.mark.parametrize(
     ("elapsed_s", "rate_per_s"), [(0.0, 10), (1.0, 40), (2.9, 40), (3.0, 10)]
 )
-def test_flood_adds_to_the_rate_while_it_lasts(elapsed_s, rate_per_s):
+def test_flood_adds_to_the_rate_while_active(elapsed_s, rate_per_s):
     flood = Flood(rate_per_s=30, start_s=1, duration_s=2)
     mix = CallMix(name="m", path="/m", rate_per_s=10, floods=(flood,))
     assert mix.find_rate_per_s(elapsed_s) == rate_per_s
@@ -140,7 +142,7 @@
         ),
     ],
 )
-def test_bad_plan_names_its_field(change, field):
+def test_invalid_plan_error_names_its_field(change, field):
     values = {
         "nodes": ["127.0.0.1:1"],
         "mixes": [{"name": "m", "path": "/m", "rate_per_s": 1.0}],
