--- a/libs/commands/auburnjunction/commands/loads.py
+++ b/libs/commands/auburnjunction/commands/loads.py
@@ -182,7 +182,8 @@
     """Send calls to nodes at the rates of a plan and report the results.
 
     Exit code 1 means that a call got the wrong response, was lost, was
-    executed twice, or was executed although it was refused.
+    executed more than once although it is not repeatable, or was executed
+    although it was refused.
     """
 
     settings: Annotated[
