--- a/libs/standins/auburnjunction/standins/announcers.py
+++ b/libs/standins/auburnjunction/standins/announcers.py
@@ -1,4 +1,4 @@
-"""Announcement of a backend server to its own node."""
+"""Announces a backend server to the node on its host."""
 
 from typing import Protocol
 
@@ -21,23 +21,23 @@
 
 
 class StateSource(Protocol):
-    """What a backend server tells of itself."""
+    """Current state of a backend server, read for each announcement."""
 
     @property
     def frozen(self) -> bool:
-        """Whether nothing is announced now."""
+        """Whether announcements are suspended."""
 
     @property
     def leaving(self) -> bool:
-        """Whether it takes no new work."""
+        """Whether it refuses new requests."""
 
     @property
     def reported_load_percent(self) -> int:
-        """Load in percent of its slots."""
+        """Load to announce, in percent of the slots."""
 
 
 class Announcer:
-    """Tells a node of a backend server and renews the lease."""
+    """Announces a backend server to a node and renews its lease."""
 
     def __init__(
         self,
@@ -50,15 +50,15 @@
         self._node = node
         self._clock = clock
         self._pools = pools
-        # State that the node was last told of.
-        self._told = ""
+        # State in the last announcement that the node accepted.
+        self._announced_state = ""
         self._renewal_due_s = 0.0
 
-    async def keep_announced(self, source: "StateSource") -> None:
-        """Announce each change of state, and renew well before the end.
+    async def announce_until_cancelled(self, source: "StateSource") -> None:
+        """Announce changes of state and renew the lease before it expires.
 
-        A backend server that is new or has been leaving starts anew, as
-        its node would not take it for ready otherwise.
+        A backend server that is new or was leaving announces starting
+        before ready; the node would not accept it as ready otherwise.
         """
         while True:
             if not source.frozen:
@@ -67,27 +67,30 @@
 
     async def _announce_if_due(self, source: "StateSource") -> None:
         state = "leaving" if source.leaving else "ready"
-        if state == "ready" and self._told not in ("starting", "ready"):
+        if state == "ready" and self._announced_state not in (
+            "starting",
+            "ready",
+        ):
             state = "starting"
         renewal_due = self._clock.monotonic() >= self._renewal_due_s
-        if state == self._told and not renewal_due:
+        if state == self._announced_state and not renewal_due:
             return
         self.update(state, source.reported_load_percent)
         if not await self.announce():
             await self._clock.sleep(RETRY_INTERVAL_S)
             return
-        self._told = state
+        self._announced_state = state
         renewal_s = self._announcement.lease_s / RENEWALS_PER_LEASE
         self._renewal_due_s = self._clock.monotonic() + renewal_s
 
     def update(self, state: str, load_percent: int) -> None:
-        """Change what the next announcement says."""
+        """Set the state and load of the next announcement."""
         self._announcement = attrs.evolve(
             self._announcement, state=state, load_percent=load_percent
         )
 
     async def announce(self) -> bool:
-        """Announce once; tell whether the node took it."""
+        """Announce once; return whether the node accepted it."""
         body = orjson.dumps(attrs.asdict(self._announcement))
         headers = [
             (b"host", str(self._node).encode()),
@@ -98,15 +101,18 @@
         try:
             response = await pool.exchange(request, ANNOUNCE_TIMEOUT_S)
         except HttpError as exc:
-            logging.info("announcement failed: %s", exc)
+            logging.info("announcement to the node failed: %s", exc)
             return False
         if response.status >= 300:
             reason = response.body[:200].decode(errors="replace").strip()
-            logging.warning("announcement refused: %s", reason)
+            logging.warning("node refused the announcement: %s", reason)
         return response.status < 300
 
-    async def announce_surely(self) -> bool:
-        """Announce, trying a few times; tell whether the node took it."""
+    async def announce_with_retries(self) -> bool:
+        """Announce up to STOP_ATTEMPTS times.
+
+        Return whether the node accepted it.
+        """
         for _ in range(STOP_ATTEMPTS):
             if await self.announce():
                 return True
--- a/libs/standins/auburnjunction/standins/arguments.py
+++ b/libs/standins/auburnjunction/standins/arguments.py
@@ -7,9 +7,9 @@
 
 
 def make_port_option(text: str) -> cappa.Arg:
-    """Return the option for a TCP port, where 0 takes a free one."""
+    """Return the option for a TCP port; 0 picks a free port."""
     return cappa.Arg(
-        long=True, parse=parse_port_or_any, help=f"{text}; 0 takes a free one"
+        long=True, parse=parse_port_or_any, help=f"{text}; 0 picks a free port"
     )
 
 
--- a/libs/standins/auburnjunction/standins/backend_servers.py
+++ b/libs/standins/auburnjunction/standins/backend_servers.py
@@ -1,4 +1,4 @@
-"""Stand-in of a backend server, with faults and a record of its work."""
+"""Stand-in of a backend server with faults and an execution log."""
 
 import attrs
 import curio
@@ -9,15 +9,15 @@
     HttpServer,
     ServerConnection,
 )
-from auburnjunction.standins.conditions import (
-    BackendCondition,
-    BackendSettings,
-)
 from auburnjunction.standins.executions import (
     Execution,
     ExecutionLog,
     ExecutionState,
 )
+from auburnjunction.standins.fault_injectors import (
+    BackendFaultInjector,
+    BackendSettings,
+)
 from auburnjunction.standins.faults import BackendFaults
 from auburnjunction.standins.replies import (
     make_json_response,
@@ -32,14 +32,14 @@
 KEY_HEADER = b"idempotency-key"
 DEADLINE_HEADER = b"auburn-deadline-ms"
 SHED_HEADERS = [(b"auburn-shed", b"1")]
-FOREVER_S = 86_400.0
-DEFAULT_PAGE = 5000
+SILENT_DELAY_S = 86_400.0
+DEFAULT_PAGE_SIZE = 5000
 MAX_DEADLINE_MS = 86_400_000
 
 
 @attrs.frozen
 class BackendStats:
-    """Work of a backend server stand-in so far."""
+    """Counts of requests and connections of a backend server stand-in."""
 
     running: int
     waiting: int
@@ -50,7 +50,7 @@
 
 
 class BackendServer:
-    """Runs requests in bounded slots and echoes what it was sent."""
+    """Runs requests in a limited number of slots and echoes their bodies."""
 
     def __init__(self, settings: BackendSettings, clock: Clock):
         self._settings = settings
@@ -66,45 +66,45 @@
         self._load_percent = 0
         self._load_read_s = float("-inf")
         self._silent: frozenset[ServerConnection] = frozenset()
-        self._condition = BackendCondition(settings, clock)
-        # Set when it is about to stop.
+        self._injector = BackendFaultInjector(settings, clock)
+        # Set at the start of a graceful shutdown.
         self.stopping = False
 
     def attach(self, server: HttpServer) -> None:
-        """Name the HTTP server whose connections it serves."""
+        """Set the HTTP server whose connections it serves."""
         self._server = server
 
     def set_faults(self, faults: BackendFaults) -> None:
-        """Replace the faults."""
-        self._condition.set_faults(faults)
+        """Replace the faults and reseed their random numbers."""
+        self._injector.set_faults(faults)
         self._silent = frozenset()
         if faults.silent and self._server is not None:
             self._silent = frozenset(self._server.connections)
 
     @property
     def faults(self) -> BackendFaults:
-        """The faults that are set."""
-        return self._condition.faults
+        """Faults that are set."""
+        return self._injector.faults
 
     @property
     def leaving(self) -> bool:
-        """Whether it announces that it takes no new work."""
+        """Whether it refuses new requests and announces leaving."""
         return self.stopping or self.faults.drain
 
     @property
     def frozen(self) -> bool:
-        """Whether nothing is answered or announced now."""
-        return self._condition.frozen
+        """Whether requests and announcements are held back by a freeze."""
+        return self._injector.frozen
 
     @property
     def load_percent(self) -> int:
-        """Load as it is, in percent of the slots."""
+        """Actual load, in percent of the slots and at most 100."""
         load = (self._running + self._waiting) / self._settings.slots
         return min(100, round(100 * load))
 
     @property
     def reported_load_percent(self) -> int:
-        """Load as reports tell it, which may lag or lie."""
+        """Load as reported, which faults may delay or replace."""
         if self.faults.load_percent >= 0:
             return self.faults.load_percent
         now_s = self._clock.monotonic()
@@ -115,7 +115,7 @@
 
     @property
     def stats(self) -> BackendStats:
-        """Work so far."""
+        """Counts of requests and connections so far."""
         return BackendStats(
             running=self._running,
             waiting=self._waiting,
@@ -126,7 +126,7 @@
         )
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
-        """Answer one request, or one of the stand-in's own paths."""
+        """Answer a request of a caller or to one of the stand-in's paths."""
         path = request.path
         if path == "/faults":
             return self._change_faults(request)
@@ -134,7 +134,7 @@
             return self._list_executions(request)
         if path == "/stats":
             return make_json_response(self.stats)
-        await self._condition.wait_thawed()
+        await self._injector.wait_while_frozen()
         if path == "/health":
             return self._report_health()
         if path == "/load":
@@ -156,9 +156,11 @@
         query = read_query(request)
         try:
             after = int(query.get("after", 0))
-            limit = int(query.get("limit", DEFAULT_PAGE))
+            limit = int(query.get("limit", DEFAULT_PAGE_SIZE))
         except ValueError:
-            return make_text_response(400, "after and limit are numbers")
+            return make_text_response(
+                400, "after and limit must be whole numbers"
+            )
         return make_json_response(self._executions.read_page(after, limit))
 
     def _report_health(self) -> HttpResponse:
@@ -172,27 +174,31 @@
     async def _serve(self, request: HttpRequest) -> HttpResponse:
         conn = await self._find_connection()
         if conn in self._silent:
-            await self._clock.sleep(FOREVER_S)
-        if self._must_shed():
+            await self._clock.sleep(SILENT_DELAY_S)
+        if self._should_shed():
             self._shed += 1
             return make_text_response(503, "shed", list(SHED_HEADERS))
-        end_s = self._read_deadline(request)
-        if not await self._take_slot(end_s):
+        end_s = self._compute_end_s(request)
+        if not await self._acquire_slot(end_s):
             self._shed += 1
-            return make_text_response(503, "too late", list(SHED_HEADERS))
+            return make_text_response(
+                503,
+                "no slot became free before the deadline",
+                list(SHED_HEADERS),
+            )
         try:
             return await self._run(request, conn, end_s)
         finally:
             await self._slots.release()
 
-    async def _take_slot(self, end_s: float) -> bool:
-        """Wait for a slot; tell whether there was one in time."""
-        left_s = end_s - self._clock.monotonic()
-        if left_s <= 0:
+    async def _acquire_slot(self, end_s: float) -> bool:
+        """Wait for a slot; return whether one was free before end_s."""
+        remaining_s = end_s - self._clock.monotonic()
+        if remaining_s <= 0:
             return False
         self._waiting += 1
         try:
-            async with curio.timeout_after(left_s):
+            async with curio.timeout_after(remaining_s):
                 await self._slots.acquire()
         except curio.TaskTimeout:
             return False
@@ -214,15 +220,17 @@
                 return conn
         return None
 
-    def _must_shed(self) -> bool:
+    def _should_shed(self) -> bool:
         if self.faults.drain:
             return True
-        too_many = self._server is not None and (
+        too_many_connections = self._server is not None and (
             self._server.connection_count > self._settings.connections
         )
-        return too_many or self._condition.draw(self.faults.shed_share)
+        return too_many_connections or self._injector.draw_fault(
+            self.faults.shed_share
+        )
 
-    def _read_deadline(self, request: HttpRequest) -> float:
+    def _compute_end_s(self, request: HttpRequest) -> float:
         value = request.header(DEADLINE_HEADER) or b""
         limit_ms = int(value) if value.isdigit() else MAX_DEADLINE_MS
         limit_ms = min(limit_ms, MAX_DEADLINE_MS)
@@ -235,33 +243,35 @@
         end_s: float,
     ) -> HttpResponse:
         """Run a request that has a slot, until its deadline."""
-        execution = self._start(request)
-        condition = self._condition
-        left_s = max(0.0, end_s - self._clock.monotonic())
+        execution = self._start_execution(request)
+        injector = self._injector
+        remaining_s = max(0.0, end_s - self._clock.monotonic())
         try:
-            async with curio.timeout_after(left_s):
-                await self._clock.sleep(condition.draw_service_time_s())
-                await condition.wait_thawed()
+            async with curio.timeout_after(remaining_s):
+                await self._clock.sleep(injector.draw_service_time_s())
+                await injector.wait_while_frozen()
         except curio.TaskTimeout:
             execution.late = True
-            self._end(execution, ExecutionState.CANCELLED)
-            return make_text_response(504, "the deadline passed")
+            self._end_execution(execution, ExecutionState.CANCELLED)
+            return make_text_response(
+                504, "the deadline passed while the request ran"
+            )
         except curio.CancelledError:
-            self._end(execution, ExecutionState.CANCELLED)
+            self._end_execution(execution, ExecutionState.CANCELLED)
             raise
-        return await self._answer(request, conn, execution)
+        return await self._make_response(request, conn, execution)
 
-    async def _answer(
+    async def _make_response(
         self,
         request: HttpRequest,
         conn: ServerConnection | None,
         execution: Execution,
     ) -> HttpResponse:
-        if self._condition.draw(self.faults.error_share):
-            self._end(execution, ExecutionState.FAILED)
-            return make_text_response(500, "failed as asked")
-        self._end(execution, ExecutionState.FINISHED)
-        if conn is not None and self._condition.draw(
+        if self._injector.draw_fault(self.faults.error_share):
+            self._end_execution(execution, ExecutionState.FAILED)
+            return make_text_response(500, "injected fault: error_share")
+        self._end_execution(execution, ExecutionState.FINISHED)
+        if conn is not None and self._injector.draw_fault(
             self.faults.truncate_share
         ):
             await send_truncated(conn, request.body)
@@ -273,7 +283,7 @@
         body = request.body or b"answer to %s\n" % request.target
         return HttpResponse(200, headers, body)
 
-    def _start(self, request: HttpRequest) -> Execution:
+    def _start_execution(self, request: HttpRequest) -> Execution:
         self._running += 1
         self._peak_running = max(self._peak_running, self._running)
         return self._executions.start(
@@ -283,6 +293,8 @@
             request.target.decode("latin-1"),
         )
 
-    def _end(self, execution: Execution, state: ExecutionState) -> None:
+    def _end_execution(
+        self, execution: Execution, state: ExecutionState
+    ) -> None:
         self._running -= 1
         self._executions.end(execution, state)
--- a/libs/standins/auburnjunction/standins/backends.py
+++ b/libs/standins/auburnjunction/standins/backends.py
@@ -1,4 +1,4 @@
-"""The binary of the backend server stand-in."""
+"""Command-line program of the backend server stand-in."""
 
 from contextlib import asynccontextmanager
 from typing import Annotated
@@ -29,10 +29,11 @@
     make_port_option,
 )
 from auburnjunction.standins.backend_servers import BackendServer
-from auburnjunction.standins.conditions import BackendSettings
+from auburnjunction.standins.fault_injectors import BackendSettings
 
-# Lets requests arrive that its node sent before it knew of the leaving.
-LINGER_S = 0.2
+# Time for requests to arrive that the node sent before it processed the
+# announcement of leaving.
+LEAVING_GRACE_S = 0.2
 
 
 @cappa.command(name="auburn-standin-backend")
@@ -41,9 +42,9 @@
     """Serve requests as a backend server of one service.
 
     It announces itself to its node, echoes each request's body with its
-    x-call-id and idempotency-key, lists what it ran at GET /executions
-    and takes faults at POST /faults. On SIGTERM it announces leaving,
-    finishes what is in flight, announces gone and exits with 0.
+    x-call-id and idempotency-key, lists executions at GET /executions
+    and sets faults at POST /faults. On SIGTERM it announces leaving,
+    finishes in-flight requests, announces gone and exits with 0.
     """
 
     service: Annotated[str, cappa.Arg(long=True, help="name of the service")]
@@ -54,17 +55,26 @@
     announce: Annotated[
         Address | None,
         make_address_option(
-            "HOST:PORT of its node; without it nothing is announced"
+            "HOST:PORT of its node; without it, no announcements are sent"
         ),
     ] = None
     host: Annotated[
         str, cappa.Arg(long=True, help="IP address to listen on")
     ] = "127.0.0.1"
     slots: Annotated[
-        int, make_number_option(1, 100_000, int, "requests that run at once")
+        int,
+        make_number_option(
+            1, 100_000, int, "maximum number of requests that run at once"
+        ),
     ] = 6
     connections: Annotated[
-        int, make_number_option(1, 100_000, int, "connections it takes")
+        int,
+        make_number_option(
+            1,
+            100_000,
+            int,
+            "number of connections above which requests are shed",
+        ),
     ] = 130
     delay_ms: Annotated[
         float, make_number_option(0, 600_000, float, "mean service time")
@@ -72,26 +82,29 @@
     jitter: Annotated[
         float,
         make_number_option(
-            0, 1, float, "variation of the service time, a share"
+            0, 1, float, "variation of the service time, as a share of it"
         ),
     ] = 0.2
     seed: Annotated[
-        int, make_number_option(0, 2**31, int, "seed of the variation")
+        int, make_number_option(0, 2**31, int, "random seed of the variation")
     ] = 1
     lease_s: Annotated[
         float, make_number_option(0.5, 300, float, "lease of the announcement")
     ] = 10.0
     drain_s: Annotated[
         float,
-        make_number_option(0, 3600, float, "time to finish what is in flight"),
+        make_number_option(
+            0, 3600, float, "time to finish in-flight requests"
+        ),
     ] = 30.0
     resources: Annotated[
-        list[str], cappa.Arg(long=True, help="resource that it has; repeat")
+        list[str],
+        cappa.Arg(long=True, help="resource that it has; repeatable"),
     ] = attrs.field(factory=list)
 
     @property
     def settings(self) -> BackendSettings:
-        """Sizes and times of the stand-in."""
+        """Identity, limits and service times of the stand-in."""
         return BackendSettings(
             service=self.service,
             instance=self.instance,
@@ -103,7 +116,10 @@
         )
 
     def make_announcement(self, port: int) -> Announcement:
-        """Return the first announcement; raise SettingsError if bad."""
+        """Return the first announcement.
+
+        Raise SettingsError if the arguments are invalid.
+        """
         try:
             return Announcement(
                 instance=self.instance,
@@ -131,25 +147,27 @@
     clock: Clock
 
     async def leave(self, drain_s: float) -> int:
-        """Announce leaving, finish work, announce gone.
+        """Announce leaving, drain in-flight requests, announce gone.
 
-        Return the number of requests that were cut off.
+        Return the number of requests that were cut off after drain_s.
         """
         self.backend.stopping = True
         await self._announce("leaving")
-        await self.clock.sleep(LINGER_S)
-        left = await self.server.drain(drain_s)
+        await self.clock.sleep(LEAVING_GRACE_S)
+        cut_off = await self.server.drain(drain_s)
         await self.group.cancel_remaining()
         await self._announce("gone")
-        return left
+        return cut_off
 
     async def _announce(self, state: str) -> None:
         if self.announcer is None:
             return
         load_percent = self.backend.reported_load_percent
         self.announcer.update(state, load_percent)
-        if not await self.announcer.announce_surely():
-            logging.warning("the node was not told of state %s", state)
+        if not await self.announcer.announce_with_retries():
+            logging.warning(
+                "the node did not accept the announcement of state %s", state
+            )
 
 
 @asynccontextmanager
@@ -168,7 +186,7 @@
         if command.announce is not None:
             announcement = command.make_announcement(server.port)
             announcer = Announcer(announcement, command.announce, clock, pools)
-            await group.spawn(announcer.keep_announced, backend)
+            await group.spawn(announcer.announce_until_cancelled, backend)
         yield RunningBackend(backend, server, announcer, group, clock)
         await pools.close()
 
@@ -185,19 +203,19 @@
                 port=running.server.port,
             )
             await stop.wait()
-            left = await running.leave(command.drain_s)
-    log_event("backend server stopped", cut_off=left)
-    return ExitCode.FAILED if left else ExitCode.OK
+            cut_off = await running.leave(command.drain_s)
+    log_event("backend server stopped", cut_off=cut_off)
+    return ExitCode.FAILED if cut_off else ExitCode.OK
 
 
 def run_backend(command: BackendCommand) -> int:
-    """Serve in a kernel of its own."""
+    """Run the server in a new curio kernel."""
     configure_logs()
     return curio.run(serve_backend, command)
 
 
 def main() -> None:
-    """Run the binary."""
+    """Run the command-line program."""
     exit_codes = {AddressInUseError: ExitCode.ADDRESS_IN_USE}
     run_program(BackendCommand, run_backend, exit_codes)
 
--- a/libs/standins/auburnjunction/standins/executions.py
+++ b/libs/standins/auburnjunction/standins/executions.py
@@ -10,7 +10,7 @@
 
 
 class ExecutionState(StrEnum):
-    """How far an execution has come."""
+    """State of an execution."""
 
     RUNNING = "running"
     FINISHED = "finished"
@@ -30,13 +30,13 @@
     started_s: float
     ended_s: float = 0.0
     state: ExecutionState = ExecutionState.RUNNING
-    # The deadline passed while it ran.
+    # Whether the deadline passed while it ran.
     late: bool = False
 
 
 @attrs.frozen
 class ExecutionPage:
-    """Some executions, and where the next page begins."""
+    """Some executions and the index at which the next page begins."""
 
     executions: list[Execution]
     next: int
@@ -44,7 +44,7 @@
 
 
 class ExecutionLog:
-    """Executions in the order of their start."""
+    """Executions in the order of their start, up to MAX_EXECUTIONS."""
 
     def __init__(self, clock: Clock, instance: str):
         self._clock = clock
@@ -54,7 +54,7 @@
     def start(
         self, call_id: str, key: str, method: str, target: str
     ) -> Execution:
-        """Record that a request has begun to run."""
+        """Record the start of a request's execution."""
         execution = Execution(
             call_id, key, method, target, self._instance, self._now_s()
         )
@@ -63,12 +63,12 @@
         return execution
 
     def end(self, execution: Execution, state: ExecutionState) -> None:
-        """Record how an execution ended."""
+        """Record the end of an execution and its final state."""
         execution.ended_s = self._now_s()
         execution.state = state
 
     def read_page(self, after: int, limit: int) -> ExecutionPage:
-        """Return at most limit executions from an index on."""
+        """Return at most limit executions, starting at index after."""
         page = self._executions[after : after + limit]
         return ExecutionPage(page, after + len(page), len(self._executions))
 
--- a/libs/standins/auburnjunction/standins/faults.py
+++ b/libs/standins/auburnjunction/standins/faults.py
@@ -1,6 +1,6 @@
-"""Faults that a test sets on a stand-in by POST /faults, as JSON.
+"""Faults that tests inject into a stand-in with POST /faults, as JSON.
 
-Each post replaces all of them; fields that are left out go back to
+Each request replaces all faults; fields that it leaves out are reset to
 their defaults.
 """
 
@@ -17,18 +17,19 @@
 
     # Every operation is refused with 503 and outcome: not-applied.
     down: bool = False
-    # Operations are taken and never answered or applied.
+    # Operations are accepted but neither applied nor answered.
     silent: bool = False
     delay_ms: float = attrs.field(
         default=0.0, validator=check_range(0, 600_000)
     )
-    # The next writes that take effect and are not answered.
+    # Number of next successful writes that are applied but not answered.
     lost_answers: int = attrs.field(
         default=0, validator=check_range(0, 1_000_000_000)
     )
+    # After these, the share of writes that are applied but not answered.
     lost_share: float = attrs.field(default=0.0, validator=check_share)
     seed: int = 1
-    # Operations above these are refused.
+    # Operations above these rates are refused with 503.
     reads_per_s: int = attrs.field(
         default=2000, validator=check_range(0, 1_000_000)
     )
@@ -41,9 +42,10 @@
 class BackendFaults:
     """Faults of a backend server stand-in."""
 
-    # Refuses new work and announces leaving.
+    # New requests are refused and the announced state is leaving.
     drain: bool = False
-    # Service times are cold_factor times as long for this time.
+    # Time after the faults are set in which service times are multiplied
+    # by cold_factor, as after a cold start.
     cold_s: float = attrs.field(default=0.0, validator=check_range(0, 3600))
     cold_factor: float = attrs.field(
         default=10.0, validator=check_range(1, 1000)
@@ -53,22 +55,25 @@
     )
     # Share of requests refused with 503 and auburn-shed: 1.
     shed_share: float = attrs.field(default=0.0, validator=check_share)
-    # Share of requests that run and then answer 500.
+    # Share of requests that run and are then answered with 500.
     error_share: float = attrs.field(default=0.0, validator=check_share)
-    # Share of requests that run and whose answer is cut short.
+    # Share of requests that run and whose response is truncated.
     truncate_share: float = attrs.field(default=0.0, validator=check_share)
-    # Connections open now are never answered again; new ones work.
+    # Requests on connections that are open when the fault is set are never
+    # answered; new connections work.
     silent: bool = False
-    # Nothing is answered or announced for this time.
+    # Time after the faults are set in which nothing is announced and only
+    # /faults, /executions and /stats are answered.
     freeze_s: float = attrs.field(default=0.0, validator=check_range(0, 3600))
-    # What GET /health tells: truth, healthy or failing.
+    # Health that GET /health reports: truth is the actual health.
     health: str = attrs.field(
         default="truth",
         validator=attrs.validators.in_(("truth", "healthy", "failing")),
     )
-    # What GET /load tells in percent; below 0 is the truth.
+    # Load in percent that is reported by GET /load and announcements;
+    # -1 reports the actual load.
     load_percent: int = attrs.field(default=-1, validator=check_range(-1, 100))
-    # Age that a load report may have.
+    # Interval at which the reported load is updated.
     load_lag_s: float = attrs.field(default=0.0, validator=check_range(0, 600))
     seed: int = 1
 
@@ -77,16 +82,17 @@
 class ForwarderFaults:
     """Faults of a TCP forwarder."""
 
-    # Nothing passes: none, both, to-server or to-client.
+    # Directions in which data is held back until the fault ends.
     cut: str = attrs.field(
         default="none",
         validator=attrs.validators.in_(
             ("none", "both", "to-server", "to-client")
         ),
     )
-    # New connections are refused while existing ones still pass.
+    # New connections are closed at once; existing ones keep working.
     refuse: bool = False
-    # Connections open now pass nothing more; new ones work.
+    # Data of connections that are open when the fault is set is held back
+    # until the fault ends; new connections work.
     silent: bool = False
     delay_ms: float = attrs.field(
         default=0.0, validator=check_range(0, 600_000)
@@ -94,7 +100,8 @@
     jitter_ms: float = attrs.field(
         default=0.0, validator=check_range(0, 600_000)
     )
-    # Share of the pieces of data that a packet loss delays further.
+    # Share of data chunks that are delayed by a further loss_delay_ms, as
+    # TCP data is by the retransmission of a lost packet.
     loss_share: float = attrs.field(default=0.0, validator=check_share)
     loss_delay_ms: float = attrs.field(
         default=200.0, validator=check_range(0, 600_000)
--- a/libs/standins/auburnjunction/standins/forwarders.py
+++ b/libs/standins/auburnjunction/standins/forwarders.py
@@ -1,4 +1,4 @@
-"""TCP forwarder that cuts, silences and delays connections."""
+"""TCP forwarder that injects network faults into connections."""
 
 import random
 from contextlib import asynccontextmanager
@@ -32,7 +32,7 @@
 
 CHUNK_BYTES = 64 * 1024
 CONNECT_TIMEOUT_S = 2.0
-HOLD_INTERVAL_S = 0.02
+HOLD_POLL_INTERVAL_S = 0.02
 MAX_CHUNKS = 256
 TO_SERVER = "to-server"
 TO_CLIENT = "to-client"
@@ -40,7 +40,7 @@
 
 @attrs.frozen
 class ForwarderStats:
-    """Traffic of a forwarder so far."""
+    """Connections and forwarded bytes of a forwarder."""
 
     connections: int
     open_connections: int
@@ -50,17 +50,17 @@
 
 @attrs.frozen(slots=True)
 class Chunk:
-    """Bytes under way, none at the end, and when they may arrive."""
+    """Received bytes and when to write them; empty at end of stream."""
 
     data: bytes
     due_s: float
 
 
 class Forwarder:
-    """Forwards TCP connections to one address, with faults.
+    """Forwards TCP connections to one address, with injected faults.
 
-    Bytes held back by a cut or by silence are kept and passed on when
-    the fault ends, as by a network that comes back.
+    Bytes held back by a cut or a silent connection are buffered and
+    forwarded when the fault ends, as TCP retransmits after a partition.
     """
 
     def __init__(self, target: Address, clock: Clock):
@@ -68,19 +68,20 @@
         self._clock = clock
         self._next_id = 0
         self._open = 0
-        self._silent_below = 0
+        # Connections with a lower number are silent.
+        self._silent_below_number = 0
         self._bytes = {TO_SERVER: 0, TO_CLIENT: 0}
         self.set_faults(ForwarderFaults())
 
     def set_faults(self, faults: ForwarderFaults) -> None:
-        """Replace the faults and start their random numbers anew."""
+        """Replace the faults and reseed their random numbers."""
         self.faults = faults
         self._random = random.Random(faults.seed)
-        self._silent_below = self._next_id if faults.silent else 0
+        self._silent_below_number = self._next_id if faults.silent else 0
 
     @property
     def stats(self) -> ForwarderStats:
-        """Traffic so far."""
+        """Connections and forwarded bytes so far."""
         return ForwarderStats(
             connections=self._next_id,
             open_connections=self._open,
@@ -103,39 +104,39 @@
         self._open += 1
         try:
             async with client:
-                await self._hold(number, TO_SERVER)
-                await self._connect_and_pass(client, number)
+                await self._wait_while_held(number, TO_SERVER)
+                await self._connect_and_forward(client, number)
         except (OSError, curio.TaskTimeout) as exc:
-            logging.info("connection %d failed: %s", number, exc)
+            logging.info("forwarded connection %d failed: %s", number, exc)
         finally:
             self._open -= 1
 
-    async def _connect_and_pass(self, client, number: int) -> None:
+    async def _connect_and_forward(self, client, number: int) -> None:
         target = (self._target.host, self._target.port)
         server = await curio.timeout_after(
             CONNECT_TIMEOUT_S, curio.open_connection, *target
         )
         async with server, curio.TaskGroup(wait=any) as group:
             await group.spawn(
-                self._pass_bytes, client, server, number, TO_SERVER
+                self._forward_bytes, client, server, number, TO_SERVER
             )
             await group.spawn(
-                self._pass_bytes, server, client, number, TO_CLIENT
+                self._forward_bytes, server, client, number, TO_CLIENT
             )
 
-    async def _pass_bytes(
+    async def _forward_bytes(
         self, source, target, number: int, direction: str
     ) -> None:
-        """Pass bytes in one direction until either end closes."""
+        """Forward bytes in one direction until either end closes."""
         chunks = curio.Queue(maxsize=MAX_CHUNKS)
         async with curio.TaskGroup(wait=all) as group:
-            await group.spawn(self._take_chunks, source, chunks)
+            await group.spawn(self._read_chunks, source, chunks)
             await group.spawn(
-                self._give_chunks, chunks, target, number, direction
+                self._write_chunks, chunks, target, number, direction
             )
 
-    async def _take_chunks(self, source, chunks: curio.Queue) -> None:
-        """Read bytes and note when each chunk may arrive."""
+    async def _read_chunks(self, source, chunks: curio.Queue) -> None:
+        """Read chunks and set the time at which each is to be written."""
         while True:
             data = await _receive(source)
             due_s = self._clock.monotonic() + self._draw_delay_s()
@@ -143,27 +144,27 @@
             if not data:
                 return
 
-    async def _give_chunks(
+    async def _write_chunks(
         self, chunks: curio.Queue, target, number: int, direction: str
     ) -> None:
-        """Write each chunk when it is due and nothing holds it back."""
+        """Write each chunk when it is due and no fault holds it back."""
         while True:
             chunk = await chunks.get()
             wait_s = chunk.due_s - self._clock.monotonic()
             if wait_s > 0:
                 await self._clock.sleep(wait_s)
-            await self._hold(number, direction)
+            await self._wait_while_held(number, direction)
             if not chunk.data:
                 return
             await target.sendall(chunk.data)
             self._bytes[direction] += len(chunk.data)
 
-    async def _hold(self, number: int, direction: str) -> None:
+    async def _wait_while_held(self, number: int, direction: str) -> None:
         while self._is_held(number, direction):
-            await self._clock.sleep(HOLD_INTERVAL_S)
+            await self._clock.sleep(HOLD_POLL_INTERVAL_S)
 
     def _is_held(self, number: int, direction: str) -> bool:
-        return number < self._silent_below or self.faults.cut in (
+        return number < self._silent_below_number or self.faults.cut in (
             "both",
             direction,
         )
@@ -182,7 +183,9 @@
         if request.path == "/stats":
             return make_json_response(self.stats)
         if request.path != "/faults":
-            return make_text_response(404, "use /faults or /stats")
+            return make_text_response(
+                404, f"no such path: {request.path}; use /faults or /stats"
+            )
         if request.method == b"POST":
             faults = parse_body(request, ForwarderFaults)
             if isinstance(faults, HttpResponse):
@@ -211,15 +214,17 @@
 @cappa.command(name="auburn-standin-forwarder")
 @attrs.frozen
 class ForwarderCommand:
-    """Forward TCP connections, with faults set by POST /faults.
+    """Forward TCP connections with injected network faults.
 
-    The control port also serves GET /stats.
+    The control port sets faults at POST /faults and serves GET /stats.
     """
 
-    listen: Annotated[int, make_port_option("TCP port to forward")]
+    listen: Annotated[
+        int, make_port_option("TCP port to accept connections on")
+    ]
     to: Annotated[Address, make_address_option("HOST:PORT to forward to")]
     control: Annotated[
-        int, make_port_option("TCP port of /faults and /stats")
+        int, make_port_option("TCP port that serves /faults and /stats")
     ] = attrs.field(factory=int)
     host: Annotated[
         str, cappa.Arg(long=True, help="IP address to listen on")
@@ -244,13 +249,13 @@
 
 
 def run_forwarder(command: ForwarderCommand) -> None:
-    """Forward in a kernel of its own."""
+    """Run the forwarder in a new curio kernel."""
     configure_logs()
     curio.run(serve_forwarder, command)
 
 
 def main() -> None:
-    """Run the binary."""
+    """Run the command-line program."""
     exit_codes = {AddressInUseError: ExitCode.ADDRESS_IN_USE}
     run_program(ForwarderCommand, run_forwarder, exit_codes)
 
--- a/libs/standins/auburnjunction/standins/platforms.py
+++ b/libs/standins/auburnjunction/standins/platforms.py
@@ -1,4 +1,4 @@
-"""Stand-in of the platform: table and object store in memory."""
+"""Stand-in of the platform: an in-memory table and object store."""
 
 import random
 from typing import Annotated
@@ -44,7 +44,7 @@
 
 @attrs.frozen
 class PlatformStats:
-    """Operations that the platform stand-in has taken."""
+    """Counts and peak rates of operations of the platform stand-in."""
 
     reads: int
     writes: int
@@ -55,7 +55,7 @@
 
 
 class PlatformServer:
-    """Serves a table and an object store, with faults."""
+    """Serves a table and an object store, with injected faults."""
 
     def __init__(self, clock: Clock, faults: PlatformFaults):
         self._clock = clock
@@ -64,29 +64,29 @@
         self._reads = RateMeter(clock)
         self._writes = RateMeter(clock)
         self._refused = 0
-        self._lost = 0
+        self._lost_answers = 0
         self.set_faults(faults)
 
     def set_faults(self, faults: PlatformFaults) -> None:
-        """Replace the faults and start their random numbers anew."""
+        """Replace the faults and reseed their random numbers."""
         self._faults = faults
-        self._lost_left = faults.lost_answers
+        self._remaining_lost_answers = faults.lost_answers
         self._random = random.Random(faults.seed)
 
     @property
     def stats(self) -> PlatformStats:
-        """Operations so far."""
+        """Counts and peak rates so far."""
         return PlatformStats(
             reads=self._reads.total,
             writes=self._writes.total,
             peak_reads_per_s=self._reads.peak_per_s,
             peak_writes_per_s=self._writes.peak_per_s,
             refused=self._refused,
-            lost_answers=self._lost,
+            lost_answers=self._lost_answers,
         )
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
-        """Answer one request."""
+        """Answer an operation or a request to a control path."""
         path = request.path
         if path == "/faults":
             return self._change_faults(request)
@@ -98,7 +98,7 @@
             self._reads.reset_peak()
             self._writes.reset_peak()
             return make_json_response(self.stats)
-        return await self._operate(request)
+        return await self._handle_operation(request)
 
     def _change_faults(self, request: HttpRequest) -> HttpResponse:
         if request.method == b"POST":
@@ -108,34 +108,34 @@
             self.set_faults(faults)
         return make_json_response(self._faults)
 
-    async def _operate(self, request: HttpRequest) -> HttpResponse:
+    async def _handle_operation(self, request: HttpRequest) -> HttpResponse:
         faults = self._faults
         if faults.silent:
             await self._clock.sleep(3600)
         if faults.delay_ms:
             await self._clock.sleep(faults.delay_ms / 1000)
         if request.method == b"GET":
-            allowed = self._reads.count(faults.reads_per_s)
+            allowed = self._reads.admit(faults.reads_per_s)
         else:
-            allowed = self._writes.count(faults.writes_per_s)
+            allowed = self._writes.admit(faults.writes_per_s)
         if self._faults.down or not allowed:
             self._refused += 1
             reason = "down" if self._faults.down else "over the rate limit"
-            return _refuse(503, f"the platform is {reason}")
+            return _make_refusal(503, f"the platform is {reason}")
         if request.method == b"GET":
             return await self._read(request)
         response = await self._write(request)
-        if response.status in (200, 201) and self._loses_answer():
-            raise PeerGoneError("the answer is lost")
+        if response.status in (200, 201) and self._should_lose_answer():
+            raise PeerGoneError("injected fault: write applied, response lost")
         return response
 
-    def _loses_answer(self) -> bool:
-        lost = self._lost_left > 0
+    def _should_lose_answer(self) -> bool:
+        lost = self._remaining_lost_answers > 0
         if lost:
-            self._lost_left -= 1
+            self._remaining_lost_answers -= 1
         elif self._faults.lost_share:
             lost = self._random.random() < self._faults.lost_share
-        self._lost += lost
+        self._lost_answers += lost
         return lost
 
     async def _read(self, request: HttpRequest) -> HttpResponse:
@@ -145,10 +145,10 @@
         if path.startswith(f"{ROWS_PATH}/"):
             key = unquote(path.removeprefix(f"{ROWS_PATH}/"))
             row = await self._table.get(key, MEMORY_TIMEOUT_S)
-            return _answer_row(200 if row else 404, row)
+            return _make_row_response(200 if row else 404, row)
         digest = _parse_digest(path)
         if digest is None:
-            return _refuse(404, f"no such path: {path}")
+            return _make_refusal(404, f"no such path: {path}")
         content = await self._objects.get(digest, MEMORY_TIMEOUT_S)
         if content is None:
             return make_text_response(404, "no such object")
@@ -158,7 +158,9 @@
         query = read_query(request)
         limit = query.get("limit", "100")
         if not limit.isdigit() or not 1 <= int(limit) <= MAX_SCAN_ROWS:
-            return _refuse(400, f"limit is {limit}; use 1 to {MAX_SCAN_ROWS}")
+            return _make_refusal(
+                400, f"limit is {limit}; use 1 to {MAX_SCAN_ROWS}"
+            )
         rows = await self._table.scan(
             query.get("prefix", ""),
             query.get("after", ""),
@@ -171,14 +173,16 @@
     async def _write(self, request: HttpRequest) -> HttpResponse:
         path = request.path
         if request.method != b"PUT":
-            return _refuse(405, "use GET or PUT")
+            return _make_refusal(405, "use GET or PUT")
         if path.startswith(f"{ROWS_PATH}/"):
             return await self._put_row(request)
         digest = _parse_digest(path)
         if digest is None:
-            return _refuse(404, f"no such path: {path}")
+            return _make_refusal(404, f"no such path: {path}")
         if digest_content(request.body) != digest:
-            return _refuse(400, "the digest is not that of the content")
+            return _make_refusal(
+                400, "digest in the path does not match the content"
+            )
         await self._objects.put(digest, request.body, MEMORY_TIMEOUT_S)
         return make_text_response(200, "stored")
 
@@ -186,21 +190,23 @@
         key = unquote(request.path.removeprefix(f"{ROWS_PATH}/"))
         version = request.header(IF_VERSION_HEADER) or b""
         if not version.isdigit():
-            return _refuse(400, "if-version is not a whole number")
+            return _make_refusal(
+                400, "header if-version must be a whole number"
+            )
         try:
             row = await self._table.put_if(
                 key, request.body, int(version), MEMORY_TIMEOUT_S
             )
         except VersionConflictError as exc:
-            return _answer_row(409, exc.current)
+            return _make_row_response(409, exc.current)
         return HttpResponse(200, [(ROW_VERSION_HEADER, b"%d" % row.version)])
 
 
-def _refuse(status: int, reason: str) -> HttpResponse:
+def _make_refusal(status: int, reason: str) -> HttpResponse:
     return make_text_response(status, reason, [(OUTCOME_HEADER, NOT_APPLIED)])
 
 
-def _answer_row(status: int, row: Row | None) -> HttpResponse:
+def _make_row_response(status: int, row: Row | None) -> HttpResponse:
     version = row.version if row else 0
     headers = [(ROW_VERSION_HEADER, b"%d" % version)]
     return HttpResponse(status, headers, row.value if row else b"")
@@ -241,13 +247,13 @@
 
 
 def run_platform(command: PlatformCommand) -> None:
-    """Serve in a kernel of its own."""
+    """Run the server in a new curio kernel."""
     configure_logs()
     curio.run(serve_platform, command)
 
 
 def main() -> None:
-    """Run the binary."""
+    """Run the command-line program."""
     exit_codes = {AddressInUseError: ExitCode.ADDRESS_IN_USE}
     run_program(PlatformCommand, run_platform, exit_codes)
 
--- a/libs/standins/auburnjunction/standins/replies.py
+++ b/libs/standins/auburnjunction/standins/replies.py
@@ -1,4 +1,4 @@
-"""Responses and request parts that the stand-ins share."""
+"""Response builders and request parsers shared by the stand-ins."""
 
 from typing import TypeVar
 from urllib.parse import parse_qs
@@ -16,7 +16,7 @@
 
 
 def make_json_response(value: object, status: int = 200) -> HttpResponse:
-    """Return a response with a JSON body; attrs instances are objects."""
+    """Return a JSON response; attrs instances become objects."""
     body = orjson.dumps(value, default=attrs.asdict)
     return HttpResponse(status, list(JSON_HEADERS), body)
 
@@ -29,7 +29,7 @@
 
 
 def parse_body(request: HttpRequest, body_class: type[T]) -> T | HttpResponse:
-    """Return the JSON body as an attrs instance, or the refusal."""
+    """Return the JSON body as an attrs instance, or a 400 response."""
     try:
         return parse_settings(request.body or b"{}", body_class)
     except SettingsError as exc:
@@ -48,4 +48,4 @@
     size = max(2, len(body))
     head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % size
     await conn.wire.sock.sendall(head + b"?" * (size // 2))
-    raise PeerGoneError("the answer is cut short")
+    raise PeerGoneError(f"injected fault: response of {size} bytes truncated")
--- a/libs/standins/auburnjunction/standins/tests/support.py
+++ b/libs/standins/auburnjunction/standins/tests/support.py
@@ -1,4 +1,4 @@
-"""Stand-ins in the test's own process, and requests to them."""
+"""Runs stand-ins in the test process and sends requests to them."""
 
 from contextlib import asynccontextmanager
 
@@ -20,7 +20,7 @@
 
 @attrs.define
 class PlatformFixture:
-    """A running platform stand-in and clients of it."""
+    """A running platform stand-in and its clients."""
 
     server: PlatformServer
     table: HttpTable
@@ -32,7 +32,7 @@
 
 @asynccontextmanager
 async def open_platform(**faults):
-    """Yield a PlatformFixture."""
+    """Yield a PlatformFixture with the given faults."""
     clock = SystemClock()
     platform = PlatformServer(clock, PlatformFaults(**faults))
     pools = PoolRegistry(clock)
@@ -65,7 +65,7 @@
 
 
 async def wait_until(condition, timeout_s: float = TIMEOUT_S) -> None:
-    """Return once the condition holds; fail when it takes too long."""
+    """Poll a condition until it holds; time out after timeout_s."""
     async with curio.timeout_after(timeout_s):
         while not condition():
             await curio.sleep(0.005)
--- a/libs/standins/auburnjunction/standins/tests/test_backends.py
+++ b/libs/standins/auburnjunction/standins/tests/test_backends.py
@@ -1,4 +1,4 @@
-"""Behaviour of the backend server stand-in."""
+"""Tests of the backend server stand-in."""
 
 import itertools
 import json
@@ -43,7 +43,7 @@
 
 
 @pytest.mark.parametrize("body", [b"payment", b"x" * 100_000])
-def test_answer_is_that_of_the_request(body):
+def test_response_echoes_request(body):
     async def main():
         async with open_stand_in() as (_, port, pools):
             response = await send(pools, port, "/pay", body, CALL_HEADERS)
@@ -68,7 +68,7 @@
         ({}, 200, ["finished"]),
     ],
 )
-def test_fault_decides_whether_work_runs(faults, status, states):
+def test_faults_determine_status_and_executions(faults, status, states):
     async def main():
         async with open_stand_in() as (running, port, pools):
             running.backend.set_faults(BackendFaults(**faults))
@@ -81,7 +81,7 @@
     curio.run(main)
 
 
-def test_truncated_answer_is_cut_short():
+def test_truncate_share_truncates_response():
     async def main():
         async with open_stand_in() as (running, port, pools):
             running.backend.set_faults(BackendFaults(truncate_share=1.0))
@@ -91,7 +91,7 @@
     curio.run(main)
 
 
-def test_slots_bound_what_runs_at_once():
+def test_slots_limit_concurrent_requests():
     async def main():
         async with open_stand_in(slots=2, delay_ms=10) as (_, port, pools):
             async with curio.TaskGroup() as group:
@@ -108,7 +108,7 @@
     ("deadline", "status", "states"),
     [(b"0", 503, []), (b"50", 504, ["cancelled"]), (b"x", 200, ["finished"])],
 )
-def test_deadline_stops_work(deadline, status, states):
+def test_deadline_cancels_execution(deadline, status, states):
     async def main():
         headers = ((b"auburn-deadline-ms", deadline),)
         delay_ms = 1 if status == 200 else 60_000
@@ -121,7 +121,7 @@
     curio.run(main)
 
 
-def test_work_that_got_no_slot_in_time_does_not_run():
+def test_request_without_slot_before_deadline_is_shed():
     async def main():
         headers = ((b"auburn-deadline-ms", b"50"),)
         async with open_stand_in(slots=1, delay_ms=60_000) as stand_in:
@@ -137,7 +137,7 @@
     curio.run(main)
 
 
-def test_work_stops_when_its_connection_closes():
+def test_closed_connection_cancels_execution():
     async def main():
         async with open_stand_in(delay_ms=60_000) as (running, port, pools):
             task = await curio.spawn(send, pools, port, "/pay", b"p")
@@ -150,7 +150,7 @@
     curio.run(main)
 
 
-def test_silent_connections_stay_silent_while_new_ones_work():
+def test_silent_fault_affects_only_open_connections():
     async def main():
         async with open_stand_in() as (running, port, pools):
             sock = await curio.open_connection(HOST, port)
@@ -176,7 +176,9 @@
         ({"load_percent": 77}, 200, 77),
     ],
 )
-def test_reports_may_mislead(faults, health, load_percent):
+def test_faults_override_reported_health_and_load(
+    faults, health, load_percent
+):
     async def main():
         async with open_stand_in() as (running, port, pools):
             running.backend.set_faults(BackendFaults(**faults))
@@ -187,16 +189,16 @@
     curio.run(main)
 
 
-def test_lifted_drain_starts_anew():
+def test_end_of_drain_announces_starting_then_ready():
     states = []
 
-    async def take_announcement(request):
+    async def receive_announcement(request):
         states.append(json.loads(request.body)["state"])
         return HttpResponse(200)
 
     async def main():
         async with open_server(
-            HOST, 0, take_announcement, SystemClock()
+            HOST, 0, receive_announcement, SystemClock()
         ) as node:
             address = Address(HOST, node.port)
             async with open_stand_in(announce=address) as (running, _, _):
@@ -207,20 +209,20 @@
                 await wait_until(lambda: states[-1:] == ["ready"])
 
     curio.run(main)
-    anew = ["starting", "ready"]
-    assert states == [*anew, "leaving", *anew]
+    restart = ["starting", "ready"]
+    assert states == [*restart, "leaving", *restart]
 
 
-def test_stop_announces_leaving_then_gone_and_finishes_work():
+def test_leave_drains_between_leaving_and_gone():
     states = []
 
-    async def take_announcement(request):
+    async def receive_announcement(request):
         states.append(json.loads(request.body)["state"])
         return HttpResponse(200)
 
     async def main():
         async with open_server(
-            HOST, 0, take_announcement, SystemClock()
+            HOST, 0, receive_announcement, SystemClock()
         ) as node:
             address = Address(HOST, node.port)
             async with open_stand_in(
@@ -233,14 +235,15 @@
                 assert (await task.join()).body == b"p"
 
     curio.run(main)
-    # Leaving may be told twice, at once and as a change of state.
+    # Leaving may be announced twice: by leave() and, as a change of state, by
+    # the announcer's task.
     assert [s for s, _ in itertools.groupby(states)] == [
         *("starting", "ready", "leaving", "gone")
     ]
 
 
 @pytest.mark.parametrize(
-    ("faults", "least_s"),
+    ("faults", "min_duration_s"),
     [
         ({}, 0.001),
         ({"slow_factor": 100.0}, 0.1),
@@ -248,21 +251,21 @@
         ({"freeze_s": 0.2}, 0.2),
     ],
 )
-def test_slow_faults_delay_the_answer(faults, least_s):
+def test_slow_cold_and_freeze_faults_delay_response(faults, min_duration_s):
     async def main():
         clock = SystemClock()
         async with open_stand_in(jitter=0.0) as (running, port, pools):
             running.backend.set_faults(BackendFaults(**faults))
             started_s = clock.monotonic()
             await send(pools, port, "/pay", b"p")
-            assert clock.monotonic() - started_s >= least_s
+            assert clock.monotonic() - started_s >= min_duration_s
             (execution,) = await list_executions(pools, port)
             assert execution["state"] == "finished"
 
     curio.run(main)
 
 
-def test_bad_faults_are_refused_by_field():
+def test_invalid_fault_is_refused_with_its_field():
     async def main():
         async with open_stand_in() as (_, port, pools):
             response = await send(pools, port, "/faults", {"shed_share": 2})
--- a/libs/standins/auburnjunction/standins/tests/test_forwarders.py
+++ b/libs/standins/auburnjunction/standins/tests/test_forwarders.py
@@ -1,4 +1,4 @@
-"""Behaviour of the TCP forwarder."""
+"""Tests of the TCP forwarder."""
 
 from contextlib import asynccontextmanager
 
@@ -14,7 +14,7 @@
 from auburnjunction.standins.tests.support import HOST, wait_until
 
 REQUEST = b"GET / HTTP/1.1\r\nhost: t\r\n\r\n"
-BRIEF_S = 0.1
+NO_ANSWER_WAIT_S = 0.1
 
 
 class CountingHandler:
@@ -29,8 +29,8 @@
 
 
 @asynccontextmanager
-async def open_path():
-    """Yield a forwarder, its port and the handler behind it."""
+async def open_forwarded_server():
+    """Yield a forwarder to a server, its port and the server's handler."""
     clock = SystemClock()
     handler = CountingHandler()
     async with (
@@ -43,7 +43,7 @@
         yield forwarder, port, handler
 
 
-async def ask(sock, timeout_s=5.0):
+async def send_request(sock, timeout_s=5.0):
     await sock.sendall(REQUEST)
     return await curio.ignore_after(timeout_s, sock.recv, 65536)
 
@@ -59,13 +59,15 @@
         ({"silent": True}, False, 0),
     ],
 )
-def test_fault_holds_back_one_direction(faults, answered, requests):
+def test_held_back_data_arrives_after_fault_ends(faults, answered, requests):
     async def main():
-        async with open_path() as (forwarder, port, handler):
+        async with open_forwarded_server() as (forwarder, port, handler):
             sock = await curio.open_connection(HOST, port)
             await wait_until(lambda: forwarder.stats.open_connections)
             forwarder.set_faults(ForwarderFaults(**faults))
-            received = await ask(sock, 5.0 if answered else BRIEF_S)
+            received = await send_request(
+                sock, 5.0 if answered else NO_ANSWER_WAIT_S
+            )
             assert bool(received) is answered
             assert handler.requests == requests
             forwarder.set_faults(ForwarderFaults())
@@ -77,15 +79,15 @@
     curio.run(main)
 
 
-def test_new_connections_work_while_old_ones_are_silent():
+def test_silent_fault_affects_only_open_connections():
     async def main():
-        async with open_path() as (forwarder, port, _):
+        async with open_forwarded_server() as (forwarder, port, _):
             old = await curio.open_connection(HOST, port)
-            assert await ask(old)
+            assert await send_request(old)
             forwarder.set_faults(ForwarderFaults(silent=True))
             new = await curio.open_connection(HOST, port)
-            assert await ask(new)
-            assert await ask(old, BRIEF_S) is None
+            assert await send_request(new)
+            assert await send_request(old, NO_ANSWER_WAIT_S) is None
             await old.close()
             await new.close()
 
@@ -93,30 +95,30 @@
 
 
 @pytest.mark.parametrize(
-    ("faults", "least_s"),
+    ("faults", "min_duration_s"),
     [
         ({"delay_ms": 50}, 0.1),
         ({"loss_share": 1.0, "loss_delay_ms": 50}, 0.1),
         ({"delay_ms": 25, "loss_share": 1.0, "loss_delay_ms": 50}, 0.15),
     ],
 )
-def test_delay_counts_in_both_directions(faults, least_s):
+def test_delays_apply_in_both_directions(faults, min_duration_s):
     async def main():
         clock = SystemClock()
-        async with open_path() as (forwarder, port, _):
+        async with open_forwarded_server() as (forwarder, port, _):
             forwarder.set_faults(ForwarderFaults(**faults))
             sock = await curio.open_connection(HOST, port)
             started_s = clock.monotonic()
-            assert await ask(sock)
-            assert clock.monotonic() - started_s >= least_s
+            assert await send_request(sock)
+            assert clock.monotonic() - started_s >= min_duration_s
             await sock.close()
 
     curio.run(main)
 
 
-def test_refused_connection_is_closed():
+def test_refuse_fault_closes_new_connections():
     async def main():
-        async with open_path() as (forwarder, port, handler):
+        async with open_forwarded_server() as (forwarder, port, handler):
             forwarder.set_faults(ForwarderFaults(refuse=True))
             async with await curio.open_connection(HOST, port) as sock:
                 assert await curio.timeout_after(5, sock.recv, 1) == b""
--- a/libs/standins/auburnjunction/standins/tests/test_platforms.py
+++ b/libs/standins/auburnjunction/standins/tests/test_platforms.py
@@ -1,4 +1,4 @@
-"""The platform's clients against the platform stand-in."""
+"""Tests of the platform clients against the platform stand-in."""
 
 import hashlib
 
@@ -24,7 +24,7 @@
         ("k", b"x" * 9),
     ],
 )
-def test_row_is_kept_whole(key, value):
+def test_row_is_stored_with_its_version(key, value):
     async def main():
         async with open_platform() as platform:
             table = platform.table
@@ -53,7 +53,7 @@
         ("q", "", 10, []),
     ],
 )
-def test_scan_pages_by_key(prefix, after, limit, keys):
+def test_scan_returns_rows_in_key_order(prefix, after, limit, keys):
     async def main():
         async with open_platform() as platform:
             for key in ("n/2", "n/1", "z", "n/3", "a"):
@@ -65,7 +65,7 @@
     curio.run(main)
 
 
-def test_object_is_kept_by_its_digest():
+def test_object_is_stored_by_its_digest():
     async def main():
         content = b"content"
         digest = hashlib.sha256(content).digest()
@@ -90,7 +90,7 @@
         ({"lost_share": 1.0}, UnknownOutcomeError, True),
     ],
 )
-def test_failed_write_tells_what_is_known(faults, error, applied):
+def test_write_error_shows_whether_outcome_is_known(faults, error, applied):
     async def main():
         async with open_platform(**faults) as platform:
             with pytest.raises(error):
@@ -106,7 +106,7 @@
     "faults",
     [{"down": True}, {"reads_per_s": 0}, {"silent": True}],
 )
-def test_failed_read_is_unavailable(faults):
+def test_failed_read_raises_unavailable(faults):
     async def main():
         async with open_platform(**faults) as platform:
             with pytest.raises(UnavailableError):
@@ -115,7 +115,7 @@
     curio.run(main)
 
 
-def test_read_passes_over_a_silent_connection():
+def test_read_succeeds_despite_silent_connection():
     async def main():
         async with open_platform() as platform:
             await platform.table.insert_if_absent("k", b"v", TIMEOUT_S)
@@ -129,7 +129,7 @@
     curio.run(main)
 
 
-def test_slow_platform_is_asked_once_with_all_the_time():
+def test_slow_platform_gets_one_attempt_with_full_timeout():
     async def main():
         async with open_platform(delay_ms=300) as platform:
             table = platform.table
@@ -144,7 +144,7 @@
     curio.run(main)
 
 
-def test_racing_inserts_with_lost_answers_have_one_winner():
+def test_concurrent_inserts_with_lost_answers_have_one_winner():
     results = []
 
     async def insert(table, value):
