Reword hosts, links, processes and workloads of deployments

The drivers of whole deployments described nodes and links in phrases of their own. Docstrings and messages now say what is started, awaited or returned; make_once_route is make_claimed_route, and the parameter of wait_until that goes into the time-out's message is description.

--- a/libs/standins/auburnjunction/standins/deployments.py
+++ b/libs/standins/auburnjunction/standins/deployments.py
@@ -1,7 +1,7 @@
-"""Starts a whole deployment as plain processes on loopback.
+"""Starts a whole deployment as processes on loopback.
 
-For the demo, the benches and the tests: the system itself starts no
-process.
+Only for the demo, benchmarks and tests: the system itself starts no
+processes.
 """
 
 import contextlib
@@ -84,7 +84,10 @@
         ]
 
     def start(self) -> None:
-        """Start everything; nodes are live, not yet ready, afterwards."""
+        """Start all processes and wait until the nodes are live.
+
+        The nodes may not be ready yet.
+        """
         self.platform.start()
         wait_until(
             lambda: is_answering(self.platform_port, "/stats"),
@@ -124,7 +127,7 @@
         )
 
     def wait_ready(self, hosts: list[HostPlan] | None = None) -> None:
-        """Wait until nodes, all by default, take calls."""
+        """Wait until nodes, all by default, are ready for calls."""
         for host in hosts or self.hosts:
             wait_until(
                 lambda port=host.admin_port: is_answering(port, "/ready"),
@@ -133,17 +136,17 @@
             )
 
     def wait_known(self, hosts: list[HostPlan] | None = None) -> None:
-        """Wait until nodes, all by default, know every backend server."""
-        wanted = len(self.hosts)
+        """Wait until nodes, all by default, list every backend server."""
+        expected = len(self.hosts)
         for host in hosts or self.hosts:
             wait_until(
-                lambda host=host: self.read_status(host).instances >= wanted,
+                lambda host=host: self.read_status(host).instances >= expected,
                 READY_TIMEOUT_S,
-                f"{wanted} backend servers known to {host.name}",
+                f"{expected} backend servers listed by {host.name}",
             )
 
     def read_status(self, host: HostPlan) -> NodeStatus:
-        """Return what a node says of itself; zeros if unreachable."""
+        """Return a node's status; NodeStatus() if it is unreachable."""
         try:
             values = orjson.loads(fetch(host.admin_port, "/ready")[1])
         except (OSError, http.client.HTTPException, orjson.JSONDecodeError):
@@ -155,7 +158,7 @@
         return self.read_status(host).revision
 
     def stop(self) -> dict[str, int | None]:
-        """Stop backend servers, nodes, platform; return exit codes."""
+        """Stop backend servers, nodes, links, platform; return exit codes."""
         codes = {}
         for group in (self.backends, self.nodes):
             for process in group.values():
@@ -172,7 +175,7 @@
         return codes
 
     def kill(self) -> None:
-        """End whatever still runs."""
+        """Kill every process that still runs."""
         for process in self.processes:
             if process.running:
                 process.kill()
@@ -241,7 +244,7 @@
     backend_arguments: list[str] | None = None,
     with_links: bool = False,
 ) -> Iterator[Deployment]:
-    """Yield a started deployment; end its processes afterwards."""
+    """Yield a started deployment; kill its processes afterwards."""
     directory.mkdir(parents=True, exist_ok=True)
     deployment = Deployment(
         workload,
--- a/libs/standins/auburnjunction/standins/hosts.py
+++ b/libs/standins/auburnjunction/standins/hosts.py
@@ -1,4 +1,4 @@
-"""Hosts of a deployment: ports, places and settings of their nodes."""
+"""Hosts of a deployment: their data centres, services and ports."""
 
 import itertools
 
@@ -10,7 +10,7 @@
 
 @attrs.define
 class HostPlan:
-    """One host: its node's ports and its backend server's."""
+    """One host with the ports of its node and its backend server."""
 
     name: str
     data_centre: str
@@ -29,7 +29,7 @@
 
 @attrs.frozen
 class NodeStatus:
-    """What GET /ready of a node says."""
+    """Readiness of a node as GET /ready reports it."""
 
     ready: bool = False
     reason: str = "unreachable"
@@ -40,7 +40,7 @@
 def plan_hosts(
     workload: Workload, hosts_per_data_centre: int
 ) -> list[HostPlan]:
-    """Spread the services over hosts so that each has an instance."""
+    """Assign services to hosts in turn, so that each has an instance."""
     services = itertools.cycle(size.service for size in workload.sizes)
     return [
         HostPlan(
--- a/libs/standins/auburnjunction/standins/links.py
+++ b/libs/standins/auburnjunction/standins/links.py
@@ -1,4 +1,4 @@
-"""Links between data centres, as forwarders that tests can cut."""
+"""Links between data centres: forwarders that inject network faults."""
 
 from pathlib import Path
 
@@ -16,7 +16,7 @@
 
 @attrs.frozen
 class Link:
-    """One way from a data centre to a listener elsewhere."""
+    """Forwarder from one data centre to one listener outside it."""
 
     data_centre: str
     # Data centre of the listener; empty for the platform.
@@ -37,7 +37,7 @@
     target_port: int,
     directory: Path,
 ) -> Link:
-    """Return a link whose forwarder is not started yet."""
+    """Return a link whose forwarder has not been started."""
     port, control_port = find_port(), find_port()
     name = f"link-{data_centre}-{target_port}"
     arguments = ["auburn-standin-forwarder", "--listen", str(port)]
@@ -60,7 +60,7 @@
     platform_port: int,
     directory: Path,
 ) -> list[Link]:
-    """Return links from each data centre to all that is not in it."""
+    """Return links from each data centre to the platform and remote nodes."""
     links = []
     for data_centre in data_centres:
         links.append(make_link(data_centre, "", platform_port, directory))
@@ -73,21 +73,24 @@
 
 
 class LinkMap:
-    """All links of a deployment, and what its nodes must know of them."""
+    """All links of a deployment and the node settings that route over them."""
 
     def __init__(self, links: list[Link], platform_port: int):
         self.links = links
         self._platform_port = platform_port
 
     def find_platform_port(self, data_centre: str) -> int:
-        """Return the port by which a data centre reaches the platform."""
+        """Return the port at which a data centre reaches the platform."""
         for link in self.links:
             if link.data_centre == data_centre and not link.target_data_centre:
                 return link.port
         return self._platform_port
 
     def make_translations(self, data_centre: str) -> dict[str, str]:
-        """Return the address translations of a data centre's nodes."""
+        """Return the address_translations setting of a data centre's nodes.
+
+        It maps peer addresses in other data centres to link addresses.
+        """
         return {
             f"{HOST}:{link.target_port}": f"{HOST}:{link.port}"
             for link in self.links
@@ -95,11 +98,11 @@
         }
 
     def isolate(self, data_centre: str, cut: str = "both") -> None:
-        """Cut a data centre from the others and the platform."""
+        """Partition a data centre from the others and the platform."""
         self._set_cut(data_centre, cut)
 
     def rejoin(self, data_centre: str) -> None:
-        """End the cut of a data centre."""
+        """Heal the partition of a data centre."""
         self._set_cut(data_centre, "none")
 
     def _set_cut(self, data_centre: str, cut: str) -> None:
--- a/libs/standins/auburnjunction/standins/processes.py
+++ b/libs/standins/auburnjunction/standins/processes.py
@@ -1,4 +1,4 @@
-"""Processes that the demo, the benches and the tests start."""
+"""Manages processes that the demo, benchmarks and tests start."""
 
 import contextlib
 import http.client
@@ -24,12 +24,12 @@
 
 
 def find_binary(name: str) -> str:
-    """Return the path of a binary installed beside this Python."""
+    """Return the path of a program in the directory of this Python."""
     return str(Path(sys.executable).parent / name)
 
 
 class ProcessEndedError(Exception):
-    """A process has ended that should be running."""
+    """A process that should be running has ended."""
 
 
 @attrs.define
@@ -65,7 +65,9 @@
         """Return True; raise ProcessEndedError if the process has ended."""
         if not self.running:
             lines = self.log_path.read_text().splitlines() or ["no output"]
-            raise ProcessEndedError(f"{self.name} has ended: {lines[-1]}")
+            raise ProcessEndedError(
+                f"process {self.name} has ended; last log line: {lines[-1]}"
+            )
         return True
 
     def send_signal(self, number: signal.Signals) -> None:
@@ -74,19 +76,19 @@
             self.process.send_signal(number)
 
     def wait(self, timeout_s: float = STOP_TIMEOUT_S) -> int | None:
-        """Return the exit code, or None when it is still running."""
+        """Return the exit code, or None if it still runs after timeout_s."""
         try:
             return self.process.wait(timeout_s)
         except subprocess.TimeoutExpired:
             return None
 
     def kill(self) -> None:
-        """End the process at once, also when it is stopped."""
+        """Kill the process, even if it is stopped by SIGSTOP."""
         self.send_signal(signal.SIGKILL)
         self.wait()
 
     def read_events(self) -> list[dict]:
-        """Return the JSON lines that the process has logged."""
+        """Return the log lines that are JSON objects."""
         events = []
         for line in self.log_path.read_bytes().splitlines():
             with contextlib.suppress(orjson.JSONDecodeError):
@@ -121,18 +123,21 @@
 
 
 def wait_until(
-    condition: Callable[[], bool], timeout_s: float, what: str
+    condition: Callable[[], bool], timeout_s: float, description: str
 ) -> None:
-    """Wait for a condition; raise TimeoutError that names it."""
+    """Poll a condition until it holds.
+
+    Raise TimeoutError with the description after timeout_s.
+    """
     end_s = time.monotonic() + timeout_s
     while not condition():
         if time.monotonic() > end_s:
-            raise TimeoutError(f"{what} not seen within {timeout_s} s")
+            raise TimeoutError(f"{description} not seen within {timeout_s} s")
         time.sleep(POLL_INTERVAL_S)
 
 
 def is_answering(port: int, path: str) -> bool:
-    """Tell whether a loopback port answers the path with 200."""
+    """Return whether a loopback port answers GET path with 200."""
     try:
         return fetch(port, path)[0] == 200
     except (OSError, http.client.HTTPException):
--- a/libs/standins/auburnjunction/standins/tests/test_binaries.py
+++ b/libs/standins/auburnjunction/standins/tests/test_binaries.py
@@ -1,4 +1,4 @@
-"""The stand-ins as binaries: arguments, exit codes, signals."""
+"""Tests of the stand-ins' command lines, exit codes and signals."""
 
 import signal
 import socket
@@ -18,11 +18,11 @@
 )
 
 TIMEOUT_S = 10.0
-BACKEND = ["--service", "box", "--instance", "box-1", "--port", "0"]
+BACKEND_ARGUMENTS = ["--service", "box", "--instance", "box-1", "--port", "0"]
 
 
 def run_main(module, arguments, monkeypatch, capsys):
-    """Return exit code, output and error lines of a binary's main."""
+    """Return exit code, output and error lines of a module's main."""
     monkeypatch.setattr(sys, "argv", ["auburn-standin", *arguments])
     with pytest.raises(SystemExit) as caught:
         module.main()
@@ -36,13 +36,21 @@
         (platforms, [], ["--port"]),
         (platforms, ["--port", "x"], ["--port", "'x'", "write"]),
         (platforms, ["--port", "70000"], ["--port", "70000", "65535"]),
-        (backends, [*BACKEND, "--slots", "0"], ["--slots", "0", "write"]),
-        (backends, [*BACKEND, "--announce", "h"], ["--announce", "'h'"]),
+        (
+            backends,
+            [*BACKEND_ARGUMENTS, "--slots", "0"],
+            ["--slots", "0", "write"],
+        ),
+        (
+            backends,
+            [*BACKEND_ARGUMENTS, "--announce", "h"],
+            ["--announce", "'h'"],
+        ),
         (forwarders, ["--listen", "0", "--to", "h:x"], ["--to", "'h:x'"]),
         (forwarders, ["--speed", "1"], ["--speed"]),
     ],
 )
-def test_bad_argument_gives_one_line(
+def test_invalid_argument_prints_one_error_line(
     module, arguments, words, monkeypatch, capsys
 ):
     code, _, lines = run_main(module, arguments, monkeypatch, capsys)
@@ -53,15 +61,15 @@
 
 @pytest.mark.parametrize("module", [platforms, backends, forwarders])
 @pytest.mark.parametrize("argument", ["--help", "--version"])
-def test_help_and_version(module, argument, monkeypatch, capsys):
+def test_help_and_version_exit_with_0(module, argument, monkeypatch, capsys):
     code, output, lines = run_main(module, [argument], monkeypatch, capsys)
     assert (code, lines) == (0, [])
     assert output
 
 
-def test_address_in_use_gives_one_line(monkeypatch, capsys):
-    with socket.create_server((HOST, 0)) as taken:
-        port = str(taken.getsockname()[1])
+def test_address_in_use_prints_one_error_line(monkeypatch, capsys):
+    with socket.create_server((HOST, 0)) as listener:
+        port = str(listener.getsockname()[1])
         code, _, lines = run_main(
             platforms, ["--port", port], monkeypatch, capsys
         )
@@ -73,7 +81,7 @@
 @pytest.mark.parametrize(
     ("drain_s", "code", "answered"), [("5", 0, True), ("0", 1, False)]
 )
-def test_backend_finishes_work_on_sigterm(drain_s, code, answered):
+def test_sigterm_drains_until_drain_limit(drain_s, code, answered):
     port = find_port()
     process = subprocess.Popen(
         [
@@ -99,7 +107,7 @@
         wait_until(lambda: is_answering(port, "/live"), TIMEOUT_S, "live")
         thread = threading.Thread(target=call)
         thread.start()
-        wait_until(is_running, TIMEOUT_S, "the call")
+        wait_until(is_running, TIMEOUT_S, "one running request")
         process.send_signal(signal.SIGTERM)
         assert process.wait(TIMEOUT_S) == code
         thread.join(TIMEOUT_S)
--- a/libs/standins/auburnjunction/standins/workloads.py
+++ b/libs/standins/auburnjunction/standins/workloads.py
@@ -1,4 +1,4 @@
-"""Sizes and configurations of the two firms, as their brief gives them."""
+"""Deployment sizes and configurations of the two user organisations."""
 
 import attrs
 
@@ -10,7 +10,7 @@
 
 @attrs.frozen
 class ServiceSize:
-    """How many instances a service has in all data centres."""
+    """Number of a service's instances over all data centres."""
 
     service: str
     instances: int
@@ -18,7 +18,7 @@
 
 @attrs.frozen
 class Workload:
-    """One firm's data centres, services, sizes, delays and routes."""
+    """One organisation's data centres, services, sizes, delays and routes."""
 
     name: str
     data_centres: tuple[str, ...]
@@ -33,7 +33,7 @@
 def make_route(
     name: str, service: str, priority: Priority, **options
 ) -> Route:
-    """Return a route whose path is its name."""
+    """Return a route whose path prefix is its name."""
     return Route(
         name=name,
         path_prefix=f"/{name}",
@@ -43,8 +43,8 @@
     )
 
 
-def make_once_route(name: str, service: str, priority: Priority) -> Route:
-    """Return a route for requests that may not run twice."""
+def make_claimed_route(name: str, service: str, priority: Priority) -> Route:
+    """Return a route that requires a claim, so that no request runs twice."""
     return make_route(
         name,
         service,
@@ -56,7 +56,7 @@
 
 
 def make_read_route(name: str, service: str, priority: Priority) -> Route:
-    """Return a route for requests that may be repeated."""
+    """Return a route for reads, which may be retried."""
     return make_route(
         name,
         service,
@@ -89,16 +89,16 @@
                 Service("order-records", ("order",)),
             ),
             routes=(
-                make_once_route(
+                make_claimed_route(
                     "payments", "member-billing", Priority.CRITICAL
                 ),
-                make_once_route(
+                make_claimed_route(
                     "boxes", "subscription-box", Priority.CRITICAL
                 ),
                 make_read_route(
                     "calendar", "delivery-calendar", Priority.HIGH
                 ),
-                make_once_route("orders", "order-records", Priority.NORMAL),
+                make_claimed_route("orders", "order-records", Priority.NORMAL),
                 make_read_route("records", "order-records", Priority.LOW),
             ),
         )
@@ -127,8 +127,12 @@
                 Service("design-catalogue", ("catalogue",)),
             ),
             routes=(
-                make_once_route("orders", "order-handling", Priority.CRITICAL),
-                make_once_route("transfers", "blank-stock", Priority.CRITICAL),
+                make_claimed_route(
+                    "orders", "order-handling", Priority.CRITICAL
+                ),
+                make_claimed_route(
+                    "transfers", "blank-stock", Priority.CRITICAL
+                ),
                 make_read_route("previews", "pattern-preview", Priority.HIGH),
                 make_read_route("stock", "blank-stock", Priority.NORMAL),
                 make_read_route("catalogue", "design-catalogue", Priority.LOW),
