Reword the system tests and the fault soak

Names such as check_promises, check_never_back and heal hid what they check or do; they are check_guarantees, check_revisions_increase and end_faults.

--- a/libs/standins/auburnjunction/standins/soaks.py
+++ b/libs/standins/auburnjunction/standins/soaks.py
@@ -1,7 +1,7 @@
-"""Randomized soak: faults from outside on a deployment under load.
+"""Randomized fault soak of a deployment under load.
 
-A seed gives a plan of faults that overlap; the promises are checked
-against what callers and backend servers have seen.
+A seed determines a plan of overlapping faults. The guarantees are checked
+against the calls of callers and the executions of backend servers.
 """
 
 import random
@@ -16,18 +16,22 @@
 from auburnjunction.standins.hosts import HostPlan
 from auburnjunction.standins.systems import (
     System,
-    check_promises,
+    check_guarantees,
     open_system,
 )
 
-# Faults begin up to this long before the load ends.
-LAST_FAULT_S = 2.0
-# From the end of the load until executions are read: a frozen backend
-# server and a queue behind it have ended by then.
+# The first fault of a series begins at least this long before the load ends.
+LAST_FAULT_MARGIN_S = 2.0
+# Time between the end of the load and the reading of executions, enough
+# for a frozen backend server to resume and work off its queue.
 SETTLE_S = 12.0
-# Time in which everything must be in force again after the faults.
-RETURN_LIMIT_S = 30.0
-UNCERTAIN_CODES = (
+# Time after the faults within which the final change must be in force on
+# every node.
+RECOVERY_LIMIT_S = 30.0
+# Exit codes of auburnctl after which a change is not tried on another node:
+# it is committed, conflicts with another change, was refused by the platform,
+# or its outcome is unknown.
+FINAL_EXIT_CODES = (
     ExitCode.OK,
     ExitCode.CONFLICT,
     ExitCode.PLATFORM_UNAVAILABLE,
@@ -37,7 +41,7 @@
 
 @attrs.frozen
 class SoakEvent:
-    """One step of a plan; a fault and its end are two steps."""
+    """One step of a plan: a fault begins or ends."""
 
     at_s: float
     name: str
@@ -46,16 +50,16 @@
 
 @attrs.frozen
 class FaultKind:
-    """How a fault begins and ends, and how long it lasts at most."""
+    """Steps that begin and end a fault, and its maximum duration."""
 
     begin: str
     end: str = ""
     longest_s: float = 0.0
-    # Whether it is aimed at one host.
+    # Whether its target is one host.
     is_aimed: bool = True
 
 
-KINDS = (
+FAULT_KINDS = (
     FaultKind("kill", "start", 2.0),
     FaultKind("terminate", "start", 2.0),
     FaultKind("freeze", "thaw", 5.0),
@@ -72,14 +76,14 @@
 
 
 def make_plan(seed: int, duration_s: float, hosts: int) -> list[SoakEvent]:
-    """Return the steps of a seed in the order of time."""
+    """Return the steps of a seed, sorted by time."""
     rng = random.Random(seed)
     events = []
     for _ in range(rng.randint(4, 8)):
-        kind = rng.choice(KINDS)
-        at_s = rng.uniform(0.5, duration_s - LAST_FAULT_S)
+        kind = rng.choice(FAULT_KINDS)
+        at_s = rng.uniform(0.5, duration_s - LAST_FAULT_MARGIN_S)
         target = rng.randrange(hosts) if kind.is_aimed else 0
-        # Faults come in series, and overlap.
+        # A fault may be repeated, and faults overlap.
         for _ in range(rng.choice((1, 1, 2))):
             events.append(SoakEvent(at_s, kind.begin, target))
             at_s += rng.uniform(0.1, kind.longest_s or 1.0)
@@ -90,7 +94,7 @@
 
 
 class Soak:
-    """Carries the steps of a plan out on a running system."""
+    """Runs the steps of a plan on a running system."""
 
     def __init__(self, system: System):
         self._system = system
@@ -98,15 +102,15 @@
         self._backends = system.deployment.backends
 
     def run(self, plan: list[SoakEvent]) -> None:
-        """Do each step at its time."""
+        """Run each step at its time."""
         start_s = time.monotonic()
         for event in plan:
             time.sleep(max(0.0, start_s + event.at_s - time.monotonic()))
             step: Callable = getattr(self, f"_{event.name}")
             step(self._system.hosts[event.target])
 
-    def heal(self) -> None:
-        """End every fault; have all of it running."""
+    def end_faults(self) -> None:
+        """End every fault and restart every stopped node."""
         self._platform_up()
         for host in self._system.hosts:
             self._rejoin(host)
@@ -141,21 +145,21 @@
         self._backends[host.name].send_signal(signal.SIGCONT)
 
     def _cut(self, host: HostPlan) -> None:
-        self._set_links(host, cut="both")
+        self._set_link_faults(host, cut="both")
 
     def _cut_one_way(self, host: HostPlan) -> None:
-        self._set_links(host, cut="to-server")
+        self._set_link_faults(host, cut="to-server")
 
     def _silence_links(self, host: HostPlan) -> None:
-        self._set_links(host, silent=True)
+        self._set_link_faults(host, silent=True)
 
     def _delay_links(self, host: HostPlan) -> None:
-        self._set_links(host, delay_ms=80.0, jitter_ms=120.0)
+        self._set_link_faults(host, delay_ms=80.0, jitter_ms=120.0)
 
     def _rejoin(self, host: HostPlan) -> None:
-        self._set_links(host)
+        self._set_link_faults(host)
 
-    def _set_links(self, host: HostPlan, **faults) -> None:
+    def _set_link_faults(self, host: HostPlan, **faults) -> None:
         for link in self._system.deployment.link_map.links:
             ends = (link.data_centre, link.target_data_centre)
             if host.data_centre in ends:
@@ -174,7 +178,10 @@
         self._system.set_platform_faults()
 
     def _change(self, _host: HostPlan) -> None:
-        """Try to commit a change; under faults it may fail or be lost."""
+        """Try to commit a change through one running node after another.
+
+        Under faults it may fail or its outcome may be unknown.
+        """
         system = self._system
         path = system.write_change(system.revision + 1)
         for host, node in enumerate(self._nodes.values()):
@@ -186,7 +193,7 @@
                     str(system.revision),
                     host=host,
                 )
-                if result.exit_code in UNCERTAIN_CODES:
+                if result.exit_code in FINAL_EXIT_CODES:
                     return
 
 
@@ -199,17 +206,19 @@
         try:
             soak.run(plan)
         finally:
-            soak.heal()
+            soak.end_faults()
         system.deployment.wait_ready()
         result = load.finish()
-        check_promises(result)
-        commit_last(system)
-        system.wait_in_force(timeout_s=RETURN_LIMIT_S)
-        system.check_never_back()
-
-
-def commit_last(system: System) -> None:
-    """Commit a change on top of whatever the soak has left behind."""
-    read = [system.deployment.read_revision(host) for host in system.hosts]
-    system.revision = max(read)
-    system.change()
+        check_guarantees(result)
+        commit_final_change(system)
+        system.wait_in_force(timeout_s=RECOVERY_LIMIT_S)
+        system.check_revisions_increase()
+
+
+def commit_final_change(system: System) -> None:
+    """Commit a change on top of the latest revision in force on any node."""
+    revisions = [
+        system.deployment.read_revision(host) for host in system.hosts
+    ]
+    system.revision = max(revisions)
+    system.commit_change()
--- a/libs/standins/auburnjunction/standins/systems.py
+++ b/libs/standins/auburnjunction/standins/systems.py
@@ -1,4 +1,4 @@
-"""Drives whole deployments, for tests under failure and for benches."""
+"""Drives whole deployments for failure tests and benchmarks."""
 
 import contextlib
 import subprocess
@@ -22,10 +22,10 @@
 
 CONVERGENCE_LIMIT_S = 5.0
 LEAVING_LIMIT_S = 3.0
-COMMAND_TIMEOUT_S = 30.0
-# The platform counts its rates by the second.
-REFUSED_WAIT_S = 1.0
-FIRST_TIMEOUT_MS = 2000
+AUBURNCTL_TIMEOUT_S = 30.0
+# The rate limits of the platform apply to each second.
+REFUSED_RETRY_DELAY_S = 1.0
+BASE_TIMEOUT_MS = 2000
 NODE_OVERRIDES = {
     "routing": {"access_log_share": 1.0, "error_log_share": 1.0},
     "drain_limit_s": 10.0,
@@ -33,7 +33,7 @@
 
 
 @attrs.frozen
-class ControlResult:
+class AuburnctlResult:
     """Exit code and output of auburnctl."""
 
     exit_code: int
@@ -48,7 +48,7 @@
     process: subprocess.Popen
 
     def finish(self) -> dict:
-        """Wait for the end; return the results."""
+        """Wait until it exits and return its results."""
         output, errors = self.process.communicate(timeout=120)
         assert output, errors.decode()
         return orjson.loads(output)
@@ -62,35 +62,41 @@
         self.hosts = deployment.hosts
         self.revision = 0
 
-    def run_auburnctl(self, *arguments: str, host: int = 0) -> ControlResult:
+    def run_auburnctl(self, *arguments: str, host: int = 0) -> AuburnctlResult:
         """Run auburnctl against one node."""
         address = self.deployment.operators_addresses[host]
         command = [find_binary("auburnctl"), "--output", "json"]
         command += ["--address", address, *arguments]
-        done = subprocess.run(
+        completed = subprocess.run(
             command,
             capture_output=True,
-            timeout=COMMAND_TIMEOUT_S,
+            timeout=AUBURNCTL_TIMEOUT_S,
             check=False,
         )
-        values = orjson.loads(done.stdout) if done.stdout else {}
-        return ControlResult(done.returncode, values, done.stderr.decode())
+        values = orjson.loads(completed.stdout) if completed.stdout else {}
+        return AuburnctlResult(
+            completed.returncode, values, completed.stderr.decode()
+        )
 
     def write_change(self, number: int) -> str:
-        """Write a configuration that differs by its number."""
+        """Write a changed configuration; return its path.
+
+        The number is added to the first route's timeout, so that
+        different numbers give different configurations.
+        """
         snapshot = self.deployment.workload.snapshot
-        timeout_ms = FIRST_TIMEOUT_MS + number
+        timeout_ms = BASE_TIMEOUT_MS + number
         route = attrs.evolve(snapshot.routes[0], timeout_ms=timeout_ms)
         changed = attrs.evolve(snapshot, routes=(route, *snapshot.routes[1:]))
         path = self.deployment.directory / f"change-{number}.json"
         path.write_bytes(dump_snapshot_json(changed))
         return str(path)
 
-    def change(self, host: int = 0) -> int:
+    def commit_change(self, host: int = 0) -> int:
         """Commit a change; return its revision.
 
-        An operator tries again while the platform refuses writes above
-        its rate, which calls that come in a bunch may bring about.
+        It retries as an operator would: a burst of calls may exceed the
+        write rate limit of the platform, which then refuses the commit.
         """
         path = self.write_change(self.revision + 1)
         arguments = ("apply", path, "--revision", str(self.revision))
@@ -100,7 +106,7 @@
             result.exit_code == ExitCode.PLATFORM_UNAVAILABLE
             and time.monotonic() < end_s
         ):
-            time.sleep(REFUSED_WAIT_S)
+            time.sleep(REFUSED_RETRY_DELAY_S)
             result = self.run_auburnctl(*arguments, host=host)
         assert result.exit_code == 0, result.error
         self.revision = result.values["revision"]
@@ -118,7 +124,7 @@
             )
 
     def start_load(self, duration_s: float, rate_per_s=20.0, **plan):
-        """Start a load of every route on every node.
+        """Start auburn-load with calls of every route to every node.
 
         It reads the executions of all backend servers settle_s after
         its last call.
@@ -158,11 +164,11 @@
         fetch(self.deployment.platform_port, "/faults", "POST", body)
 
     def read_platform_stats(self) -> dict:
-        """Return the counts of the platform stand-in."""
+        """Return the statistics of the platform stand-in."""
         return orjson.loads(fetch(self.deployment.platform_port, "/stats")[1])
 
     def list_revisions(self, node: str) -> list[int]:
-        """Return the revisions a node had in force, in order of time."""
+        """Return the revisions that a node put in force, in order of time."""
         events = self.deployment.nodes[node].read_events()
         return [
             event["revision"]
@@ -170,14 +176,14 @@
             if event.get("message") == "configuration in force"
         ]
 
-    def check_never_back(self) -> None:
-        """Check on every node that revisions only rose since its start."""
+    def check_revisions_increase(self) -> None:
+        """Check that revisions only increase between restarts of a node."""
         for name in self.deployment.nodes:
-            runs = self._split_runs(name)
+            runs = self._list_revisions_by_start(name)
             for revisions in runs:
                 assert revisions == sorted(set(revisions)), (name, runs)
 
-    def _split_runs(self, node: str) -> list[list[int]]:
+    def _list_revisions_by_start(self, node: str) -> list[list[int]]:
         runs: list[list[int]] = []
         for event in self.deployment.nodes[node].read_events():
             if event.get("message") == "node listening":
@@ -189,7 +195,7 @@
         return runs
 
     def list_calls(self, node: str, since: datetime) -> list[dict]:
-        """Return access log lines of an entry node after a time."""
+        """Return the access log entries of an entry node after a time."""
         return [
             event
             for event in self.deployment.nodes[node].read_events()
@@ -198,23 +204,27 @@
         ]
 
 
-def check_promises(result: dict) -> None:
-    """Check that no call was wrong, doubled, lost or run though refused."""
+def check_guarantees(result: dict) -> None:
+    """Check the guarantees on calls.
+
+    No call may get a wrong response, run twice unless it is repeatable,
+    run although it was refused, or succeed without a finished execution.
+    """
     assert result["wrong"] == 0, result
     history = result["history"]
-    broken = history["doubled"], history["ran_although_refused"]
-    assert broken == (0, 0), history
+    violations = history["doubled"], history["ran_although_refused"]
+    assert violations == (0, 0), history
     assert history["lost"] == 0, history
 
 
-def count(result: dict, field: str) -> int:
-    """Return the sum of a field over all priorities."""
+def count_calls(result: dict, field: str) -> int:
+    """Return a field of the results, such as sent, over all priorities."""
     return sum(row[field] for row in result["by_priority"])
 
 
 @contextlib.contextmanager
 def open_system(directory: Path, **options):
-    """Yield a System of Tuttipullo that serves calls."""
+    """Yield a System of the workload TUTTIPULLO that is ready for calls."""
     options.setdefault("node_overrides", NODE_OVERRIDES)
     with open_deployment(TUTTIPULLO, directory, **options) as deployment:
         system = System(deployment)
