Name the fail-fast call and the parent priority lookup

Call.prompt, OwnerRegistry.set_end and find_parent did not say what they do. They are now fail_fast, set_shutdown_time and find_parent_priority, and the locals, parameters and texts follow. The setting prompt_attempts and the position of the flag in the call header are unchanged.

--- a/libs/node/auburnjunction/node/components.py
+++ b/libs/node/auburnjunction/node/components.py
@@ -160,7 +160,7 @@
             random,
             platform.names,
             platform.own_service,
-            owners.find_parent,
+            owners.find_parent_priority,
         )
         ControlPlaneMetrics(metrics, membership.stats, distributor.stats)
         commits = CommitLog(platform.table, platform.objects, clock)
--- a/libs/node/auburnjunction/node/nodes.py
+++ b/libs/node/auburnjunction/node/nodes.py
@@ -53,7 +53,7 @@
         deadline_s = (
             self._clock.monotonic() + notice_s + self._cfg.drain_limit_s
         )
-        self._components.owners.set_end(deadline_s)
+        self._components.owners.set_shutdown_time(deadline_s)
         await self._clock.sleep(notice_s)
         self._components.membership.set_leaving()
         # The entry side stays open until the calls to this host's backend
--- a/libs/traffic/auburnjunction/traffic/calls.py
+++ b/libs/traffic/auburnjunction/traffic/calls.py
@@ -60,7 +60,7 @@
     Deadline and target are in seconds of the local monotonic clock; an
     answer before the target meets the route's latency objective. A nested
     call is one that a backend server makes while it runs a request. A
-    prompt call is refused with BUSY instead of being queued for a slot.
+    fail-fast call is refused with BUSY instead of being queued for a slot.
     """
 
     request_id: str
@@ -75,7 +75,7 @@
     idempotency_key: str = ""
     target_s: float = math.inf
     nested: bool = False
-    prompt: bool = False
+    fail_fast: bool = False
 
 
 @attrs.define(slots=True)
--- a/libs/traffic/auburnjunction/traffic/entries.py
+++ b/libs/traffic/auburnjunction/traffic/entries.py
@@ -33,7 +33,7 @@
 from auburnjunction.traffic.peers import InstanceSource, PeerRunner
 from auburnjunction.traffic.routers import (
     FreshnessSource,
-    ParentFinder,
+    ParentPriorityFinder,
     RequestIdGenerator,
     Router,
     ServiceSource,
@@ -149,7 +149,7 @@
     rng: random.Random | None = None,
     names: HeaderNames = OWN_NAMES,
     own_service: ServiceSource = no_service,
-    find_parent: ParentFinder = find_no_parent,
+    find_parent_priority: ParentPriorityFinder = find_no_parent,
 ) -> EntryHandler:
     """Return a node's entry handler with all its components."""
     rng = rng or random.Random()
@@ -170,5 +170,7 @@
         rng,
     )
     reporter = CallReporter(metrics, outlier_tracker, settings)
-    router = Router(snapshots, freshness, names, own_service, find_parent)
+    router = Router(
+        snapshots, freshness, names, own_service, find_parent_priority
+    )
     return EntryHandler(router, sender, reporter, clock, names)
--- a/libs/traffic/auburnjunction/traffic/headers.py
+++ b/libs/traffic/auburnjunction/traffic/headers.py
@@ -134,7 +134,7 @@
         str(call.revision),
         _format_target(call, now_s),
         "1" if call.nested else "0",
-        "1" if call.prompt else "0",
+        "1" if call.fail_fast else "0",
     )
     return ";".join(fields).encode("ascii")
 
@@ -173,7 +173,7 @@
             idempotency_key=key.decode("latin-1"),
             target_s=now_s + int(fields[9]) / 1000 if fields[9] else math.inf,
             nested=fields[10] == "1",
-            prompt=fields[11] == "1",
+            fail_fast=fields[11] == "1",
         )
     except (ValueError, OverflowError) as exc:
         raise BadMessageError(f"invalid call header: {exc}") from exc
--- a/libs/traffic/auburnjunction/traffic/owners.py
+++ b/libs/traffic/auburnjunction/traffic/owners.py
@@ -98,7 +98,7 @@
         finally:
             self._running_priorities.pop(call.request_id, None)
 
-    def find_parent(self, request_id: str) -> Priority | None:
+    def find_parent_priority(self, request_id: str) -> Priority | None:
         """Return the priority of a nested call's parent request.
 
         Return None if the parent does not run at this node.
@@ -108,7 +108,7 @@
             return None
         return self._running_priorities.get(request_id.rpartition(mark)[0])
 
-    def set_end(self, shutdown_s: float) -> None:
+    def set_shutdown_time(self, shutdown_s: float) -> None:
         """Refuse calls that may still run at this monotonic time.
 
         The node shuts down then. Until it drains, its backend servers
--- a/libs/traffic/auburnjunction/traffic/routers.py
+++ b/libs/traffic/auburnjunction/traffic/routers.py
@@ -42,7 +42,7 @@
     return ""
 
 
-ParentFinder = Callable[[str], Priority | None]
+ParentPriorityFinder = Callable[[str], Priority | None]
 
 
 def find_no_parent(_request_id: str) -> None:
@@ -101,9 +101,9 @@
         freshness: FreshnessSource,
         names: HeaderNames = OWN_NAMES,
         own_service: ServiceSource = no_service,
-        find_parent: ParentFinder = find_no_parent,
+        find_parent_priority: ParentPriorityFinder = find_no_parent,
     ):
-        self._find_parent = find_parent
+        self._find_parent_priority = find_parent_priority
         self._snapshots = snapshots
         self._freshness = freshness
         self._names = names
@@ -124,7 +124,7 @@
         name = self._splitter.choose_service(route)
         service = revised.snapshot.services_by_name[name]
         timeout_ms = _read_timeout(request, route, self._names.deadline)
-        parent = self._find_parent(request_id)
+        parent = self._find_parent_priority(request_id)
         call = Call(
             request_id=request_id,
             route=route.name,
--- a/libs/traffic/auburnjunction/traffic/routing_settings.py
+++ b/libs/traffic/auburnjunction/traffic/routing_settings.py
@@ -104,8 +104,8 @@
     connect_timeout_ms: float = attrs.field(
         default=1000.0, validator=check_range(1.0, 60_000.0)
     )
-    # Instances of the local data centre that are tried for a free slot
-    # before a call is queued at one.
+    # Maximum number of fail-fast attempts, which try instances of the local
+    # data centre for a free slot before a call is queued at one.
     prompt_attempts: int = attrs.field(default=0, validator=check_range(0, 10))
     # Share of successful calls that are written to the access log; 0 turns it
     # off.
--- a/libs/traffic/auburnjunction/traffic/senders.py
+++ b/libs/traffic/auburnjunction/traffic/senders.py
@@ -72,10 +72,10 @@
     tried: set[str] = attrs.field(factory=set)
     # Number of backend servers that were sent the call.
     sent_count: int = 0
-    # Instances without a free slot that refused a prompt attempt, and the
-    # number of prompt attempts left.
+    # Instances without a free slot that refused a fail-fast attempt, and the
+    # number of fail-fast attempts left.
     busy: set[str] = attrs.field(factory=set)
-    prompt_attempts_left: int = 0
+    fail_fast_attempts_left: int = 0
     error_so_far: TrafficError | None = None
     answer: Answer | None = None
 
@@ -93,9 +93,9 @@
         self.error_so_far = _combine_errors(self.error_so_far, error)
 
     def add_busy(self, instance: str) -> None:
-        """Record an instance that refused a prompt attempt."""
+        """Record an instance that refused a fail-fast attempt."""
         self.busy.add(instance)
-        self.prompt_attempts_left -= 1
+        self.fail_fast_attempts_left -= 1
 
     def allow_queueing(self) -> bool:
         """Let busy instances queue the call; return whether there are any."""
@@ -103,7 +103,7 @@
             return False
         self.tried -= self.busy
         self.busy.clear()
-        self.prompt_attempts_left = 0
+        self.fail_fast_attempts_left = 0
         return True
 
     def add_answer(self, answer: Answer) -> None:
@@ -146,7 +146,7 @@
             attrs.evolve(settings, retry_share=share)
         )
         self._max_attempts = settings.max_attempts
-        self._prompt_attempts = settings.prompt_attempts
+        self._fail_fast_attempts = settings.prompt_attempts
         self._backoff_s = settings.retry_backoff_ms / 1000
         self._random = rng.random
 
@@ -168,7 +168,7 @@
             max_sent,
             self._max_attempts,
             refusal_budget,
-            prompt_attempts_left=self._prompt_attempts,
+            fail_fast_attempts_left=self._fail_fast_attempts,
         )
         while True:
             now_s = self._clock.monotonic()
@@ -178,9 +178,9 @@
             attempts.tried.add(instance.instance)
             self._record_attempt(instance, trace)
             try:
-                is_prompt = self._is_prompt(routed, attempts, now_s)
+                is_fail_fast = self._fails_fast(routed, attempts, now_s)
                 answer = await self._run_attempt(
-                    routed, instance, now_s, is_prompt
+                    routed, instance, now_s, is_fail_fast
                 )
             except TrafficError as exc:
                 if exc.code is ErrorCode.BUSY:
@@ -215,11 +215,11 @@
             return self._balancer.choose(routed, attempts.tried, now_s)
         return instance
 
-    def _is_prompt(
+    def _fails_fast(
         self, routed: RoutedCall, attempts: AttemptState, now_s: float
     ) -> bool:
         """Return whether the next attempt needs a free slot at once."""
-        if attempts.prompt_attempts_left <= 0:
+        if attempts.fail_fast_attempts_left <= 0:
             return False
         return self._balancer.has_untried_local(routed, attempts.tried, now_s)
 
@@ -234,12 +234,12 @@
         routed: RoutedCall,
         instance: Instance,
         now_s: float,
-        is_prompt: bool,
+        is_fail_fast: bool,
     ) -> Answer:
         instance_tracker = self._instance_tracker
         call = _make_attempt_call(routed, now_s)
-        if is_prompt:
-            call = attrs.evolve(call, prompt=True)
+        if is_fail_fast:
+            call = attrs.evolve(call, fail_fast=True)
         instance_tracker.start_call(instance)
         try:
             answer = await self._run(call, instance)
--- a/libs/traffic/auburnjunction/traffic/slots.py
+++ b/libs/traffic/auburnjunction/traffic/slots.py
@@ -113,7 +113,7 @@
         if not self._queue and self.running < self._limit.value:
             self.running += 1
             return
-        if call.prompt:
+        if call.fail_fast:
             raise NotRunError(*_BUSY)
         self._check_wait(call, ticket, now_s)
         try:
--- a/libs/traffic/auburnjunction/traffic/tests/test_entries.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_entries.py
@@ -197,12 +197,12 @@
 
 
 def record_attempts(mesh, busy):
-    """Make instances busy; return a list of later (instance, is prompt)."""
+    """Make instances busy; return a list of later (instance, fail fast)."""
     recorded = []
 
     async def behave(call, instance):
-        recorded.append((instance, call.prompt))
-        if call.prompt and instance in busy:
+        recorded.append((instance, call.fail_fast))
+        if call.fail_fast and instance in busy:
             raise NotRunError("no slot is free", ErrorCode.BUSY)
 
     for name in mesh.servers:
@@ -211,9 +211,9 @@
 
 
 @pytest.mark.parametrize(
-    ("data_centres", "busy", "prompts"),
+    ("data_centres", "busy", "fail_fast"),
     [
-        # All are busy: after two prompt attempts, the third one queues it.
+        # All are busy: after two fail-fast attempts, the third one queues it.
         (("dc-1",) * 3, ["i0", "i1", "i2"], [True, True, False]),
         (("dc-1",) * 3, [], [True]),
         # The second instance is the last local one, so that it queues it.
@@ -223,7 +223,7 @@
     ],
 )
 def test_free_slots_are_tried_before_a_call_is_queued(
-    data_centres, busy, prompts
+    data_centres, busy, fail_fast
 ):
     """Calls must not queue at a full instance while others have free slots.
 
@@ -233,7 +233,7 @@
     async def test(mesh):
         recorded = record_attempts(mesh, busy)
         assert format_response(await mesh.call("a")) == "200 ok"
-        assert [prompt for _, prompt in recorded] == prompts
+        assert [flag for _, flag in recorded] == fail_fast
         names = [name for name, _ in recorded]
         assert len(set(names)) == len(names)
 
@@ -246,7 +246,7 @@
         recorded = record_attempts(mesh, ["i0", "i1"])
 
         async def remove_and_refuse(call, instance):
-            recorded.append((instance, call.prompt))
+            recorded.append((instance, call.fail_fast))
             mesh.source.instances = mesh.source.instances[:1]
             raise NotRunError("no slot is free", ErrorCode.BUSY)
 
--- a/libs/traffic/auburnjunction/traffic/tests/test_load_patterns.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_load_patterns.py
@@ -163,20 +163,20 @@
     assert isinstance(outcome, NotRunError) is is_refused
 
 
-@pytest.mark.parametrize("prompt", [False, True])
-def test_prompt_call_does_not_wait(prompt):
+@pytest.mark.parametrize("fail_fast", [False, True])
+def test_fail_fast_call_does_not_wait(fail_fast):
     """A full instance refuses it, because another instance may be idle."""
 
     async def main():
         controller, _, clock = make_controller()
-        call = make_timed_call(clock, 50.0, prompt=prompt)
+        call = make_timed_call(clock, 50.0, fail_fast=fail_fast)
         async with controller.hold_slot(make_timed_call(clock, 100.0)):
             task = await curio.spawn(try_hold, controller, call)
             await curio.sleep(0)
         return await task.join()
 
     outcome = curio.run(main)
-    if prompt:
+    if fail_fast:
         assert outcome.code is ErrorCode.BUSY
     else:
         assert outcome == "held"
