Name the header options by their effect

nesting_mark, keeps_request_id and statuses_promise of HeaderNames become parent_id_separator, preserves_request_id and statuses_imply_not_run; PROMISE_STATUSES becomes NOT_RUN_STATUSES and OWN_NAMES DEFAULT_HEADER_NAMES. NOT_RUN_STATUSES meets no other name where it is imported. Header names and statuses are unchanged.

The comparison with the code before the rewording reports only names, texts and comments; formatter and linter pass.

--- a/libs/node/auburnjunction/node/components.py
+++ b/libs/node/auburnjunction/node/components.py
@@ -29,7 +29,7 @@
 from auburnjunction.traffic.balancers import Place
 from auburnjunction.traffic.claims import ClaimStore
 from auburnjunction.traffic.entries import EntryHandler, make_entry_handler
-from auburnjunction.traffic.headers import OWN_NAMES, HeaderNames
+from auburnjunction.traffic.headers import DEFAULT_HEADER_NAMES, HeaderNames
 from auburnjunction.traffic.meters import OwnerMetrics
 from auburnjunction.traffic.owners import OwnerRegistry
 from auburnjunction.traffic.peers import open_pools
@@ -57,7 +57,7 @@
     # Source of the configuration; None means the commits in the table.
     head: HeadSource | None = None
     # Headers that callers and backend servers use for a call's metadata.
-    names: HeaderNames = OWN_NAMES
+    names: HeaderNames = DEFAULT_HEADER_NAMES
     # Returns the service whose calls enter the mesh at this node.
     own_service: ServiceSource = no_service
     # Listeners in addition to those of every node.
--- a/libs/traffic/auburnjunction/traffic/backends.py
+++ b/libs/traffic/auburnjunction/traffic/backends.py
@@ -13,8 +13,8 @@
 from auburnjunction.traffic.admissions import AdmissionSettings
 from auburnjunction.traffic.calls import Call, NotRunError, UnknownRunError
 from auburnjunction.traffic.headers import (
-    OWN_NAMES,
-    PROMISE_STATUSES,
+    DEFAULT_HEADER_NAMES,
+    NOT_RUN_STATUSES,
     HeaderNames,
     drop_headers,
     strip_headers,
@@ -56,7 +56,7 @@
         connections: int,
         clock: Clock,
         instance: str = "",
-        names: HeaderNames = OWN_NAMES,
+        names: HeaderNames = DEFAULT_HEADER_NAMES,
     ):
         self.address = address
         self.health_target = DEFAULT_HEALTH_PATH.encode()
@@ -211,7 +211,7 @@
         raise ShedError(
             f"the backend server shed the call with status {response.status}"
         )
-    if names.statuses_promise and response.status in PROMISE_STATUSES:
+    if names.statuses_imply_not_run and response.status in NOT_RUN_STATUSES:
         raise UnknownRunError(
             f"the backend server answered {response.status} without the "
             "header that marks a call as not run",
--- a/libs/traffic/auburnjunction/traffic/entries.py
+++ b/libs/traffic/auburnjunction/traffic/entries.py
@@ -22,8 +22,8 @@
 )
 from auburnjunction.traffic.ejections import OutlierTracker
 from auburnjunction.traffic.headers import (
+    DEFAULT_HEADER_NAMES,
     OUTCOME_HEADER,
-    OWN_NAMES,
     REQUEST_ID_HEADER,
     HeaderNames,
     make_error_response,
@@ -59,7 +59,7 @@
         sender: CallSender,
         reporter: CallReporter,
         clock: Clock,
-        names: HeaderNames = OWN_NAMES,
+        names: HeaderNames = DEFAULT_HEADER_NAMES,
     ):
         self._names = names
         self._router = router
@@ -105,7 +105,7 @@
         return self._make_response(answer, trace.request_id)
 
     def _get_request_id(self, request: HttpRequest) -> str:
-        if self._names.keeps_request_id:
+        if self._names.preserves_request_id:
             value = request.header(self._names.request_id)
             if value:
                 return value.decode("latin-1")
@@ -114,7 +114,7 @@
     def _make_response(self, answer: Answer, request_id: str) -> HttpResponse:
         response = answer.response
         headers = strip_headers(response.headers)
-        if not self._names.keeps_request_id:
+        if not self._names.preserves_request_id:
             headers += [
                 (OUTCOME_HEADER, OK_VALUE),
                 (REQUEST_ID_HEADER, request_id.encode()),
@@ -147,7 +147,7 @@
     pools: PoolRegistry,
     metrics: MetricRegistry,
     rng: random.Random | None = None,
-    names: HeaderNames = OWN_NAMES,
+    names: HeaderNames = DEFAULT_HEADER_NAMES,
     own_service: ServiceSource = no_service,
     find_parent_priority: ParentPriorityFinder = find_no_parent,
 ) -> EntryHandler:
--- a/libs/traffic/auburnjunction/traffic/headers.py
+++ b/libs/traffic/auburnjunction/traffic/headers.py
@@ -48,8 +48,8 @@
 
 
 # Statuses from which callers infer that a request did not and will not run
-# (see HeaderNames.statuses_promise).
-PROMISE_STATUSES = frozenset({408, 421, 429, 503})
+# (see HeaderNames.statuses_imply_not_run).
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 REFUSED_STATUS = 503
 
 
@@ -73,12 +73,12 @@
     signature: bytes = b""
     # Separates the id of the parent request from the rest of the id of a
     # nested call; empty if ids do not contain that of the parent.
-    nesting_mark: str = ""
+    parent_id_separator: str = ""
     # Whether callers set request ids, which the answers repeat.
-    keeps_request_id: bool = False
-    # Whether callers infer from the statuses of PROMISE_STATUSES that a
+    preserves_request_id: bool = False
+    # Whether callers infer from the statuses of NOT_RUN_STATUSES that a
     # request did not run, so that no other failure may use one of them.
-    statuses_promise: bool = False
+    statuses_imply_not_run: bool = False
 
     @property
     def set_by_nodes(self) -> frozenset[bytes]:
@@ -87,7 +87,7 @@
         return frozenset(names - {b""})
 
 
-OWN_NAMES = HeaderNames()
+DEFAULT_HEADER_NAMES = HeaderNames()
 
 
 def drop_headers(headers: Headers, names: Set[bytes]) -> Headers:
@@ -201,7 +201,9 @@
 
 
 def make_error_response(
-    error: TrafficError, request_id: str, names: HeaderNames = OWN_NAMES
+    error: TrafficError,
+    request_id: str,
+    names: HeaderNames = DEFAULT_HEADER_NAMES,
 ) -> HttpResponse:
     """Return the response to the caller of a failed call."""
     headers = [
@@ -214,7 +216,7 @@
         value = f"{error.retry_after_s:.3f}".encode()
         headers.append((RETRY_AFTER_HEADER, value))
     status = STATUS_BY_CODE.get(error.code, 500)
-    if names.statuses_promise:
+    if names.statuses_imply_not_run:
         status = _match_status_to_outcome(status, error.outcome)
     return HttpResponse(status, headers, f"{error.message}\n".encode())
 
@@ -223,4 +225,4 @@
     """Return a status from which callers infer the right outcome."""
     if outcome is Outcome.NOT_RUN:
         return min(status, REFUSED_STATUS)
-    return 502 if status in PROMISE_STATUSES else status
+    return 502 if status in NOT_RUN_STATUSES else status
--- a/libs/traffic/auburnjunction/traffic/instances.py
+++ b/libs/traffic/auburnjunction/traffic/instances.py
@@ -18,7 +18,7 @@
     UnknownRunError,
 )
 from auburnjunction.traffic.claims import ClaimStore, needs_claim
-from auburnjunction.traffic.headers import OWN_NAMES, HeaderNames
+from auburnjunction.traffic.headers import DEFAULT_HEADER_NAMES, HeaderNames
 from auburnjunction.traffic.limits import SlotLimit
 from auburnjunction.traffic.meters import OwnerMetrics
 from auburnjunction.traffic.slots import AdmissionController
@@ -41,7 +41,7 @@
         metrics: OwnerMetrics,
         claims: ClaimStore | None = None,
         cold: bool = False,
-        names: HeaderNames = OWN_NAMES,
+        names: HeaderNames = DEFAULT_HEADER_NAMES,
     ):
         self.instance = instance
         self.service = service
--- a/libs/traffic/auburnjunction/traffic/owners.py
+++ b/libs/traffic/auburnjunction/traffic/owners.py
@@ -12,7 +12,7 @@
 from auburnjunction.traffic.admissions import AdmissionSettings
 from auburnjunction.traffic.calls import Answer, Call, NotRunError
 from auburnjunction.traffic.claims import ClaimStore
-from auburnjunction.traffic.headers import OWN_NAMES, HeaderNames
+from auburnjunction.traffic.headers import DEFAULT_HEADER_NAMES, HeaderNames
 from auburnjunction.traffic.instances import (
     DRAIN_POLL_INTERVAL_S,
     InstanceOwner,
@@ -34,7 +34,7 @@
         metrics: OwnerMetrics,
         claims: ClaimStore | None = None,
         find_service: ServiceFinder = lambda name: None,
-        names: HeaderNames = OWN_NAMES,
+        names: HeaderNames = DEFAULT_HEADER_NAMES,
     ):
         self._names = names
         self._cfg = cfg
@@ -103,10 +103,12 @@
 
         Return None if the parent does not run at this node.
         """
-        mark = self._names.nesting_mark
-        if not mark:
+        separator = self._names.parent_id_separator
+        if not separator:
             return None
-        return self._running_priorities.get(request_id.rpartition(mark)[0])
+        return self._running_priorities.get(
+            request_id.rpartition(separator)[0]
+        )
 
     def set_shutdown_time(self, shutdown_s: float) -> None:
         """Refuse calls that may still run at this monotonic time.
--- a/libs/traffic/auburnjunction/traffic/routers.py
+++ b/libs/traffic/auburnjunction/traffic/routers.py
@@ -17,8 +17,8 @@
 from auburnjunction.model.snapshots import RevisedSnapshot
 from auburnjunction.traffic.calls import Call, NotRunError
 from auburnjunction.traffic.headers import (
+    DEFAULT_HEADER_NAMES,
     IDEMPOTENCY_KEY_HEADER,
-    OWN_NAMES,
     HeaderNames,
     drop_headers,
     strip_headers,
@@ -99,7 +99,7 @@
         self,
         snapshots: SnapshotSource,
         freshness: FreshnessSource,
-        names: HeaderNames = OWN_NAMES,
+        names: HeaderNames = DEFAULT_HEADER_NAMES,
         own_service: ServiceSource = no_service,
         find_parent_priority: ParentPriorityFinder = find_no_parent,
     ):
--- a/libs/traffic/auburnjunction/traffic/tests/test_status_outcomes.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_status_outcomes.py
@@ -24,7 +24,7 @@
     instance=b"x-instance",
     caller_service=b"x-caller",
     signature=b"x-signature",
-    statuses_promise=True,
+    statuses_imply_not_run=True,
 )
 SIGNED = (b"x-signature", b"s")
 NOT_RUN = (b"x-not-run", b"1")
