Rename Place to NodeLocation and FreshnessSource to ReadinessSource

Parameters and attributes follow. The readiness gate of the node implements ReadinessSource; freshness of the distribution is another matter and keeps its name.

--- a/libs/node/auburnjunction/node/components.py
+++ b/libs/node/auburnjunction/node/components.py
@@ -26,7 +26,7 @@
 from auburnjunction.storage.clients import HttpObjectStore, HttpTable
 from auburnjunction.storage.objects import ObjectStore
 from auburnjunction.storage.tables import Table
-from auburnjunction.traffic.balancers import Place
+from auburnjunction.traffic.balancers import NodeLocation
 from auburnjunction.traffic.claims import ClaimStore
 from auburnjunction.traffic.entries import EntryHandler, make_entry_handler
 from auburnjunction.traffic.headers import DEFAULT_HEADER_NAMES, HeaderNames
@@ -148,7 +148,7 @@
         membership.on_mark = distributor.on_mark
         readiness_gate = ReadinessGate(membership, distributor, clock)
         entry = make_entry_handler(
-            Place(cfg.node, cfg.data_centre),
+            NodeLocation(cfg.node, cfg.data_centre),
             cfg.routing,
             clock,
             holder,
--- a/libs/traffic/auburnjunction/traffic/balancers.py
+++ b/libs/traffic/auburnjunction/traffic/balancers.py
@@ -14,7 +14,7 @@
 
 
 @attrs.frozen
-class Place:
+class NodeLocation:
     """Identity and data centre of this node."""
 
     node: str
@@ -29,14 +29,14 @@
 
     def __init__(
         self,
-        place: Place,
+        location: NodeLocation,
         instances: InstanceSource,
         outlier_tracker: OutlierTracker,
         instance_tracker: InstanceTracker,
         settings: RoutingSettings,
         rng: random.Random,
     ):
-        self._place = place
+        self._location = location
         self._instances = instances
         self._outlier_tracker = outlier_tracker
         self._instance_tracker = instance_tracker
@@ -57,7 +57,7 @@
         local, remote = [], []
         local_exists = False
         for instance in usable:
-            is_local = instance.data_centre == self._place.data_centre
+            is_local = instance.data_centre == self._location.data_centre
             local_exists = local_exists or is_local
             if instance.instance not in tried:
                 (local if is_local else remote).append(instance)
@@ -70,7 +70,7 @@
     ) -> bool:
         """Return whether the local data centre has an untried instance."""
         return any(
-            i.data_centre == self._place.data_centre
+            i.data_centre == self._location.data_centre
             and i.instance not in tried
             for i in self._exclude_cooldowns(
                 self._find_reachable(routed, now_s), now_s
@@ -101,7 +101,7 @@
         unreachable = self._instance_tracker.find_unreachable_data_centres(
             now_s
         )
-        unreachable -= {self._place.data_centre}
+        unreachable -= {self._location.data_centre}
         if not unreachable:
             return eligible
         return [i for i in eligible if i.data_centre not in unreachable]
@@ -116,7 +116,7 @@
     def _take_probe(
         self, instances: Sequence[Instance], repeatable: bool, now_s: float
     ) -> Instance | None:
-        own = self._place.data_centre
+        own = self._location.data_centre
         local = [i for i in instances if i.data_centre == own]
         return self._outlier_tracker.take_probe(
             local or instances, repeatable, now_s
@@ -181,7 +181,7 @@
         self, local: list[Instance], now_s: float
     ) -> Instance | None:
         for instance in local:
-            if instance.node != self._place.node:
+            if instance.node != self._location.node:
                 continue
             if self._outlier_tracker.count_failures(instance.instance):
                 return None
--- a/libs/traffic/auburnjunction/traffic/entries.py
+++ b/libs/traffic/auburnjunction/traffic/entries.py
@@ -10,7 +10,7 @@
 from auburnjunction.base.metrics import MetricRegistry
 from auburnjunction.http.clients import PoolRegistry
 from auburnjunction.http.messages import HttpRequest, HttpResponse
-from auburnjunction.traffic.balancers import Balancer, Place
+from auburnjunction.traffic.balancers import Balancer, NodeLocation
 from auburnjunction.traffic.call_reports import CallReporter
 from auburnjunction.traffic.calls import (
     Answer,
@@ -32,8 +32,8 @@
 from auburnjunction.traffic.instance_trackers import InstanceTracker
 from auburnjunction.traffic.peers import InstanceSource, PeerRunner
 from auburnjunction.traffic.routers import (
-    FreshnessSource,
     ParentPriorityFinder,
+    ReadinessSource,
     RequestIdGenerator,
     Router,
     ServiceSource,
@@ -137,11 +137,11 @@
 
 
 def make_entry_handler(
-    place: Place,
+    location: NodeLocation,
     settings: RoutingSettings,
     clock: Clock,
     snapshots: SnapshotSource,
-    freshness: FreshnessSource,
+    readiness: ReadinessSource,
     instances: InstanceSource,
     local: CallRunner,
     pools: PoolRegistry,
@@ -156,11 +156,11 @@
     outlier_tracker = OutlierTracker(settings)
     instance_tracker = InstanceTracker(outlier_tracker, clock, settings)
     balancer = Balancer(
-        place, instances, outlier_tracker, instance_tracker, settings, rng
+        location, instances, outlier_tracker, instance_tracker, settings, rng
     )
     peer_runner = PeerRunner(instances, pools, clock, settings)
     sender = CallSender(
-        place,
+        location,
         balancer,
         instance_tracker,
         local,
@@ -171,6 +171,6 @@
     )
     reporter = CallReporter(metrics, outlier_tracker, settings)
     router = Router(
-        snapshots, freshness, names, own_service, find_parent_priority
+        snapshots, readiness, names, own_service, find_parent_priority
     )
     return EntryHandler(router, sender, reporter, clock, names)
--- a/libs/traffic/auburnjunction/traffic/routers.py
+++ b/libs/traffic/auburnjunction/traffic/routers.py
@@ -57,7 +57,7 @@
         """The snapshot in force, or None before the first one."""
 
 
-class FreshnessSource(Protocol):
+class ReadinessSource(Protocol):
     """Reports whether this node's state is recent enough to route calls.
 
     A node that was paused is not current until it has caught up.
@@ -98,14 +98,14 @@
     def __init__(
         self,
         snapshots: SnapshotSource,
-        freshness: FreshnessSource,
+        readiness: ReadinessSource,
         names: HeaderNames = DEFAULT_HEADER_NAMES,
         own_service: ServiceSource = no_service,
         find_parent_priority: ParentPriorityFinder = find_no_parent,
     ):
         self._find_parent_priority = find_parent_priority
         self._snapshots = snapshots
-        self._freshness = freshness
+        self._readiness = readiness
         self._names = names
         self._set_by_nodes = names.set_by_nodes
         self._own_service = own_service
@@ -157,7 +157,7 @@
         return headers
 
     def _require_snapshot(self) -> RevisedSnapshot:
-        if not self._freshness.is_current:
+        if not self._readiness.is_current:
             raise NotRunError(
                 "this node is starting or catching up after a pause"
             )
--- a/libs/traffic/auburnjunction/traffic/senders.py
+++ b/libs/traffic/auburnjunction/traffic/senders.py
@@ -7,7 +7,7 @@
 from auburnjunction.base.clocks import Clock
 from auburnjunction.base.errors import ErrorCode
 from auburnjunction.model.services import Instance
-from auburnjunction.traffic.balancers import Balancer, Place
+from auburnjunction.traffic.balancers import Balancer, NodeLocation
 from auburnjunction.traffic.calls import (
     FIRST_SERVER_ERROR,
     Answer,
@@ -125,7 +125,7 @@
 
     def __init__(
         self,
-        place: Place,
+        location: NodeLocation,
         balancer: Balancer,
         instance_tracker: InstanceTracker,
         local_runner: CallRunner,
@@ -134,7 +134,7 @@
         settings: RoutingSettings,
         rng: random.Random,
     ):
-        self._place = place
+        self._location = location
         self._balancer = balancer
         self._instance_tracker = instance_tracker
         self._local_runner = local_runner
@@ -226,7 +226,7 @@
     def _record_attempt(self, instance: Instance, trace: CallTrace) -> None:
         trace.attempts += 1
         trace.instance = instance.instance
-        if instance.data_centre != self._place.data_centre:
+        if instance.data_centre != self._location.data_centre:
             trace.spills += 1
 
     async def _run_attempt(
@@ -256,7 +256,7 @@
         return answer
 
     async def _run(self, call: Call, instance: Instance) -> Answer:
-        if instance.node == self._place.node:
+        if instance.node == self._location.node:
             return await self._local_runner.run_call(call, instance.instance)
         return await self._peer_runner.forward_call(call, instance)
 
--- a/libs/traffic/auburnjunction/traffic/tests/routing_support.py
+++ b/libs/traffic/auburnjunction/traffic/tests/routing_support.py
@@ -29,7 +29,7 @@
     RevisionMark,
     Snapshot,
 )
-from auburnjunction.traffic.balancers import Place
+from auburnjunction.traffic.balancers import NodeLocation
 from auburnjunction.traffic.calls import Answer, NotRunError, UnknownRunError
 from auburnjunction.traffic.entries import make_entry_handler
 from auburnjunction.traffic.peers import PeerHandler, make_pools
@@ -67,7 +67,7 @@
 
 @attrs.define
 class FixedSource:
-    """Provides the snapshot, instances and freshness that a test sets."""
+    """Provides the snapshot, instances and readiness that a test sets."""
 
     current: RevisedSnapshot | None = attrs.field(
         factory=lambda: RevisedSnapshot(
@@ -269,7 +269,7 @@
         pools = make_pools(settings, clock)
         handlers = [
             make_entry_handler(
-                Place(f"entry-{index}", "dc-1"),
+                NodeLocation(f"entry-{index}", "dc-1"),
                 settings,
                 clock,
                 source,
--- a/libs/traffic/auburnjunction/traffic/tests/test_balancers.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_balancers.py
@@ -13,7 +13,7 @@
 from auburnjunction.model.priorities import ClaimMode, Priority
 from auburnjunction.model.routes import Route
 from auburnjunction.model.services import Service
-from auburnjunction.traffic.balancers import Balancer, Place
+from auburnjunction.traffic.balancers import Balancer, NodeLocation
 from auburnjunction.traffic.calls import (
     Answer,
     Call,
@@ -30,7 +30,7 @@
     make_instance,
 )
 
-ENTRY_PLACE = Place("entry", "dc-1")
+ENTRY_LOCATION = NodeLocation("entry", "dc-1")
 
 
 class Fixture:
@@ -45,7 +45,7 @@
         )
         self.instances = {i.instance: i for i in instances}
         self.balancer = Balancer(
-            ENTRY_PLACE,
+            ENTRY_LOCATION,
             FixedSource(instances=list(instances)),
             self.outlier_tracker,
             self.instance_tracker,
--- a/tools/bench_hops.py
+++ b/tools/bench_hops.py
@@ -37,7 +37,7 @@
     RevisionMark,
     Snapshot,
 )
-from auburnjunction.traffic.balancers import Place
+from auburnjunction.traffic.balancers import NodeLocation
 from auburnjunction.traffic.calls import Answer
 from auburnjunction.traffic.entries import make_entry_handler
 from auburnjunction.traffic.headers import strip_headers
@@ -116,7 +116,7 @@
         RevisedSnapshot(RevisionMark(1, b""), snapshot), [instance]
     )
     return make_entry_handler(
-        Place(node, "dc-1"),
+        NodeLocation(node, "dc-1"),
         settings,
         clock,
         source,
