Rename traffic.peers to traffic.call_forwarders

The module forwards calls between entry and owner nodes; distribution has a module peers with another content. Only imports change.

--- a/libs/node/auburnjunction/node/components.py
+++ b/libs/node/auburnjunction/node/components.py
@@ -27,12 +27,12 @@
 from auburnjunction.storage.objects import ObjectStore
 from auburnjunction.storage.tables import Table
 from auburnjunction.traffic.balancers import NodeLocation
+from auburnjunction.traffic.call_forwarders import open_pools
 from auburnjunction.traffic.claims import ClaimStore
 from auburnjunction.traffic.entries import EntryHandler, make_entry_handler
 from auburnjunction.traffic.headers import DEFAULT_HEADER_NAMES, HeaderNames
 from auburnjunction.traffic.meters import OwnerMetrics
 from auburnjunction.traffic.owners import OwnerRegistry
-from auburnjunction.traffic.peers import open_pools
 from auburnjunction.traffic.routers import ServiceSource, no_service
 
 
--- a/libs/node/auburnjunction/node/listeners.py
+++ b/libs/node/auburnjunction/node/listeners.py
@@ -20,7 +20,7 @@
 )
 from auburnjunction.node.instances import LocalInstanceRegistry
 from auburnjunction.node.settings import NodeSettings
-from auburnjunction.traffic.peers import (
+from auburnjunction.traffic.call_forwarders import (
     PeerHandler,
     make_peer_limits,
     make_pools,
--- a/libs/traffic/auburnjunction/traffic/balancers.py
+++ b/libs/traffic/auburnjunction/traffic/balancers.py
@@ -6,9 +6,9 @@
 import attrs
 
 from auburnjunction.model.services import Instance
+from auburnjunction.traffic.call_forwarders import InstanceSource
 from auburnjunction.traffic.ejections import OutlierTracker
 from auburnjunction.traffic.instance_trackers import InstanceTracker
-from auburnjunction.traffic.peers import InstanceSource
 from auburnjunction.traffic.routers import RoutedCall
 from auburnjunction.traffic.routing_settings import RoutingSettings
 
--- a/libs/traffic/auburnjunction/traffic/entries.py
+++ b/libs/traffic/auburnjunction/traffic/entries.py
@@ -11,6 +11,7 @@
 from auburnjunction.http.clients import PoolRegistry
 from auburnjunction.http.messages import HttpRequest, HttpResponse
 from auburnjunction.traffic.balancers import Balancer, NodeLocation
+from auburnjunction.traffic.call_forwarders import InstanceSource, PeerRunner
 from auburnjunction.traffic.call_reports import CallReporter
 from auburnjunction.traffic.calls import (
     Answer,
@@ -30,7 +31,6 @@
     strip_headers,
 )
 from auburnjunction.traffic.instance_trackers import InstanceTracker
-from auburnjunction.traffic.peers import InstanceSource, PeerRunner
 from auburnjunction.traffic.routers import (
     ParentPriorityFinder,
     ReadinessSource,
--- a/libs/traffic/auburnjunction/traffic/instance_trackers.py
+++ b/libs/traffic/auburnjunction/traffic/instance_trackers.py
@@ -5,6 +5,10 @@
 from auburnjunction.base.clocks import Clock
 from auburnjunction.base.errors import ErrorCode
 from auburnjunction.model.services import Instance
+from auburnjunction.traffic.call_forwarders import (
+    NodeConnectTimeoutError,
+    ReusedConnectionError,
+)
 from auburnjunction.traffic.calls import (
     FIRST_SERVER_ERROR,
     Answer,
@@ -13,10 +17,6 @@
 )
 from auburnjunction.traffic.ejections import OutlierTracker
 from auburnjunction.traffic.links import LinkTracker
-from auburnjunction.traffic.peers import (
-    NodeConnectTimeoutError,
-    ReusedConnectionError,
-)
 from auburnjunction.traffic.routing_settings import RoutingSettings
 
 # Weight of a new sample in the moving average of an instance's latency.
--- a/libs/traffic/auburnjunction/traffic/senders.py
+++ b/libs/traffic/auburnjunction/traffic/senders.py
@@ -8,6 +8,7 @@
 from auburnjunction.base.errors import ErrorCode
 from auburnjunction.model.services import Instance
 from auburnjunction.traffic.balancers import Balancer, NodeLocation
+from auburnjunction.traffic.call_forwarders import PeerRunner
 from auburnjunction.traffic.calls import (
     FIRST_SERVER_ERROR,
     Answer,
@@ -21,7 +22,6 @@
     COOLDOWN_CODES,
     InstanceTracker,
 )
-from auburnjunction.traffic.peers import PeerRunner
 from auburnjunction.traffic.retries import RetryBudget, RetryBudgets
 from auburnjunction.traffic.routers import RoutedCall
 from auburnjunction.traffic.routing_settings import RoutingSettings
--- a/libs/traffic/auburnjunction/traffic/tests/routing_support.py
+++ b/libs/traffic/auburnjunction/traffic/tests/routing_support.py
@@ -30,9 +30,9 @@
     Snapshot,
 )
 from auburnjunction.traffic.balancers import NodeLocation
+from auburnjunction.traffic.call_forwarders import PeerHandler, make_pools
 from auburnjunction.traffic.calls import Answer, NotRunError, UnknownRunError
 from auburnjunction.traffic.entries import make_entry_handler
-from auburnjunction.traffic.peers import PeerHandler, make_pools
 from auburnjunction.traffic.routing_settings import RoutingSettings
 
 HOST = "127.0.0.1"
--- a/libs/traffic/auburnjunction/traffic/tests/test_bad_input.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_bad_input.py
@@ -8,11 +8,11 @@
 from auburnjunction.base.clocks import SystemClock
 from auburnjunction.http.messages import MessageLimits
 from auburnjunction.http.servers import open_server
+from auburnjunction.traffic.call_forwarders import PeerHandler
 from auburnjunction.traffic.packed_headers import (
     pack_headers,
     unpack_headers,
 )
-from auburnjunction.traffic.peers import PeerHandler
 from auburnjunction.traffic.tests.routing_support import HOST, open_mesh
 
 LIMITS = MessageLimits(
--- a/libs/traffic/auburnjunction/traffic/tests/test_links.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_links.py
@@ -4,8 +4,8 @@
 
 from auburnjunction.base.errors import ErrorCode
 from auburnjunction.model.priorities import Priority
+from auburnjunction.traffic.call_forwarders import NodeConnectTimeoutError
 from auburnjunction.traffic.calls import NotRunError
-from auburnjunction.traffic.peers import NodeConnectTimeoutError
 from auburnjunction.traffic.tests.routing_support import make_instance
 from auburnjunction.traffic.tests.test_balancers import Fixture
 
--- a/tools/bench_hops.py
+++ b/tools/bench_hops.py
@@ -38,10 +38,10 @@
     Snapshot,
 )
 from auburnjunction.traffic.balancers import NodeLocation
+from auburnjunction.traffic.call_forwarders import PeerHandler, make_pools
 from auburnjunction.traffic.calls import Answer
 from auburnjunction.traffic.entries import make_entry_handler
 from auburnjunction.traffic.headers import strip_headers
-from auburnjunction.traffic.peers import PeerHandler, make_pools
 from auburnjunction.traffic.routing_settings import RoutingSettings
 
 HOST = "127.0.0.1"
