Rename http.wires.Wire to http.message_streams.MessageStream

The class reads and writes HTTP messages over a socket. Attributes, parameters and locals named after it follow.

The comparison with the code before the rewording reports only names, texts and comments; formatter and linter pass.

--- a/libs/http/auburnjunction/http/clients.py
+++ b/libs/http/auburnjunction/http/clients.py
@@ -19,12 +19,12 @@
     NotSentError,
     StrayResponseError,
 )
+from auburnjunction.http.message_streams import MessageStream
 from auburnjunction.http.messages import (
     HttpRequest,
     HttpResponse,
     MessageLimits,
 )
-from auburnjunction.http.wires import Wire
 
 
 @attrs.frozen
@@ -69,8 +69,8 @@
 class ClientConnection:
     """A client connection that carries one exchange at a time."""
 
-    def __init__(self, wire: Wire, clock: Clock):
-        self._wire = wire
+    def __init__(self, stream: MessageStream, clock: Clock):
+        self._stream = stream
         self._clock = clock
         self._is_broken = False
         self._is_request_truncated = False
@@ -113,7 +113,7 @@
         self, request: HttpRequest, is_own_response: ResponsePredicate
     ) -> HttpResponse:
         if len(request.body) <= MAX_INLINE_BODY_BYTES:
-            await self._wire.write_request(request)
+            await self._stream.write_request(request)
             return await self._read_own_response(is_own_response)
         writer = await curio.spawn(
             self._write_long_request, request, daemon=True
@@ -129,7 +129,7 @@
 
     async def _write_long_request(self, request: HttpRequest) -> None:
         try:
-            await self._wire.write_request(request)
+            await self._stream.write_request(request)
         except OSError as exc:
             # The peer may have sent its response before it closed the
             # connection, so the response is still read.
@@ -140,17 +140,17 @@
     ) -> HttpResponse:
         self._stray_count = 0
         while self._stray_count < MAX_STRAY_RESPONSES:
-            response = await self._wire.read_response()
+            response = await self._stream.read_response()
             if is_own_response(response):
                 return response
             self._stray_count += 1
-            if not self._wire.prepare_next_response():
+            if not self._stream.prepare_next_response():
                 break
         raise StrayResponseError(STRAY_MESSAGE)
 
     def _finish_exchange(self, response: HttpResponse) -> None:
-        is_complete = self._wire.start_next_cycle()
-        has_trailing_data = self._wire.has_trailing_data
+        is_complete = self._stream.start_next_cycle()
+        has_trailing_data = self._stream.has_trailing_data
         self._is_broken = (
             not is_complete or has_trailing_data or self._is_request_truncated
         )
@@ -166,7 +166,7 @@
     def is_readable(self) -> bool:
         """Return whether the peer has closed or sent unsolicited data."""
         try:
-            self._wire.sock._socket.recv(
+            self._stream.sock._socket.recv(
                 1, socket.MSG_PEEK | socket.MSG_DONTWAIT
             )
         except BlockingIOError:
@@ -181,7 +181,7 @@
 
     async def close(self) -> None:
         """Close the connection."""
-        await self._wire.close()
+        await self._stream.close()
 
 
 def _read_keep_alive(response: HttpResponse) -> float:
@@ -220,8 +220,8 @@
     except curio.CancelledError:
         await sock.close()
         raise
-    wire = Wire(sock, h11.CLIENT, limits or MessageLimits())
-    return ClientConnection(wire, clock)
+    stream = MessageStream(sock, h11.CLIENT, limits or MessageLimits())
+    return ClientConnection(stream, clock)
 
 
 class ConnectionPool:
--- a/libs/http/auburnjunction/http/wires.py
+++ b/libs/http/auburnjunction/http/message_streams.py
@@ -17,7 +17,7 @@
 BODILESS_STATUSES = frozenset({204, 304})
 
 
-class Wire:
+class MessageStream:
     """One end of an HTTP/1.1 connection: a socket and its h11 state.
 
     A cancelled or failed exchange leaves part of a message on the socket,
--- a/libs/http/auburnjunction/http/servers.py
+++ b/libs/http/auburnjunction/http/servers.py
@@ -18,12 +18,12 @@
     BadMessageError,
     HttpError,
 )
+from auburnjunction.http.message_streams import MessageStream
 from auburnjunction.http.messages import (
     HttpRequest,
     HttpResponse,
     MessageLimits,
 )
-from auburnjunction.http.wires import Wire
 
 SWEEP_INTERVAL_S = 0.05
 IDLE_SWEEP_INTERVAL_S = 0.5
@@ -57,7 +57,7 @@
 class ServerConnection:
     """One accepted connection and the task that serves it."""
 
-    wire: Wire
+    stream: MessageStream
     task: curio.Task | None = None
     phase: ConnectionPhase = ConnectionPhase.IDLE
     phase_start_s: float = 0.0
@@ -108,9 +108,9 @@
                 await self._clock.sleep(SWEEP_INTERVAL_S)
                 continue
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            wire = Wire(sock, h11.SERVER, self.limits)
+            stream = MessageStream(sock, h11.SERVER, self.limits)
             conn = ServerConnection(
-                wire, phase_start_s=self._clock.monotonic()
+                stream, phase_start_s=self._clock.monotonic()
             )
             self._connections.add(conn)
             # A daemon task, as the group keeps no reference to it once it
@@ -166,7 +166,7 @@
         phase_age_s = now_s - conn.phase_start_s
         if conn.phase is ConnectionPhase.HANDLING:
             if phase_age_s >= SWEEP_INTERVAL_S and _is_peer_closed(
-                conn.wire.sock
+                conn.stream.sock
             ):
                 return PeerGoneError
             return None
@@ -199,36 +199,36 @@
             pass
         finally:
             self._connections.discard(conn)
-            await conn.wire.close()
+            await conn.stream.close()
 
     async def _serve_request(self, conn: ServerConnection) -> bool:
-        wire = conn.wire
+        stream = conn.stream
         self._set_phase(conn, ConnectionPhase.IDLE)
-        await wire.wait_for_message()
+        await stream.wait_for_message()
         self._set_phase(conn, ConnectionPhase.READING)
-        request = await wire.read_request_head()
+        request = await stream.read_request_head()
         if request is None:
             return False
         self._set_phase(conn, ConnectionPhase.READING_BODY)
-        await wire.read_request_body(request)
+        await stream.read_request_body(request)
         self._set_phase(conn, ConnectionPhase.HANDLING)
         response = await self._handler(request)
         self._set_phase(conn, ConnectionPhase.WRITING)
         if self._closing or not self._keep_alive:
             response.headers = [*response.headers, (b"connection", b"close")]
-        await wire.write_response(response, request.method == b"HEAD")
-        return wire.start_next_cycle()
+        await stream.write_response(response, request.method == b"HEAD")
+        return stream.start_next_cycle()
 
     async def _send_error(
         self, conn: ServerConnection, status: int, reason: str
     ) -> None:
-        if not conn.wire.can_respond:
+        if not conn.stream.can_respond:
             return
         headers = [(b"connection", b"close"), (b"auburn-outcome", b"not-run")]
         response = HttpResponse(status, headers, reason.encode() + b"\n")
         try:
             async with curio.ignore_after(1.0):
-                await conn.wire.write_response(response)
+                await conn.stream.write_response(response)
         except (HttpError, OSError):
             pass
 
--- a/libs/standins/auburnjunction/standins/replies.py
+++ b/libs/standins/auburnjunction/standins/replies.py
@@ -47,5 +47,5 @@
     """Send half of a response, then close the connection."""
     size = max(2, len(body))
     head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % size
-    await conn.wire.sock.sendall(head + b"?" * (size // 2))
+    await conn.stream.sock.sendall(head + b"?" * (size // 2))
     raise PeerGoneError(f"injected fault: response of {size} bytes truncated")
--- a/libs/traffic/auburnjunction/traffic/tests/routing_support.py
+++ b/libs/traffic/auburnjunction/traffic/tests/routing_support.py
@@ -14,13 +14,13 @@
 from auburnjunction.base.errors import ErrorCode
 from auburnjunction.base.metrics import MetricRegistry
 from auburnjunction.base.tasks import open_task_group
+from auburnjunction.http.message_streams import MessageStream
 from auburnjunction.http.messages import (
     HttpRequest,
     HttpResponse,
     MessageLimits,
 )
 from auburnjunction.http.servers import bind_socket
-from auburnjunction.http.wires import Wire
 from auburnjunction.model.priorities import Priority
 from auburnjunction.model.routes import Route
 from auburnjunction.model.services import Instance, InstanceState, Service
@@ -156,21 +156,21 @@
     await curio.sleep(60)
 
 
-async def send_truncated(server, wire, data):
-    await wire.sock.sendall(data[: len(data) // 2])
+async def send_truncated(server, stream, data):
+    await stream.sock.sendall(data[: len(data) // 2])
 
 
-async def send_nothing(_server, _wire, _data):
+async def send_nothing(_server, _stream, _data):
     pass
 
 
-async def never_respond(_server, _wire, _data):
+async def never_respond(_server, _stream, _data):
     await curio.sleep(60)
 
 
-async def send_earlier_response(server, wire, _data):
+async def send_earlier_response(server, stream, _data):
     """Send the complete response to an earlier request."""
-    await wire.sock.sendall(server.previous_response)
+    await stream.sock.sendall(server.previous_response)
 
 
 class FaultyServer:
@@ -181,8 +181,8 @@
         self.handler = handler
         self.previous_response = b""
         self.connections = 0
-        # Coroutine function of (server, wire, data) that replaces the sending
-        # of a response, or None.
+        # Coroutine function of (server, stream, data) that replaces the
+        # sending of a response, or None.
         self.fault = None
 
     async def accept_connections(self, group):
@@ -192,20 +192,20 @@
             await group.spawn(self.serve, sock)
 
     async def serve(self, sock):
-        wire = Wire(sock, h11.SERVER, MessageLimits())
+        stream = MessageStream(sock, h11.SERVER, MessageLimits())
         async with sock:
-            while request := await wire.read_request():
+            while request := await stream.read_request():
                 response = await self.handler.handle(request)
                 recorder = RecordingSocket()
-                wire.sock = recorder
-                await wire.write_response(response)
-                wire.sock = sock
+                stream.sock = recorder
+                await stream.write_response(response)
+                stream.sock = sock
                 if self.fault is not None:
-                    await self.fault(self, wire, recorder.data)
+                    await self.fault(self, stream, recorder.data)
                 else:
                     await sock.sendall(recorder.data)
                 self.previous_response = recorder.data
-                if not wire.start_next_cycle():
+                if not stream.start_next_cycle():
                     break
 
 
--- a/libs/traffic/auburnjunction/traffic/tests/test_call_histories.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_call_histories.py
@@ -30,10 +30,10 @@
     "lost": ("after", raise_unknown_outcome),
     "late": ("after", hang),
     "late-refusal": ("before", hang),
-    "partial": ("wire", send_truncated),
-    "killed": ("wire", send_nothing),
-    "silent": ("wire", never_respond),
-    "earlier-response": ("wire", send_earlier_response),
+    "partial": ("stream", send_truncated),
+    "killed": ("stream", send_nothing),
+    "silent": ("stream", never_respond),
+    "earlier-response": ("stream", send_earlier_response),
     "stopped": ("stop", None),
 }
 
@@ -47,12 +47,12 @@
 
 
 def apply_to_share_of_responses(fault, rng, share):
-    async def choose(server, wire, data):
+    async def choose(server, stream, data):
         if rng.random() >= share:
-            await wire.sock.sendall(data)
+            await stream.sock.sendall(data)
             return
-        await fault(server, wire, data)
-        await wire.sock.shutdown(socket.SHUT_RDWR)
+        await fault(server, stream, data)
+        await stream.sock.shutdown(socket.SHUT_RDWR)
 
     return choose
 
@@ -60,7 +60,7 @@
 async def inject_faults(mesh, kind, behave, names, share):
     rng = random.Random(3)
     for name in names:
-        if kind == "wire":
+        if kind == "stream":
             mesh.servers[name].fault = apply_to_share_of_responses(
                 behave, rng, share
             )
