Name connection errors and keep-alive control by their effect

PeerGoneError and PeerSlowError become PeerDisconnectedError and PeerTimeoutError, HttpServer.end_reuse disable_keep_alive, ClientConnection.discard mark_not_reusable, and OWN_HOST of the tests LOOPBACK_HOST. The discard methods of sets and caches are unchanged.

--- a/libs/commands/auburnjunction/commands/tests/support.py
+++ b/libs/commands/auburnjunction/commands/tests/support.py
@@ -8,7 +8,7 @@
 from auburnjunction.base.clocks import SystemClock
 from auburnjunction.commands.mixes import CallMix, LoadPlan, RetrySettings
 from auburnjunction.http.messages import HttpResponse
-from auburnjunction.http.servers import PeerGoneError, open_server
+from auburnjunction.http.servers import PeerDisconnectedError, open_server
 
 HOST = "127.0.0.1"
 
@@ -51,7 +51,7 @@
         }.get(step, 1)
         self.executions += [call_id.decode()] * executions
         if step == "drop":
-            raise PeerGoneError
+            raise PeerDisconnectedError
         if step in ("refuse", "false_refuse"):
             return HttpResponse(503, [(b"auburn-outcome", b"not-run")])
         if step == "unknown":
--- a/libs/http/auburnjunction/http/clients.py
+++ b/libs/http/auburnjunction/http/clients.py
@@ -175,8 +175,8 @@
             return True
         return True
 
-    def discard(self) -> None:
-        """Mark the connection as not reusable."""
+    def mark_not_reusable(self) -> None:
+        """Prevent further exchanges on the connection."""
         self._is_broken = True
 
     async def close(self) -> None:
--- a/libs/http/auburnjunction/http/servers.py
+++ b/libs/http/auburnjunction/http/servers.py
@@ -42,14 +42,14 @@
     WRITING = auto()
 
 
-class PeerGoneError(curio.CancelledError):
+class PeerDisconnectedError(curio.CancelledError):
     """Cancels a connection that its peer closed or that idles too long.
 
     While the server closes, every idle connection is cancelled.
     """
 
 
-class PeerSlowError(curio.CancelledError):
+class PeerTimeoutError(curio.CancelledError):
     """Cancels a connection whose peer exceeds a read or write time-out."""
 
 
@@ -119,8 +119,8 @@
                 self._serve_connection, conn, daemon=True
             )
 
-    def end_reuse(self) -> None:
-        """Disable keep-alive: send Connection: close with each response.
+    def disable_keep_alive(self) -> None:
+        """Send Connection: close with each response.
 
         Idle connections stay open, as the peer may already have sent a
         request on one of them.
@@ -168,16 +168,16 @@
             if phase_age_s >= SWEEP_INTERVAL_S and _is_peer_closed(
                 conn.stream.sock
             ):
-                return PeerGoneError
+                return PeerDisconnectedError
             return None
         if conn.phase is ConnectionPhase.IDLE:
             if self._closing or phase_age_s > self.limits.idle_timeout_s:
-                return PeerGoneError
+                return PeerDisconnectedError
             return None
         limit_s = self.limits.body_timeout_s
         if conn.phase is ConnectionPhase.READING:
             limit_s = self.limits.head_timeout_s
-        return PeerSlowError if phase_age_s > limit_s else None
+        return PeerTimeoutError if phase_age_s > limit_s else None
 
     def _set_phase(
         self, conn: ServerConnection, phase: ConnectionPhase
@@ -189,9 +189,9 @@
         try:
             while await self._serve_request(conn):
                 pass
-        except PeerGoneError:
+        except PeerDisconnectedError:
             pass
-        except PeerSlowError:
+        except PeerTimeoutError:
             await self._send_error(conn, 408, "the request came too slowly")
         except BadMessageError as exc:
             await self._send_error(conn, exc.status, exc.message)
--- a/libs/http/auburnjunction/http/tests/support.py
+++ b/libs/http/auburnjunction/http/tests/support.py
@@ -4,4 +4,4 @@
 
 # Loopback address derived from the process ID, so that no other process
 # and no outgoing connection occupies its ports.
-OWN_HOST = f"127.{os.getpid() // 250 % 250 + 2}.{os.getpid() % 250}.1"
+LOOPBACK_HOST = f"127.{os.getpid() // 250 % 250 + 2}.{os.getpid() % 250}.1"
--- a/libs/membership/auburnjunction/membership/tests/support.py
+++ b/libs/membership/auburnjunction/membership/tests/support.py
@@ -13,14 +13,14 @@
 from auburnjunction.http.errors import NotSentError
 from auburnjunction.http.messages import HttpResponse
 from auburnjunction.http.servers import open_server
-from auburnjunction.http.tests.support import OWN_HOST
+from auburnjunction.http.tests.support import LOOPBACK_HOST
 from auburnjunction.membership.announcements import Announcement
 from auburnjunction.membership.members import Membership, open_membership
 from auburnjunction.membership.records import Node, NodeState
 from auburnjunction.membership.settings import MembershipSettings
 from auburnjunction.schema import control_pb2 as pb
 
-HOST = OWN_HOST
+HOST = LOOPBACK_HOST
 PORTS = itertools.count(20000)
 SEED = 20261204
 DATA_CENTRES = ("helsinki", "espoo")
--- a/libs/node/auburnjunction/node/nodes.py
+++ b/libs/node/auburnjunction/node/nodes.py
@@ -48,7 +48,7 @@
         """
         log_event("node leaving")
         self._components.readiness_gate.leaving = True
-        self._servers.callers.end_reuse()
+        self._servers.callers.disable_keep_alive()
         notice_s = self._cfg.leaving_notice_s
         deadline_s = (
             self._clock.monotonic() + notice_s + self._cfg.drain_limit_s
--- a/libs/node/auburnjunction/node/tests/support.py
+++ b/libs/node/auburnjunction/node/tests/support.py
@@ -10,7 +10,7 @@
 from auburnjunction.http.clients import Address, connect
 from auburnjunction.http.messages import HttpRequest, HttpResponse
 from auburnjunction.http.servers import open_server
-from auburnjunction.http.tests.support import OWN_HOST
+from auburnjunction.http.tests.support import LOOPBACK_HOST
 from auburnjunction.membership.announcements import Announcement
 from auburnjunction.model.priorities import ClaimMode, Priority
 from auburnjunction.model.routes import Route
@@ -23,7 +23,7 @@
 from auburnjunction.traffic.calls import Call
 from auburnjunction.traffic.headers import CALL_HEADER, format_call
 
-HOST = OWN_HOST
+HOST = LOOPBACK_HOST
 TIMEOUT_S = 5.0
 SNAPSHOT = Snapshot(
     (Service("box"),), (Route("boxes", "/boxes", "box", repeatable=True),)
--- a/libs/standins/auburnjunction/standins/platforms.py
+++ b/libs/standins/auburnjunction/standins/platforms.py
@@ -15,7 +15,7 @@
 from auburnjunction.base.signals import catch_stop_signals
 from auburnjunction.http.errors import AddressInUseError
 from auburnjunction.http.messages import HttpRequest, HttpResponse
-from auburnjunction.http.servers import PeerGoneError, open_server
+from auburnjunction.http.servers import PeerDisconnectedError, open_server
 from auburnjunction.model.codecs import digest_content
 from auburnjunction.standins.arguments import make_port_option
 from auburnjunction.standins.faults import PlatformFaults
@@ -126,7 +126,9 @@
             return await self._read(request)
         response = await self._write(request)
         if response.status in (200, 201) and self._should_lose_answer():
-            raise PeerGoneError("injected fault: write applied, response lost")
+            raise PeerDisconnectedError(
+                "injected fault: write applied, response lost"
+            )
         return response
 
     def _should_lose_answer(self) -> bool:
--- a/libs/standins/auburnjunction/standins/replies.py
+++ b/libs/standins/auburnjunction/standins/replies.py
@@ -8,7 +8,7 @@
 
 from auburnjunction.base.settings import SettingsError, parse_settings
 from auburnjunction.http.messages import HttpRequest, HttpResponse
-from auburnjunction.http.servers import PeerGoneError, ServerConnection
+from auburnjunction.http.servers import PeerDisconnectedError, ServerConnection
 
 T = TypeVar("T")
 
@@ -48,4 +48,6 @@
     size = max(2, len(body))
     head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % size
     await conn.stream.sock.sendall(head + b"?" * (size // 2))
-    raise PeerGoneError(f"injected fault: response of {size} bytes truncated")
+    raise PeerDisconnectedError(
+        f"injected fault: response of {size} bytes truncated"
+    )
--- a/libs/traffic/auburnjunction/traffic/call_forwarders.py
+++ b/libs/traffic/auburnjunction/traffic/call_forwarders.py
@@ -128,7 +128,7 @@
                 response = await _exchange(conn, request, remaining_s)
                 response.headers = unpack_headers(response.headers)
                 if not _is_answer_to(response, call):
-                    conn.discard()
+                    conn.mark_not_reusable()
                     raise UnknownRunError(
                         "the answer belongs to another request"
                     )
