Rename methods of clients, settings and deployments

PlatformClient.redirect becomes set_address and the parameter first_s of read first_timeout_s; keep_known becomes drop_unknown_fields and Deployment.wait_known wait_for_all_instances.

--- a/libs/base/auburnjunction/base/settings.py
+++ b/libs/base/auburnjunction/base/settings.py
@@ -96,7 +96,7 @@
         raise _to_settings_error(exc, values, settings_class) from exc
 
 
-def keep_known(values: object, settings_class: type) -> object:
+def drop_unknown_fields(values: object, settings_class: type) -> object:
     """Return plain values without the fields that the class lacks.
 
     For settings of another program, of which only some fields are used.
@@ -109,7 +109,9 @@
             continue
         value = values[field.name]
         nested = attrs.has(field.type)
-        known[field.name] = keep_known(value, field.type) if nested else value
+        known[field.name] = (
+            drop_unknown_fields(value, field.type) if nested else value
+        )
     return known
 
 
--- a/libs/standins/auburnjunction/standins/deployments.py
+++ b/libs/standins/auburnjunction/standins/deployments.py
@@ -135,7 +135,9 @@
                 f"{host.name} ready",
             )
 
-    def wait_known(self, hosts: list[HostPlan] | None = None) -> None:
+    def wait_for_all_instances(
+        self, hosts: list[HostPlan] | None = None
+    ) -> None:
         """Wait until nodes, all by default, list every backend server."""
         expected = len(self.hosts)
         for host in hosts or self.hosts:
--- a/libs/standins/auburnjunction/standins/systems.py
+++ b/libs/standins/auburnjunction/standins/systems.py
@@ -233,5 +233,5 @@
         assert result.exit_code == 0, result.error
         system.revision = result.values["revision"]
         deployment.wait_ready()
-        deployment.wait_known()
+        deployment.wait_for_all_instances()
         yield system
--- a/libs/standins/auburnjunction/standins/tests/test_systems.py
+++ b/libs/standins/auburnjunction/standins/tests/test_systems.py
@@ -65,7 +65,7 @@
             node.start()
         system.deployment.wait_ready()
         system.wait_in_force()
-        system.deployment.wait_known()
+        system.deployment.wait_for_all_instances()
         for name in system.deployment.nodes:
             assert system.list_revisions(name)[-1] == system.revision
         result = system.start_load(2.0).finish()
--- a/libs/storage/auburnjunction/storage/clients.py
+++ b/libs/storage/auburnjunction/storage/clients.py
@@ -44,33 +44,36 @@
     def __init__(self, address: Address, clock: Clock, pools: PoolRegistry):
         self._clock = clock
         self._pools = pools
-        self.redirect(address)
+        self.set_address(address)
         # Set when a read times out, cleared when one completes within
         # the time-out of its first attempt.
         self._is_slow = False
 
-    def redirect(self, address: Address) -> None:
+    def set_address(self, address: Address) -> None:
         """Send all further requests to another address."""
         self._address = address
         self._host = str(address).encode()
 
     async def read(
-        self, target: str, timeout_s: float, first_s: float | None = None
+        self,
+        target: str,
+        timeout_s: float,
+        first_timeout_s: float | None = None,
     ) -> HttpResponse:
         """Return the response to a GET request, sent again if it fails.
 
-        The attempt on a pooled connection times out after first_s
+        The attempt on a pooled connection times out after first_timeout_s
         seconds, by default a share of timeout_s; the second attempt uses
         a new connection. While the platform is slow, one request is sent
         on a new connection with the whole time-out. Raise
         UnavailableError if no complete response arrived.
         """
         start_s = self._clock.monotonic()
-        if first_s is None:
-            first_s = timeout_s * FIRST_READ_TIMEOUT_SHARE
+        if first_timeout_s is None:
+            first_timeout_s = timeout_s * FIRST_READ_TIMEOUT_SHARE
         request = self._make_request(b"GET", target)
         try:
-            response = await self._read_pooled(request, first_s)
+            response = await self._read_pooled(request, first_timeout_s)
             if response is None:
                 remaining_s = start_s + timeout_s - self._clock.monotonic()
                 response = await self._exchange(request, remaining_s, 0.0)
@@ -80,7 +83,7 @@
         except HttpError as exc:
             raise UnavailableError(f"platform: {exc.message}") from exc
         if self._is_slow:
-            self._is_slow = self._clock.monotonic() - start_s > first_s
+            self._is_slow = self._clock.monotonic() - start_s > first_timeout_s
         return response
 
     async def _read_pooled(
--- a/tools/bench_nodes.py
+++ b/tools/bench_nodes.py
@@ -217,7 +217,7 @@
             raise RuntimeError(created.error)
         system.revision = created.values["revision"]
         deployment.wait_ready()
-        deployment.wait_known()
+        deployment.wait_for_all_instances()
         time.sleep(SETTLE_S)
         idle = measure_idle(system)
         before = sample_nodes(deployment)
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -274,7 +274,7 @@
     ) as deployment:
         created = create_configuration(deployment)
         deployment.wait_ready()
-        deployment.wait_known()
+        deployment.wait_for_all_instances()
         result, changed = run_load_with_change(deployment)
         print_nodes(console, deployment)
         print_changes(console, [created, changed])
