Align the remedies for commits with an unknown outcome

The distribution and the client gave the same remedy in different words; both now say to look the operation up or to retry with the same operation id, under the name UNKNOWN_OUTCOME_REMEDY. Without a configuration, the error names 'auburnctl create', the command that makes the first one. Distributor.take_commit becomes publish_commit and Lease.shown_state published_state.

The comparison with the code before the rewording reports only names, texts and comments; formatter and linter pass.

--- a/libs/distribution/auburnjunction/distribution/commit_attempts.py
+++ b/libs/distribution/auburnjunction/distribution/commit_attempts.py
@@ -36,8 +36,8 @@
 RETRY_DELAY_S = 0.05
 
 RETRY_REMEDY = "retry with the same operation id"
-LOOKUP_REMEDY = (
-    "look the operation up with 'auburnctl operation', "
+UNKNOWN_OUTCOME_REMEDY = (
+    "look it up with 'auburnctl operation', "
     "or retry with the same operation id"
 )
 REBASE_REMEDY = "read the head, redo the change on top of it and apply it"
@@ -228,6 +228,6 @@
         return CommitUnknownError(
             "the platform's response was lost; "
             "the change may have been committed",
-            LOOKUP_REMEDY,
+            UNKNOWN_OUTCOME_REMEDY,
             self._change.operation_id,
         )
--- a/libs/distribution/auburnjunction/distribution/commit_readers.py
+++ b/libs/distribution/auburnjunction/distribution/commit_readers.py
@@ -118,7 +118,7 @@
         if head.commit is None:
             raise RevisionNotFoundError(
                 "no configuration has been committed yet",
-                "apply one first",
+                "create one with 'auburnctl create'",
             )
         if revision in (0, head.revision):
             return head.commit
--- a/libs/distribution/auburnjunction/distribution/distributors.py
+++ b/libs/distribution/auburnjunction/distribution/distributors.py
@@ -158,7 +158,7 @@
         await self._started.wait()
         await function()
 
-    async def take_commit(self, revised: RevisedSnapshot) -> None:
+    async def publish_commit(self, revised: RevisedSnapshot) -> None:
         """Adopt a revision committed through this node and push it.
 
         A head read of this node may have adopted it already.
--- a/libs/distribution/auburnjunction/distribution/tests/support.py
+++ b/libs/distribution/auburnjunction/distribution/tests/support.py
@@ -287,7 +287,7 @@
         )
         if publisher is not None:
             revised = RevisedSnapshot(commit.mark, snapshot)
-            await self.members[publisher].distributor.take_commit(revised)
+            await self.members[publisher].distributor.publish_commit(revised)
         return commit
 
     async def wait_for(self, revision, timeout_s=5.0, among=None):
--- a/libs/membership/auburnjunction/membership/instances.py
+++ b/libs/membership/auburnjunction/membership/instances.py
@@ -77,7 +77,7 @@
         return Instance(
             instance=announcement.instance,
             service=announcement.service,
-            state=lease.shown_state,
+            state=lease.published_state,
             slots=announcement.slots,
             load_percent=round_load(announcement.load_percent),
             node=own.node,
--- a/libs/membership/auburnjunction/membership/leases.py
+++ b/libs/membership/auburnjunction/membership/leases.py
@@ -29,7 +29,7 @@
     has_expired: bool = False
 
     @property
-    def shown_state(self) -> InstanceState:
+    def published_state(self) -> InstanceState:
         """State to publish: leaving while draining."""
         live = (InstanceState.STARTING, InstanceState.READY)
         if self.draining and self.state in live:
--- a/libs/membership/auburnjunction/membership/members.py
+++ b/libs/membership/auburnjunction/membership/members.py
@@ -208,7 +208,7 @@
         lease = self.announce(announcement)
         content = {
             "instance": announcement.instance,
-            "state": lease.shown_state.name.lower(),
+            "state": lease.published_state.name.lower(),
             "lease_s": announcement.lease_s,
         }
         return _make_json(200, content)
--- a/libs/membership/auburnjunction/membership/tests/test_departures.py
+++ b/libs/membership/auburnjunction/membership/tests/test_departures.py
@@ -50,7 +50,7 @@
         announcement = make_announcement(
             state=state, born_ms=born_ms, sequence=sequence
         )
-        return self.instances.announce(announcement).shown_state
+        return self.instances.announce(announcement).published_state
 
 
 @pytest.mark.parametrize("last", ["leaving", "gone"])
--- a/libs/membership/auburnjunction/membership/tests/test_late_announcements.py
+++ b/libs/membership/auburnjunction/membership/tests/test_late_announcements.py
@@ -33,4 +33,4 @@
     table = LeaseTable(ManualClock())
     for values in announcements:
         lease = table.renew(announce(*values))
-    assert lease.shown_state.name.lower() == shown
+    assert lease.published_state.name.lower() == shown
--- a/libs/membership/auburnjunction/membership/tests/test_leases.py
+++ b/libs/membership/auburnjunction/membership/tests/test_leases.py
@@ -34,7 +34,7 @@
         lease.draining = draining
     if draining and shown in ("starting", "ready"):
         shown = "leaving"
-    assert lease.shown_state.name.lower() == shown
+    assert lease.published_state.name.lower() == shown
 
 
 def test_lease_expires_unless_it_is_renewed():
--- a/libs/node/auburnjunction/node/instances.py
+++ b/libs/node/auburnjunction/node/instances.py
@@ -45,7 +45,7 @@
         lease = self._membership.announce(announcement)
         if lease.announcement is announcement:
             self._record_announcement(announcement)
-        return lease.shown_state
+        return lease.published_state
 
     async def save_departures(self) -> None:
         """Try to persist departures so that they outlive this node.
--- a/libs/operators/auburnjunction/operators/backends.py
+++ b/libs/operators/auburnjunction/operators/backends.py
@@ -33,7 +33,7 @@
 class CommitPublisher(Protocol):
     """Puts committed revisions into force; implemented by the distributor."""
 
-    async def take_commit(self, revised: RevisedSnapshot) -> None:
+    async def publish_commit(self, revised: RevisedSnapshot) -> None:
         """Put a revision into force here and send it to the other nodes."""
 
 
@@ -162,4 +162,4 @@
         return await self._drainer.drain(instance, drain)
 
     async def _publish(self, mark: RevisionMark, snapshot: Snapshot) -> None:
-        await self._publisher.take_commit(RevisedSnapshot(mark, snapshot))
+        await self._publisher.publish_commit(RevisedSnapshot(mark, snapshot))
--- a/libs/operators/auburnjunction/operators/clients.py
+++ b/libs/operators/auburnjunction/operators/clients.py
@@ -34,7 +34,8 @@
     {ErrorCode.INVALID, ErrorCode.NOT_FOUND, ErrorCode.CONFLICT}
 )
 UNKNOWN_OUTCOME_REMEDY = (
-    "look it up with 'auburnctl operation', or repeat it with the same id"
+    "look it up with 'auburnctl operation', "
+    "or retry with the same operation id"
 )
 
 
--- a/libs/operators/auburnjunction/operators/tests/support.py
+++ b/libs/operators/auburnjunction/operators/tests/support.py
@@ -56,7 +56,7 @@
         self.instance.state = leaving if drain else ready
         return self.instance
 
-    async def take_commit(self, revised):
+    async def publish_commit(self, revised):
         self.revision = revised.mark.revision
 
 
--- a/tools/distribution_nodes.py
+++ b/tools/distribution_nodes.py
@@ -296,7 +296,7 @@
         accepted_s = time.monotonic()
         if node.distributor is not None:
             revised = RevisedSnapshot(commit.mark, snapshot)
-            await node.distributor.take_commit(revised)
+            await node.distributor.publish_commit(revised)
         return accepted_s
 
     async def report(self) -> list[dict]:
