--- a/libs/membership/auburnjunction/membership/tests/support.py
+++ b/libs/membership/auburnjunction/membership/tests/support.py
@@ -15,7 +15,7 @@
 from auburnjunction.http.servers import open_server
 from auburnjunction.http.tests.support import LOOPBACK_HOST
 from auburnjunction.membership.announcements import Announcement
-from auburnjunction.membership.members import Membership, open_membership
+from auburnjunction.membership.memberships import Membership, open_membership
 from auburnjunction.membership.records import Node, NodeState
 from auburnjunction.membership.settings import MembershipSettings
 from auburnjunction.schema import control_pb2 as pb
--- a/libs/node/auburnjunction/node/administrations.py
+++ b/libs/node/auburnjunction/node/administrations.py
@@ -8,7 +8,7 @@
 from auburnjunction.http.clients import Address, PoolRegistry
 from auburnjunction.http.errors import HttpError
 from auburnjunction.http.messages import HttpRequest, HttpResponse
-from auburnjunction.membership.members import Membership
+from auburnjunction.membership.memberships import Membership
 from auburnjunction.membership.records import Node
 from auburnjunction.model.services import Instance
 from auburnjunction.node.endpoints import make_text_response
--- a/libs/node/auburnjunction/node/components.py
+++ b/libs/node/auburnjunction/node/components.py
@@ -17,7 +17,7 @@
 from auburnjunction.distribution.sources import CommittedHead, HeadSource
 from auburnjunction.http.clients import Address, PoolRegistry, parse_address
 from auburnjunction.http.servers import Handler
-from auburnjunction.membership.members import Membership, open_membership
+from auburnjunction.membership.memberships import Membership, open_membership
 from auburnjunction.model.services import Service
 from auburnjunction.node.instances import LocalInstanceRegistry
 from auburnjunction.node.meters import ControlPlaneMetrics
--- a/libs/node/auburnjunction/node/instances.py
+++ b/libs/node/auburnjunction/node/instances.py
@@ -6,7 +6,7 @@
 from auburnjunction.base.settings import parse_settings
 from auburnjunction.http.messages import HttpRequest, HttpResponse
 from auburnjunction.membership.announcements import Announcement
-from auburnjunction.membership.members import Membership
+from auburnjunction.membership.memberships import Membership
 from auburnjunction.model.services import InstanceState
 from auburnjunction.traffic.owners import OwnerRegistry
 
--- a/tools/bench_membership.py
+++ b/tools/bench_membership.py
@@ -26,7 +26,7 @@
 from auburnjunction.http.messages import HttpResponse
 from auburnjunction.http.servers import open_server
 from auburnjunction.membership.announcements import Announcement
-from auburnjunction.membership.members import open_membership
+from auburnjunction.membership.memberships import open_membership
 from auburnjunction.membership.records import (
     Node,
     NodeState,
--- a/tools/distribution_nodes.py
+++ b/tools/distribution_nodes.py
@@ -34,7 +34,7 @@
 from auburnjunction.http.clients import Address, PoolRegistry
 from auburnjunction.http.messages import HttpResponse
 from auburnjunction.http.servers import open_server
-from auburnjunction.membership.members import open_membership
+from auburnjunction.membership.memberships import open_membership
 from auburnjunction.membership.settings import MembershipSettings
 from auburnjunction.model.snapshots import (
     RevisedSnapshot,
