--- a/libs/standins/auburnjunction/standins/__init__.py
+++ b/libs/standins/auburnjunction/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Development stand-ins of the platform and of backend servers."""
+"""Development stand-ins for the platform and backend servers."""
