Correct comments of the traffic library

Some reworded comments had lost a reason or a number, or said something that the code contradicts.

Restored: the default Retry-After is a minimum and is jittered, and a forwarded call has one header instead of one for each of its twelve attributes.

Corrected to the code: the size of a sampling window, when the count of ejections is reset, which local instances keep a call from spilling, that a separator in one header leaves all unpacked, that fail-fast refusals do not count as attempts, and that calls are refused for a while after any call that could not be sent, not only after a failed connection attempt.

The variable for the lower priority with the most credit is named for that, because "highest" also reads as a priority.

--- a/libs/traffic/auburnjunction/traffic/admissions.py
+++ b/libs/traffic/auburnjunction/traffic/admissions.py
@@ -95,7 +95,8 @@
     limit_slowdown: float = attrs.field(
         default=2.0, validator=check_range(1.1, 100)
     )
-    # Calls in a sampling window; the limit is adjusted at its end.
+    # Minimum number of calls in a sampling window, at whose end the limit is
+    # adjusted; with more slots than this, it has as many calls as slots.
     limit_window_calls: int = attrs.field(
         default=20, validator=check_range(1, 100_000)
     )
@@ -137,8 +138,8 @@
     probe_timeout_s: float = attrs.field(
         default=0.5, validator=check_range(0.001, 60)
     )
-    # Time for which calls are refused at once after a connection attempt has
-    # failed.
+    # Time for which calls are refused at once after a call could not be sent,
+    # mostly because a connection attempt failed.
     reconnect_delay_s: float = attrs.field(
         default=0.25, validator=check_range(0, 60)
     )
--- a/libs/traffic/auburnjunction/traffic/backends.py
+++ b/libs/traffic/auburnjunction/traffic/backends.py
@@ -94,8 +94,8 @@
         await self._require_responsive()
         if now_s < self._refuse_until_s:
             raise NotRunError(
-                "a connection attempt failed within the last "
-                f"{self._cfg.reconnect_delay_s} s"
+                "a call could not be sent to the backend server within the "
+                f"last {self._cfg.reconnect_delay_s} s"
             )
         if self._cfg.deadline_checks:
             timeout_s = min(timeout_s, call.deadline_s - now_s)
--- a/libs/traffic/auburnjunction/traffic/balancers.py
+++ b/libs/traffic/auburnjunction/traffic/balancers.py
@@ -153,7 +153,8 @@
         local_exists: bool,
         now_s: float,
     ) -> Instance | None:
-        # The local instances refused the call or are ejected or in cooldown.
+        # If local instances exist, all usable ones have been tried; ejected
+        # ones and those in cooldown do not keep a call from spilling.
         least_urgent = self._settings.refused_spill_priority
         if local_exists and routed.call.priority > least_urgent:
             return None
--- a/libs/traffic/auburnjunction/traffic/ejections.py
+++ b/libs/traffic/auburnjunction/traffic/ejections.py
@@ -21,8 +21,8 @@
     # Whether one of these failures was on a newly opened connection.
     confirmed: bool = False
     ejected: bool = False
-    # Ejections without a failure-free time of ejection_max_ms in between; each
-    # doubles the delay until the next probe.
+    # Ejections so far, reset when an ejection follows the last recovery by
+    # more than ejection_max_ms. Each doubles the delay until the next probe.
     ejections: int = 0
     # Time of the next probe; after a recovery, the time of the recovery.
     probe_due_s: float = 0.0
--- a/libs/traffic/auburnjunction/traffic/entries.py
+++ b/libs/traffic/auburnjunction/traffic/entries.py
@@ -44,8 +44,8 @@
 from auburnjunction.traffic.routing_settings import RoutingSettings
 from auburnjunction.traffic.senders import CallSender, CallTrace
 
-# Retry-After for calls whose refusal gave none: the time in which a change
-# reaches every node.
+# Minimum Retry-After, in seconds, of calls whose refusal gave none: the time
+# in which a change reaches every node. It is jittered up to twice this time.
 DEFAULT_RETRY_AFTER_S = 0.1
 OK_VALUE = Outcome.OK.value.encode()
 
--- a/libs/traffic/auburnjunction/traffic/headers.py
+++ b/libs/traffic/auburnjunction/traffic/headers.py
@@ -1,9 +1,9 @@
 """Headers that nodes add to requests and responses.
 
 Between nodes, a single header carries all attributes of a call, so that
-each hop parses one extra header instead of one per attribute. Nodes remove
-every header with the internal prefix from callers' requests and backend
-servers' responses.
+each hop parses one extra header instead of twelve, one per attribute. Nodes
+remove every header with the internal prefix from callers' requests and
+backend servers' responses.
 """
 
 import math
--- a/libs/traffic/auburnjunction/traffic/packed_headers.py
+++ b/libs/traffic/auburnjunction/traffic/packed_headers.py
@@ -3,7 +3,7 @@
 The HTTP library validates each header separately, on every hop and in both
 directions; a packed header is validated once. Names and values alternate,
 separated by a byte that RFC 9110 allows in values but that hardly any value
-contains; headers that contain it are sent unpacked.
+contains. If a header contains it, all headers are sent unpacked.
 """
 
 from itertools import chain
--- a/libs/traffic/auburnjunction/traffic/queues.py
+++ b/libs/traffic/auburnjunction/traffic/queues.py
@@ -240,11 +240,11 @@
                 self._credits[priority] = min(credit, MAX_CREDIT_STARTS)
         if len(waiting) == 1:
             return most_urgent
-        highest = max(waiting[1:], key=self._credits.__getitem__)
-        if self._credits[highest] < 1.0:
+        most_credited = max(waiting[1:], key=self._credits.__getitem__)
+        if self._credits[most_credited] < 1.0:
             return most_urgent
-        self._credits[highest] -= 1.0
-        return highest
+        self._credits[most_credited] -= 1.0
+        return most_credited
 
     def _evict_for(self, ticket: Ticket) -> Ticket:
         priority = ticket.priority
--- a/libs/traffic/auburnjunction/traffic/senders.py
+++ b/libs/traffic/auburnjunction/traffic/senders.py
@@ -64,7 +64,8 @@
     """State of a call across its attempts."""
 
     # Maximum number of backend servers that are sent the call, and of
-    # attempts, including those that nodes refuse.
+    # attempts, including those that nodes refuse but not fail-fast attempts
+    # refused as busy.
     max_sent: int
     max_tried: int
     # Budget of retries after refusals by nodes.
