Clarify docstrings of membership and distribution

Several reworded docstrings and comments were ambiguous or incomplete: "every other data centre" could mean every second one, history() did not say what happens if `before` is above the head, errors of peers left out error statuses, and "newer own records" read like the node's own record.

Reword them to what the code does. Rename OBSERVATION_KEEP_S to OBSERVATION_RETENTION_S, in line with GONE_RETENTION_S in leases.

--- a/libs/distribution/auburnjunction/distribution/commit_readers.py
+++ b/libs/distribution/auburnjunction/distribution/commit_readers.py
@@ -70,7 +70,8 @@
     async def history(self, before: int, limit: int) -> list[Commit]:
         """Return at most limit and MAX_HISTORY commits, newest first.
 
-        The first one has the revision before; 0 means the head.
+        The first one has the revision `before`, or is the head if `before`
+        is 0 or above the head.
         """
         with _convert_platform_errors():
             head = await self.fetch_head(CALL_TIMEOUT_S)
--- a/libs/distribution/auburnjunction/distribution/compressions.py
+++ b/libs/distribution/auburnjunction/distribution/compressions.py
@@ -7,7 +7,7 @@
 
 ENCODING_HEADER = b"content-encoding"
 DEFLATE = b"deflate"
-# Compressing smaller bodies costs more CPU time than it saves bandwidth.
+# Smaller bodies save too little bandwidth for the CPU time of compression.
 MIN_BYTES_TO_COMPRESS = 1024
 # Names and paths of routes repeat, so level 1 compresses them nearly as
 # well as higher levels.
--- a/libs/distribution/auburnjunction/distribution/errors.py
+++ b/libs/distribution/auburnjunction/distribution/errors.py
@@ -15,7 +15,7 @@
 
 
 class PeerError(DistributionError):
-    """A peer that could not be reached or sent an invalid message."""
+    """A peer was unreachable, returned an error or sent invalid data."""
 
     code = ErrorCode.UNAVAILABLE
 
--- a/libs/distribution/auburnjunction/distribution/head_pollers.py
+++ b/libs/distribution/auburnjunction/distribution/head_pollers.py
@@ -175,5 +175,5 @@
 
 
 def jitter(random: Random, interval_s: float) -> float:
-    """Return the interval multiplied by a random factor near 1."""
+    """Return the interval varied at random by up to JITTER_SHARE."""
     return interval_s * random.uniform(1 - JITTER_SHARE, 1 + JITTER_SHARE)
--- a/libs/distribution/auburnjunction/distribution/revisions.py
+++ b/libs/distribution/auburnjunction/distribution/revisions.py
@@ -18,7 +18,7 @@
 
 
 class RecentRevisions:
-    """The last revisions that were in force, as bases of deltas."""
+    """The latest revisions that came into force, as bases of deltas."""
 
     def __init__(self, max_revisions: int, delta_share: float):
         self._max_revisions = max_revisions
--- a/libs/distribution/auburnjunction/distribution/tests/test_histories.py
+++ b/libs/distribution/auburnjunction/distribution/tests/test_histories.py
@@ -58,7 +58,7 @@
         self.committed[commit.revision] = snapshot
 
     def check(self):
-        """Check that nodes adopt only whole commits and never go back."""
+        """Check that nodes adopt whole commits and no lower revision."""
         for member in self.fleet.members.values():
             revisions = [r.mark.revision for r in member.history]
             assert revisions == sorted(set(revisions)), (
--- a/libs/membership/auburnjunction/membership/errors.py
+++ b/libs/membership/auburnjunction/membership/errors.py
@@ -10,7 +10,7 @@
 
 
 class PeerUnreachableError(MembershipError):
-    """A peer did not respond, or its message cannot be used."""
+    """A peer gave no usable response, or its request is invalid."""
 
 
 class UnknownInstanceError(MembershipError, KeyError):
--- a/libs/membership/auburnjunction/membership/joins.py
+++ b/libs/membership/auburnjunction/membership/joins.py
@@ -179,7 +179,7 @@
             self._save_backoff.reset()
 
     async def contact_after_pause(self) -> None:
-        """Contact table and seeds after a pause without peers."""
+        """Contact table and seeds after a pause, while there are no peers."""
         if self._pause_backoff.start_if_due():
             await self.write_own_row()
             await self._contact_seeds(self._cluster.cfg.seed_addresses)
--- a/libs/membership/auburnjunction/membership/reachabilities.py
+++ b/libs/membership/auburnjunction/membership/reachabilities.py
@@ -6,7 +6,7 @@
 from auburnjunction.schema import control_pb2 as pb
 
 # Observations of link nodes are gossiped for this long.
-OBSERVATION_KEEP_S = 30.0
+OBSERVATION_RETENTION_S = 30.0
 MIN_FAILURES = 3
 
 
@@ -38,7 +38,7 @@
     @property
     def unreachable(self) -> frozenset[str]:
         """Data centres whose latest observation is a recent failure."""
-        oldest_s = self._clock.monotonic() - OBSERVATION_KEEP_S
+        oldest_s = self._clock.monotonic() - OBSERVATION_RETENTION_S
         return frozenset(
             name
             for name, observation in self._observations.items()
@@ -80,7 +80,7 @@
         """
         now_s = self._clock.monotonic()
         for name, observation in list(self._observations.items()):
-            if now_s - observation.time_s > OBSERVATION_KEEP_S:
+            if now_s - observation.time_s > OBSERVATION_RETENTION_S:
                 del self._observations[name]
         return [
             pb.Reachability(
--- a/libs/membership/auburnjunction/membership/rounds.py
+++ b/libs/membership/auburnjunction/membership/rounds.py
@@ -12,7 +12,7 @@
 from auburnjunction.membership.repairs import ViewRepair
 from auburnjunction.membership.senders import GossipSender
 
-# Every other data centre is contacted once in this many rounds.
+# Each of the other data centres is contacted once in this many rounds.
 ROUNDS_PER_CYCLE = 4
 # Probability that a round also contacts a dead peer, which may have
 # restarted.
@@ -101,7 +101,8 @@
 class CrossRounds:
     """Exchanges records with other data centres if this node is a link.
 
-    Each round contacts one node of a share of the data centres.
+    A round covers 1 / ROUNDS_PER_CYCLE of the other data centres, rounded
+    up, and contacts one random node in each.
     """
 
     def __init__(
--- a/libs/membership/auburnjunction/membership/tests/histories.py
+++ b/libs/membership/auburnjunction/membership/tests/histories.py
@@ -51,7 +51,7 @@
 def find_late_selections(
     events: list[LeaveEvent | ReadyEvent], limit_s: float = LEAVING_LIMIT_S
 ) -> list[tuple[str, str, float]]:
-    """Return (node, instance, seconds late) of those still ready late."""
+    """Return (node, instance, seconds late) of those ready after limit_s."""
     left = {e.instance: e.time_s for e in events if isinstance(e, LeaveEvent)}
     return [
         (event.node, instance, event.time_s - left[instance] - limit_s)
--- a/libs/membership/auburnjunction/membership/view_differences.py
+++ b/libs/membership/auburnjunction/membership/view_differences.py
@@ -10,9 +10,11 @@
 
 
 def compare_keys(view: View, parts, keys) -> tuple[list[Node], list[str]]:
-    """Return newer own records and nodes whose newer records to request.
+    """Return records that are newer here, and nodes that are newer there.
 
-    The keys are those of all of the peer's records in the parts.
+    The first are to be sent to the peer, the records of the second to be
+    requested from it. The keys are those of all of the peer's records in
+    the parts.
     """
     newer = []
     wanted = []
