Correct comments on pauses, connections and drains

The reworded comments said that a view is current only after an exchange, although it is so before any pause and when the node counts as isolated, and that a failed exchange always leaves data on the socket. A few others named no subject or used a word that the file does not explain.

Comments and docstrings only.

--- a/libs/base/auburnjunction/base/logs.py
+++ b/libs/base/auburnjunction/base/logs.py
@@ -69,7 +69,7 @@
         self._poll.register(descriptor, select.POLLOUT)
 
     def write(self, text: str) -> None:
-        """Write a line, or drop it if the rate or the reader requires it."""
+        """Write a line, or drop it; see the class for the conditions."""
         if not self._take_token() or not self._is_writable():
             self.dropped_lines += 1
             return
--- a/libs/http/auburnjunction/http/message_streams.py
+++ b/libs/http/auburnjunction/http/message_streams.py
@@ -20,8 +20,8 @@
 class MessageStream:
     """One end of an HTTP/1.1 connection: a socket and its h11 state.
 
-    A cancelled or failed exchange leaves part of a message on the socket,
-    so the connection must then be closed and not be reused.
+    A cancelled or failed exchange can leave part of a message on the
+    socket, so the connection must then be closed and not be reused.
     """
 
     def __init__(self, sock, role, limits: MessageLimits):
@@ -29,7 +29,7 @@
         self.limits = limits
         self._peer_closed = False
         self._is_head_request = False
-        # Number since the head of the previous request was parsed.
+        # Bytes received since the head of the last request was parsed.
         self._received_bytes = 0
         self._conn = h11.Connection(
             role, max_incomplete_event_size=limits.head_bytes
--- a/libs/node/auburnjunction/node/checks.py
+++ b/libs/node/auburnjunction/node/checks.py
@@ -41,7 +41,7 @@
 async def check_platform(cfg: NodeSettings, clock: Clock) -> None:
     """Read from the table and the object store.
 
-    Raise PlatformSettingsError if one of them does not answer.
+    Raise PlatformSettingsError if one of the reads fails.
     """
     platform = connect_platform(cfg, clock)
     try:
--- a/libs/node/auburnjunction/node/instances.py
+++ b/libs/node/auburnjunction/node/instances.py
@@ -94,7 +94,7 @@
 
 
 def _is_renewal(previous: Announcement, later: Announcement) -> bool:
-    """Return whether both differ only in sequence and cold_s at most."""
+    """Return whether nothing but sequence and cold_s differs."""
     return previous == attrs.evolve(
         later, sequence=previous.sequence, cold_s=previous.cold_s
     )
--- a/libs/node/auburnjunction/node/readiness_gates.py
+++ b/libs/node/auburnjunction/node/readiness_gates.py
@@ -14,7 +14,11 @@
 
     @property
     def is_current(self) -> bool:
-        """Whether an exchange has succeeded since the last pause."""
+        """Whether membership is current; False after a pause.
+
+        It is True again after a successful exchange that began after the
+        pause, or once the node counts as isolated.
+        """
 
     @property
     def pause_count(self) -> int:
@@ -36,8 +40,9 @@
 class ReadinessGate:
     """Decides whether the node may take calls now.
 
-    After a pause of the process, the node takes no calls until an exchange
-    with a peer has succeeded and the revision seen in it is in force.
+    After a pause of the process, the node takes no calls until its
+    membership is current again and the revision seen in the first exchange
+    with a peer is in force.
     """
 
     def __init__(
--- a/libs/node/auburnjunction/node/tests/test_nodes.py
+++ b/libs/node/auburnjunction/node/tests/test_nodes.py
@@ -132,7 +132,10 @@
 
 
 def test_draining_node_finishes_calls_and_refuses_new_ones():
-    """Calls in flight from local callers must not delay the refusals."""
+    """A local caller's call in flight must not hold off the refusals.
+
+    Its backend server must not stay open to calls of other nodes meanwhile.
+    """
 
     async def main():
         started, finish = curio.Event(), curio.Event()
--- a/libs/storage/auburnjunction/storage/clients.py
+++ b/libs/storage/auburnjunction/storage/clients.py
@@ -39,7 +39,7 @@
 
 
 class PlatformClient:
-    """Sends requests to the platform and raises the errors of the ports."""
+    """Sends requests to the platform and raises errors as Table does."""
 
     def __init__(self, address: Address, clock: Clock, pools: PoolRegistry):
         self._clock = clock
