Restore stand-in response bodies and correct comments

The rewording had changed texts that the stand-ins send as response bodies, and some comments did not match the code.

- Response bodies of the backend server, platform and forwarder stand-ins are again as they were before the rewording.
No test matched the changed texts.
- A backend server that stops announces leaving before it refuses requests; the docstrings of leaving said that it refuses them.
- load_lag_s is the maximum age of the reported load, not an interval.
- The exit code for an unavailable platform is also that of a node that cannot be reached, so the comment on FINAL_EXIT_CODES names both.

--- a/libs/standins/auburnjunction/standins/announcers.py
+++ b/libs/standins/auburnjunction/standins/announcers.py
@@ -29,7 +29,7 @@
 
     @property
     def leaving(self) -> bool:
-        """Whether it refuses new requests."""
+        """Whether to announce leaving, as it will take no new requests."""
 
     @property
     def reported_load_percent(self) -> int:
--- a/libs/standins/auburnjunction/standins/backend_servers.py
+++ b/libs/standins/auburnjunction/standins/backend_servers.py
@@ -88,7 +88,7 @@
 
     @property
     def leaving(self) -> bool:
-        """Whether it refuses new requests and announces leaving."""
+        """Whether it announces leaving, as it will take no new requests."""
         return self.stopping or self.faults.drain
 
     @property
@@ -158,9 +158,7 @@
             after = int(query.get("after", 0))
             limit = int(query.get("limit", DEFAULT_PAGE_SIZE))
         except ValueError:
-            return make_text_response(
-                400, "after and limit must be whole numbers"
-            )
+            return make_text_response(400, "after and limit are numbers")
         return make_json_response(self._executions.read_page(after, limit))
 
     def _report_health(self) -> HttpResponse:
@@ -181,11 +179,7 @@
         end_s = self._compute_end_s(request)
         if not await self._acquire_slot(end_s):
             self._shed += 1
-            return make_text_response(
-                503,
-                "no slot became free before the deadline",
-                list(SHED_HEADERS),
-            )
+            return make_text_response(503, "too late", list(SHED_HEADERS))
         try:
             return await self._run(request, conn, end_s)
         finally:
@@ -253,9 +247,7 @@
         except curio.TaskTimeout:
             execution.late = True
             self._end_execution(execution, ExecutionState.CANCELLED)
-            return make_text_response(
-                504, "the deadline passed while the request ran"
-            )
+            return make_text_response(504, "the deadline passed")
         except curio.CancelledError:
             self._end_execution(execution, ExecutionState.CANCELLED)
             raise
@@ -269,7 +261,7 @@
     ) -> HttpResponse:
         if self._injector.draw_fault(self.faults.error_share):
             self._end_execution(execution, ExecutionState.FAILED)
-            return make_text_response(500, "injected fault: error_share")
+            return make_text_response(500, "failed as asked")
         self._end_execution(execution, ExecutionState.FINISHED)
         if conn is not None and self._injector.draw_fault(
             self.faults.truncate_share
--- a/libs/standins/auburnjunction/standins/faults.py
+++ b/libs/standins/auburnjunction/standins/faults.py
@@ -73,7 +73,7 @@
     # Load in percent that is reported by GET /load and announcements;
     # -1 reports the actual load.
     load_percent: int = attrs.field(default=-1, validator=check_range(-1, 100))
-    # Interval at which the reported load is updated.
+    # Maximum age of the reported load; an older one is updated when read.
     load_lag_s: float = attrs.field(default=0.0, validator=check_range(0, 600))
     seed: int = 1
 
--- a/libs/standins/auburnjunction/standins/forwarders.py
+++ b/libs/standins/auburnjunction/standins/forwarders.py
@@ -183,9 +183,7 @@
         if request.path == "/stats":
             return make_json_response(self.stats)
         if request.path != "/faults":
-            return make_text_response(
-                404, f"no such path: {request.path}; use /faults or /stats"
-            )
+            return make_text_response(404, "use /faults or /stats")
         if request.method == b"POST":
             faults = parse_body(request, ForwarderFaults)
             if isinstance(faults, HttpResponse):
--- a/libs/standins/auburnjunction/standins/platforms.py
+++ b/libs/standins/auburnjunction/standins/platforms.py
@@ -182,9 +182,7 @@
         if digest is None:
             return _make_refusal(404, f"no such path: {path}")
         if digest_content(request.body) != digest:
-            return _make_refusal(
-                400, "digest in the path does not match the content"
-            )
+            return _make_refusal(400, "the digest is not that of the content")
         await self._objects.put(digest, request.body, MEMORY_TIMEOUT_S)
         return make_text_response(200, "stored")
 
@@ -192,9 +190,7 @@
         key = unquote(request.path.removeprefix(f"{ROWS_PATH}/"))
         version = request.header(IF_VERSION_HEADER) or b""
         if not version.isdigit():
-            return _make_refusal(
-                400, "header if-version must be a whole number"
-            )
+            return _make_refusal(400, "if-version is not a whole number")
         try:
             row = await self._table.put_if(
                 key, request.body, int(version), MEMORY_TIMEOUT_S
--- a/libs/standins/auburnjunction/standins/soaks.py
+++ b/libs/standins/auburnjunction/standins/soaks.py
@@ -29,8 +29,8 @@
 # every node.
 RECOVERY_LIMIT_S = 30.0
 # Exit codes of auburnctl after which a change is not tried on another node:
-# it is committed, conflicts with another change, was refused by the platform,
-# or its outcome is unknown.
+# it is committed or conflicts with another change, the platform or the node
+# is unavailable, or the outcome is unknown.
 FINAL_EXIT_CODES = (
     ExitCode.OK,
     ExitCode.CONFLICT,
