--- a/libs/traffic/auburnjunction/traffic/owners.py
+++ b/libs/traffic/auburnjunction/traffic/owners.py
@@ -114,7 +114,7 @@
         """Refuse calls that may still run at this monotonic time.
 
         The node shuts down then. Until it drains, its backend servers
-        still serve the calls that will most likely have ended.
+        still serve calls that will most likely end before it.
         """
         self._shutdown_s = shutdown_s
         for owner in self._owners.values():
