Log departures that are not kept and calls that start after the drain limit

Cause: nothing told the hypotheses of the late departures apart. An acknowledged departure left no trace of whether the instance was known or the departure saved, and a call that was sent to a departing backend server looked like any other.

Change: a line for a departure of an unknown instance and for one that the table had not confirmed at its acknowledgement; a line and auburn_owner_late_starts_total for a call that is sent after the drain start limit. No decision changes.

--- a/libs/membership/auburnjunction/membership/memberships.py
+++ b/libs/membership/auburnjunction/membership/memberships.py
@@ -113,6 +113,11 @@
         """Renew the lease of a backend server of this host."""
         return self._locals.announce(announcement)
 
+    @property
+    def are_departures_saved(self) -> bool:
+        """Whether the table holds every departure."""
+        return self._cluster.departures.is_saved
+
     async def save_departures(self) -> None:
         """Write departures that are not saved yet to the table.
 
--- a/libs/node/auburnjunction/node/instances.py
+++ b/libs/node/auburnjunction/node/instances.py
@@ -1,6 +1,7 @@
 """Registry of the backend servers that announce themselves to this node."""
 
 import attrs
+from absl import logging
 
 from auburnjunction.base.logs import log_event
 from auburnjunction.base.settings import parse_settings
@@ -53,12 +54,20 @@
         Must be awaited before a departure is acknowledged.
         """
         await self._membership.save_departures()
+        if not self._membership.are_departures_saved:
+            log_event("departure not saved in the table", logging.WARNING)
 
     def deregister(self, instance: str) -> None:
         """Mark a backend server as gone if it has announced itself."""
         previous = self._announced.get(instance)
-        if previous is not None:
-            self.announce(attrs.evolve(previous, state="gone"))
+        if previous is None:
+            log_event(
+                "departure of a backend server without an announcement",
+                logging.WARNING,
+                instance=instance,
+            )
+            return
+        self.announce(attrs.evolve(previous, state="gone"))
 
     def update_owners(self) -> None:
         """Apply published states that have changed to the owners."""
--- a/libs/traffic/auburnjunction/traffic/backends.py
+++ b/libs/traffic/auburnjunction/traffic/backends.py
@@ -1,5 +1,7 @@
 """HTTP exchanges between an owner node and its backend server."""
 
+from collections.abc import Callable
+
 from auburnjunction.base.clocks import Clock
 from auburnjunction.base.errors import ErrorCode
 from auburnjunction.http.clients import Address, ConnectionPool
@@ -29,6 +31,12 @@
 FIRST_REDIRECT = 300
 PROTOCOL = ErrorCode.PROTOCOL
 
+StartObserver = Callable[[], None]
+
+
+def ignore_start() -> None:
+    """Do nothing when a call is about to be sent."""
+
 
 class ShedError(NotRunError):
     """The backend server shed the call without running any of it."""
@@ -86,10 +94,16 @@
         """Whether a call timed out and no probe has been answered since."""
         return self._suspect
 
-    async def send(self, call: Call, timeout_s: float) -> HttpResponse:
+    async def send(
+        self,
+        call: Call,
+        timeout_s: float,
+        on_start: StartObserver = ignore_start,
+    ) -> HttpResponse:
         """Return the backend server's complete response.
 
-        Raise NotRunError or UnknownRunError.
+        on_start is called when a connection is there, just before the
+        request is written. Raise NotRunError or UnknownRunError.
         """
         now_s = self._clock.monotonic()
         await self._require_responsive()
@@ -103,7 +117,7 @@
         if timeout_s <= 0:
             raise NotRunError("the deadline has passed", ErrorCode.TIMEOUT)
         request = self._make_request(call, now_s)
-        response = await self._exchange(call, request, timeout_s)
+        response = await self._exchange(call, request, timeout_s, on_start)
         check_response(response, self._names)
         response.headers = strip_headers(response.headers)
         return response
@@ -163,15 +177,21 @@
             )
 
     async def _exchange(
-        self, call: Call, request: HttpRequest, timeout_s: float
+        self,
+        call: Call,
+        request: HttpRequest,
+        timeout_s: float,
+        on_start: StartObserver,
     ) -> HttpResponse:
+        max_idle_s = self._find_idle_limit(call)
         try:
-            return await self._pool.exchange(
-                request,
-                timeout_s,
-                self._find_idle_limit(call),
-                lambda response: matches_call(response, call, self._names),
-            )
+            async with self._pool.lease(max_idle_s, timeout_s) as conn:
+                on_start()
+                return await conn.exchange(
+                    request,
+                    timeout_s,
+                    lambda response: matches_call(response, call, self._names),
+                )
         except ConnectError as exc:
             await self._pool.close()
             self._refuse_until_s = (
--- a/libs/traffic/auburnjunction/traffic/instances.py
+++ b/libs/traffic/auburnjunction/traffic/instances.py
@@ -1,6 +1,11 @@
 """Owner of one backend server; all calls to it pass through its owner."""
 
+from functools import partial
+
+from absl import logging
+
 from auburnjunction.base.clocks import Clock
+from auburnjunction.base.logs import log_event
 from auburnjunction.http.clients import Address
 from auburnjunction.http.messages import HttpResponse
 from auburnjunction.model.services import Service
@@ -175,7 +180,9 @@
         start_s = self._clock.monotonic()
         timeout_s = self.service.attempt_timeout_ms / 1000
         try:
-            response = await self._backend.send(call, timeout_s)
+            response = await self._backend.send(
+                call, timeout_s, partial(self._observe_start, call)
+            )
         except ShedError:
             # Shedding below the slot limit is not caused by load.
             if self.running >= self.limit:
@@ -190,6 +197,18 @@
         self._record_duration(call, start_s)
         return response
 
+    def _observe_start(self, call: Call) -> None:
+        """Log a call that is sent later than draining allows."""
+        if self._admission.may_start:
+            return
+        self._metrics.count_late_start(call)
+        log_event(
+            "call sent after the drain start limit",
+            logging.WARNING,
+            request_id=call.request_id,
+            instance=self.instance,
+        )
+
     def _record_duration(self, call: Call, start_s: float) -> None:
         duration_s = self._clock.monotonic() - start_s
         self._limit.add_sample(call.route, duration_s, self.running)
--- a/libs/traffic/auburnjunction/traffic/meters.py
+++ b/libs/traffic/auburnjunction/traffic/meters.py
@@ -21,12 +21,17 @@
         self._owners: Iterable = ()
         self.calls: Counter = Counter()
         self.claims: Counter = Counter()
+        self.late_starts: Counter = Counter()
         self._calls = registry.make_counter(
             "auburn_owner_calls_total", "Calls by outcome at this owner"
         )
         self._claims = registry.make_counter(
             "auburn_owner_claims_total", "Claims by outcome at this owner"
         )
+        self._late_starts = registry.make_counter(
+            "auburn_owner_late_starts_total",
+            "Calls with a slot, ready to be sent after the drain start limit",
+        )
         self._running = registry.make_gauge(
             "auburn_owner_running", "Calls that hold a slot"
         )
@@ -51,6 +56,10 @@
         key = (call.service, call.priority, error.outcome, error.code.value)
         self.calls[key] += 1
 
+    def count_late_start(self, call: Call) -> None:
+        """Count a call that is ready to be sent too late for draining."""
+        self.late_starts[call.service] += 1
+
     def _collect(self) -> None:
         for (service, priority, outcome, code), count in self.calls.items():
             labels = {
@@ -62,6 +71,8 @@
             self._calls.set(labels, count)
         for outcome, count in self.claims.items():
             self._claims.set({"outcome": outcome}, count)
+        for service, count in self.late_starts.items():
+            self._late_starts.set({"service": service}, count)
         for owner in self._owners:
             labels = {
                 "service": owner.service.name,
--- a/libs/traffic/auburnjunction/traffic/slots.py
+++ b/libs/traffic/auburnjunction/traffic/slots.py
@@ -55,6 +55,14 @@
         """Whether new calls are refused."""
         return self._draining_since_s is not None
 
+    @property
+    def may_start(self) -> bool:
+        """Whether a call that holds a slot may still be sent.
+
+        Once draining has begun, it may within the drain start limit.
+        """
+        return not self._is_past_drain_start_limit()
+
     def set_queue_limit(self, queue_limit: int) -> None:
         """Change the queue limit; calls already waiting are kept."""
         self._queue.set_limit(queue_limit)
