--- /dev/null
+++ b/libs/traffic/auburnjunction/traffic/tests/test_departures.py
@@ -0,0 +1,89 @@
+"""Calls at backend servers that begin to leave."""
+
+from contextlib import asynccontextmanager
+
+import curio
+import pytest
+
+from auburnjunction.base.errors import ErrorCode
+from auburnjunction.http.messages import HttpResponse
+from auburnjunction.model.priorities import ClaimMode
+from auburnjunction.model.services import DEFAULT_HEALTH_PATH, Service
+from auburnjunction.storage.fakes import MemoryTable
+from auburnjunction.traffic.admissions import AdmissionSettings
+from auburnjunction.traffic.tests.claim_support import make_store
+from auburnjunction.traffic.tests.owner_support import (
+    make_call,
+    make_owner,
+    open_backend,
+    try_call,
+    wait_until,
+)
+
+CFG = AdmissionSettings(drain_start_limit_s=0.05)
+DELAY_S = 0.15
+
+
+class DelayedTable(MemoryTable):
+    """Table that answers each write after a delay."""
+
+    async def put_if(self, key, value, expected_version, timeout_s):
+        await curio.sleep(DELAY_S)
+        return await super().put_if(key, value, expected_version, timeout_s)
+
+
+@asynccontextmanager
+async def open_slow_probe():
+    """Yield an owner whose next call waits for a probe, and its server."""
+    async with open_backend() as backend:
+        backend.gate.clear()
+        service = Service("orders", attempt_timeout_ms=30)
+        owner = make_owner(backend.port, cfg=CFG, service=service)
+        await try_call(owner, make_call("times out"))
+        await wait_until(lambda: not owner.running)
+        backend.executed.clear()
+        await backend.gate.set()
+
+        async def respond(request):
+            if request.target == DEFAULT_HEALTH_PATH.encode():
+                await curio.sleep(DELAY_S)
+                return HttpResponse(200)
+            return await backend.handle(request)
+
+        backend.respond = respond
+        yield owner, backend, make_call("late")
+
+
+@asynccontextmanager
+async def open_slow_claim():
+    """Yield an owner whose calls wait for a claim, and its server."""
+    async with open_backend() as backend:
+        store = make_store(DelayedTable())
+        owner = make_owner(backend.port, cfg=CFG, claims=store)
+        call = make_call(
+            "late", repeatable=False, claims=ClaimMode.REQUIRED, key="key-1"
+        )
+        yield owner, backend, call
+
+
+# Guards against calls that get a slot in time and reach a backend server
+# after the drain start limit.
+@pytest.mark.parametrize("open_delayed", [open_slow_probe, open_slow_claim])
+@pytest.mark.parametrize(
+    ("draining", "executed"), [(False, ["late"]), (True, [])]
+)
+def test_no_call_is_sent_after_the_drain_start_limit(
+    open_delayed, draining, executed
+):
+    async def main():
+        async with open_delayed() as (owner, backend, call):
+            task = await curio.spawn(try_call, owner, call)
+            await wait_until(lambda: owner.running)
+            if draining:
+                owner.start_draining()
+            result = await task.join()
+            if draining:
+                assert result.code is ErrorCode.DRAINING
+            assert backend.executed == executed
+
+    curio.run(main)
