Check the drain start limit when a call is sent, not when it gets a slot

What callers saw: calls at a backend server later than the time within which it may still get work.

Cause: permission and act were apart. A call was checked against the limit when it got its slot; after that it could wait for a probe (0.5 s), a connection (0.5 s) and a claim (1 s) before it was written.

Why this works: the check runs once a connection is leased, with no further wait before the request is written. Nothing has been sent by then, so that the refusal as not run is true; a claim is released.

--- a/libs/traffic/auburnjunction/traffic/backends.py
+++ b/libs/traffic/auburnjunction/traffic/backends.py
@@ -31,11 +31,11 @@
 FIRST_REDIRECT = 300
 PROTOCOL = ErrorCode.PROTOCOL
 
-StartObserver = Callable[[], None]
+StartCheck = Callable[[], None]
 
 
-def ignore_start() -> None:
-    """Do nothing when a call is about to be sent."""
+def allow_start() -> None:
+    """Let every call be sent."""
 
 
 class ShedError(NotRunError):
@@ -98,12 +98,13 @@
         self,
         call: Call,
         timeout_s: float,
-        on_start: StartObserver = ignore_start,
+        check_start: StartCheck = allow_start,
     ) -> HttpResponse:
         """Return the backend server's complete response.
 
-        on_start is called when a connection is there, just before the
-        request is written. Raise NotRunError or UnknownRunError.
+        check_start is called once a connection is available, just before
+        the request is written, and may raise NotRunError. Raise NotRunError
+        or UnknownRunError.
         """
         now_s = self._clock.monotonic()
         await self._require_responsive()
@@ -117,7 +118,7 @@
         if timeout_s <= 0:
             raise NotRunError("the deadline has passed", ErrorCode.TIMEOUT)
         request = self._make_request(call, now_s)
-        response = await self._exchange(call, request, timeout_s, on_start)
+        response = await self._exchange(call, request, timeout_s, check_start)
         check_response(response, self._names)
         response.headers = strip_headers(response.headers)
         return response
@@ -181,12 +182,12 @@
         call: Call,
         request: HttpRequest,
         timeout_s: float,
-        on_start: StartObserver,
+        check_start: StartCheck,
     ) -> HttpResponse:
         max_idle_s = self._find_idle_limit(call)
         try:
             async with self._pool.lease(max_idle_s, timeout_s) as conn:
-                on_start()
+                check_start()
                 return await conn.exchange(
                     request,
                     timeout_s,
--- a/libs/traffic/auburnjunction/traffic/instances.py
+++ b/libs/traffic/auburnjunction/traffic/instances.py
@@ -2,10 +2,7 @@
 
 from functools import partial
 
-from absl import logging
-
 from auburnjunction.base.clocks import Clock
-from auburnjunction.base.logs import log_event
 from auburnjunction.http.clients import Address
 from auburnjunction.http.messages import HttpResponse
 from auburnjunction.model.services import Service
@@ -181,7 +178,7 @@
         timeout_s = self.service.attempt_timeout_ms / 1000
         try:
             response = await self._backend.send(
-                call, timeout_s, partial(self._observe_start, call)
+                call, timeout_s, partial(self._check_start, call)
             )
         except ShedError:
             # Shedding below the slot limit is not caused by load.
@@ -197,17 +194,13 @@
         self._record_duration(call, start_s)
         return response
 
-    def _observe_start(self, call: Call) -> None:
-        """Log a call that is sent later than draining allows."""
-        if self._admission.may_start:
-            return
-        self._metrics.count_late_start(call)
-        log_event(
-            "call sent after the drain start limit",
-            logging.WARNING,
-            request_id=call.request_id,
-            instance=self.instance,
-        )
+    def _check_start(self, call: Call) -> None:
+        """Raise NotRunError if it is too late to send the call."""
+        try:
+            self._admission.check_start()
+        except NotRunError:
+            self._metrics.count_late_start(call)
+            raise
 
     def _record_duration(self, call: Call, start_s: float) -> None:
         duration_s = self._clock.monotonic() - start_s
--- a/libs/traffic/auburnjunction/traffic/meters.py
+++ b/libs/traffic/auburnjunction/traffic/meters.py
@@ -30,7 +30,7 @@
         )
         self._late_starts = registry.make_counter(
             "auburn_owner_late_starts_total",
-            "Calls with a slot, ready to be sent after the drain start limit",
+            "Calls with a slot, refused after the drain start limit",
         )
         self._running = registry.make_gauge(
             "auburn_owner_running", "Calls that hold a slot"
@@ -57,7 +57,7 @@
         self.calls[key] += 1
 
     def count_late_start(self, call: Call) -> None:
-        """Count a call that is ready to be sent too late for draining."""
+        """Count a call with a slot that is refused as too late."""
         self.late_starts[call.service] += 1
 
     def _collect(self) -> None:
--- a/libs/traffic/auburnjunction/traffic/slots.py
+++ b/libs/traffic/auburnjunction/traffic/slots.py
@@ -55,13 +55,13 @@
         """Whether new calls are refused."""
         return self._draining_since_s is not None
 
-    @property
-    def may_start(self) -> bool:
-        """Whether a call that holds a slot may still be sent.
+    def check_start(self) -> None:
+        """Raise NotRunError if a call with a slot may not be sent any more.
 
         Once draining has begun, it may within the drain start limit.
         """
-        return not self._is_past_drain_start_limit()
+        if self._is_past_drain_start_limit():
+            raise NotRunError(*_DRAINING)
 
     def set_queue_limit(self, queue_limit: int) -> None:
         """Change the queue limit; calls already waiting are kept."""
