Keep a departure that is told to a node without an announcement

What callers saw: calls at a backend server that had said it was leaving.

Cause: acknowledged, not kept. deregister bears no time of birth, and a node that had not heard of the instance, after a restart or after its lease had expired, answered 200 and forgot it. A heartbeat sent before it that arrived later made the instance ready again, for as long as its lease ran.

Why this works: such a departure goes into the log, and with it into the node's row, as that of all incarnations born by now. A departure now covers the earlier incarnations too, so that a later start under the same name is told from a late heartbeat.

--- a/libs/membership/auburnjunction/membership/departures.py
+++ b/libs/membership/auburnjunction/membership/departures.py
@@ -12,10 +12,10 @@
 
 @attrs.frozen(slots=True)
 class Departure:
-    """One incarnation of a backend server that has announced leaving."""
+    """Departure of the incarnations of a backend server up to one."""
 
     instance: str
-    # Start of that incarnation in milliseconds since the epoch.
+    # Start of the last of them in milliseconds since the epoch.
     born_ms: int
 
 
@@ -27,12 +27,19 @@
     """
 
     def __init__(self):
-        self._departures: OrderedDict[Departure, None] = OrderedDict()
+        self._born_ms: OrderedDict[str, int] = OrderedDict()
         self._changes = 0
         self._saved_changes = 0
 
     def __contains__(self, departure: Departure) -> bool:
-        return departure in self._departures
+        """Return whether an incarnation has departed.
+
+        One without born_ms never has: it cannot be told from a new one of
+        the same backend server.
+        """
+        return (
+            0 < departure.born_ms <= self._born_ms.get(departure.instance, 0)
+        )
 
     @property
     def is_saved(self) -> bool:
@@ -46,15 +53,11 @@
 
     def list_all(self) -> list[Departure]:
         """Return the departures, the earliest first."""
-        return list(self._departures)
+        return [Departure(*item) for item in self._born_ms.items()]
 
     def add(self, departure: Departure) -> None:
-        """Add a departure; ignore one without born_ms.
-
-        Without it, a departed incarnation cannot be told from a new one
-        of the same backend server.
-        """
-        if not departure.born_ms or departure in self._departures:
+        """Add a departure; ignore one without born_ms."""
+        if not departure.born_ms or departure in self:
             return
         self._insert(departure)
         self._changes += 1
@@ -64,10 +67,9 @@
 
         They count as earlier than all added since, also above the limit.
         """
-        added = self._departures
-        self._departures = OrderedDict.fromkeys(departures)
-        for departure in added:
-            self._departures.pop(departure, None)
+        added = self.list_all()
+        self._born_ms.clear()
+        for departure in [*departures, *added]:
             self._insert(departure)
 
     def mark_saved(self, change_count: int) -> None:
@@ -75,6 +77,7 @@
         self._saved_changes = max(self._saved_changes, change_count)
 
     def _insert(self, departure: Departure) -> None:
-        self._departures[departure] = None
-        while len(self._departures) > MAX_DEPARTURES:
-            self._departures.popitem(last=False)
+        earlier_ms = self._born_ms.pop(departure.instance, 0)
+        self._born_ms[departure.instance] = max(earlier_ms, departure.born_ms)
+        while len(self._born_ms) > MAX_DEPARTURES:
+            self._born_ms.popitem(last=False)
--- a/libs/membership/auburnjunction/membership/memberships.py
+++ b/libs/membership/auburnjunction/membership/memberships.py
@@ -14,6 +14,7 @@
 from auburnjunction.http.messages import HttpRequest, HttpResponse
 from auburnjunction.membership.announcements import Announcement
 from auburnjunction.membership.cluster_states import ClusterState, Listener
+from auburnjunction.membership.departures import Departure
 from auburnjunction.membership.errors import PeerUnreachableError
 from auburnjunction.membership.exchanges import make_response
 from auburnjunction.membership.instances import LocalInstances
@@ -37,6 +38,8 @@
 from auburnjunction.model.snapshots import RevisionMark
 from auburnjunction.storage.tables import Table
 
+MILLISECONDS_PER_SECOND = 1000
+
 
 class Membership:
     """Maintains the view of all nodes and gossips this node's record."""
@@ -113,6 +116,15 @@
         """Renew the lease of a backend server of this host."""
         return self._locals.announce(announcement)
 
+    def log_departure(self, instance: str) -> None:
+        """Log the departure of a backend server without a lease here.
+
+        Nothing tells when it was born; every incarnation has departed that
+        was born by now.
+        """
+        born_ms = int(self._clock.now().timestamp() * MILLISECONDS_PER_SECOND)
+        self._cluster.departures.add(Departure(instance, born_ms))
+
     @property
     def are_departures_saved(self) -> bool:
         """Whether the table holds every departure."""
--- a/libs/membership/auburnjunction/membership/tests/test_departures.py
+++ b/libs/membership/auburnjunction/membership/tests/test_departures.py
@@ -130,3 +130,30 @@
     assert new in log
     assert len(log.list_all()) == MAX_DEPARTURES
     assert Departure("a-0", BORN_MS) not in log
+
+
+@pytest.mark.parametrize(
+    ("born_ms", "has_departed"),
+    [
+        (BORN_MS, True),
+        # An earlier incarnation, whose announcement was delayed for longer.
+        (BORN_MS - 1, True),
+        (BORN_MS + 1, False),
+        (0, False),
+    ],
+)
+@pytest.mark.parametrize("is_restored", [True, False])
+def test_departure_covers_the_earlier_incarnations(
+    born_ms, has_departed, is_restored
+):
+    log = DepartureLog()
+    earlier = Departure("a-1", BORN_MS - 5)
+    departure = Departure("a-1", BORN_MS)
+    if is_restored:
+        log.add(departure)
+        log.restore([earlier])
+    else:
+        log.add(earlier)
+        log.add(departure)
+    assert (Departure("a-1", born_ms) in log) is has_departed
+    assert log.list_all() == [departure]
--- a/libs/node/auburnjunction/node/instances.py
+++ b/libs/node/auburnjunction/node/instances.py
@@ -58,7 +58,11 @@
             log_event("departure not saved in the table", logging.WARNING)
 
     def deregister(self, instance: str) -> None:
-        """Mark a backend server as gone if it has announced itself."""
+        """Mark a backend server as gone.
+
+        One that has not announced itself to this process is gone as well:
+        an announcement from before may arrive later.
+        """
         previous = self._announced.get(instance)
         if previous is None:
             log_event(
@@ -66,6 +70,7 @@
                 logging.WARNING,
                 instance=instance,
             )
+            self._membership.log_departure(instance)
             return
         self.announce(attrs.evolve(previous, state="gone"))
 
