Work out the deadline of a call when it is sent

What callers saw: nothing yet; found while looking for the cause of the late departures elsewhere. A backend server could work on a call for up to a second after its caller had given up.

Why this works: the request is built once the connection is leased, and a call whose deadline has passed by then is refused as not run.

--- a/libs/traffic/auburnjunction/traffic/backends.py
+++ b/libs/traffic/auburnjunction/traffic/backends.py
@@ -106,19 +106,17 @@
         the request is written, and may raise NotRunError. Raise NotRunError
         or UnknownRunError.
         """
-        now_s = self._clock.monotonic()
         await self._require_responsive()
+        now_s = self._clock.monotonic()
         if now_s < self._refuse_until_s:
             raise NotRunError(
                 "no connection to the backend server within the last "
                 f"{self._cfg.reconnect_delay_s} s"
             )
+        end_s = now_s + timeout_s
         if self._cfg.deadline_checks:
-            timeout_s = min(timeout_s, call.deadline_s - now_s)
-        if timeout_s <= 0:
-            raise NotRunError("the deadline has passed", ErrorCode.TIMEOUT)
-        request = self._make_request(call, now_s)
-        response = await self._exchange(call, request, timeout_s, check_start)
+            end_s = min(end_s, call.deadline_s)
+        response = await self._exchange(call, end_s, check_start)
         check_response(response, self._names)
         response.headers = strip_headers(response.headers)
         return response
@@ -180,17 +178,19 @@
     async def _exchange(
         self,
         call: Call,
-        request: HttpRequest,
-        timeout_s: float,
+        end_s: float,
         check_start: StartCheck,
     ) -> HttpResponse:
         max_idle_s = self._find_idle_limit(call)
+        limit_s = self._find_remaining(end_s)
         try:
-            async with self._pool.lease(max_idle_s, timeout_s) as conn:
+            async with self._pool.lease(max_idle_s, limit_s) as conn:
                 check_start()
+                # The wait for the connection has shortened the deadline.
+                limit_s = self._find_remaining(end_s)
                 return await conn.exchange(
-                    request,
-                    timeout_s,
+                    self._make_request(call, self._clock.monotonic()),
+                    limit_s,
                     lambda response: matches_call(response, call, self._names),
                 )
         except ConnectError as exc:
@@ -208,6 +208,13 @@
         except HttpError as exc:
             raise UnknownRunError(exc.message, exc.code) from exc
 
+    def _find_remaining(self, end_s: float) -> float:
+        """Return the time until then; raise NotRunError if it has passed."""
+        remaining_s = end_s - self._clock.monotonic()
+        if remaining_s <= 0:
+            raise NotRunError("the deadline has passed", ErrorCode.TIMEOUT)
+        return remaining_s
+
     def _find_idle_limit(self, call: Call) -> float:
         if call.repeatable:
             return self._cfg.idle_limit_s
--- a/libs/traffic/auburnjunction/traffic/call_forwarders.py
+++ b/libs/traffic/auburnjunction/traffic/call_forwarders.py
@@ -120,11 +120,17 @@
         if timeout_s <= 0:
             raise NotRunError("the deadline has passed", ErrorCode.TIMEOUT)
         pool = self._pools.get(Address(instance.host, instance.peer_port))
-        request = self._make_request(call, instance.instance, now_s)
         max_idle_s = None if call.repeatable else self._non_repeatable_idle_s
         try:
             async with pool.lease(max_idle_s, timeout_s) as conn:
-                remaining_s = call.deadline_s - self._clock.monotonic()
+                now_s = self._clock.monotonic()
+                remaining_s = call.deadline_s - now_s
+                if remaining_s <= 0:
+                    raise NotRunError(
+                        "the deadline passed before there was a connection",
+                        ErrorCode.TIMEOUT,
+                    )
+                request = self._make_request(call, instance.instance, now_s)
                 response = await _exchange(conn, request, remaining_s)
                 response.headers = unpack_headers(response.headers)
                 if not _is_answer_to(response, call):
--- a/libs/traffic/auburnjunction/traffic/tests/test_departures.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_delayed_starts.py
@@ -1,4 +1,4 @@
-"""Calls at backend servers that begin to leave."""
+"""Calls that wait for a probe, a claim or a connection before they start."""
 
 from contextlib import asynccontextmanager
 
@@ -6,13 +6,25 @@
 import pytest
 
 from auburnjunction.base.errors import ErrorCode
+from auburnjunction.http.clients import PoolRegistry
 from auburnjunction.http.messages import HttpResponse
+from auburnjunction.http.servers import open_server
 from auburnjunction.model.priorities import ClaimMode
-from auburnjunction.model.services import DEFAULT_HEALTH_PATH, Service
+from auburnjunction.model.services import (
+    DEFAULT_HEALTH_PATH,
+    Instance,
+    InstanceState,
+    Service,
+)
 from auburnjunction.storage.fakes import MemoryTable
 from auburnjunction.traffic.admissions import AdmissionSettings
+from auburnjunction.traffic.call_forwarders import PeerRunner
+from auburnjunction.traffic.headers import OUTCOME_HEADER, parse_call
+from auburnjunction.traffic.routing_settings import RoutingSettings
 from auburnjunction.traffic.tests.claim_support import make_store
 from auburnjunction.traffic.tests.owner_support import (
+    CLOCK,
+    HOST,
     make_call,
     make_owner,
     open_backend,
@@ -87,3 +99,57 @@
             assert backend.executed == executed
 
     curio.run(main)
+
+
+# Guards against a backend server that is handed more time than is left.
+def test_wait_for_a_probe_shortens_the_deadline_of_a_call():
+    async def main():
+        async with open_slow_probe() as (owner, backend, call):
+            remaining_s = call.deadline_s - CLOCK.monotonic()
+            await owner.run_call(call)
+            handed_ms = int(backend.requests[-1].header(b"auburn-deadline-ms"))
+            assert handed_ms <= (remaining_s - DELAY_S) * 1000
+
+    curio.run(main)
+
+
+# Guards against an owner node that is handed more time than is left.
+def test_wait_for_a_connection_shortens_the_deadline_of_a_forwarded_call():
+    handed_s = []
+
+    async def handle(request):
+        now_s = CLOCK.monotonic()
+        handed_s.append(parse_call(request, now_s)[0].deadline_s)
+        await curio.sleep(DELAY_S)
+        headers = [
+            (OUTCOME_HEADER, b"ok"),
+            (b"auburn-request-id", b"call-1"),
+        ]
+        return HttpResponse(200, headers)
+
+    async def main():
+        async with open_server(HOST, 0, handle, CLOCK) as server:
+            pools = PoolRegistry(CLOCK, max_connections=1)
+            runner = PeerRunner([], pools, CLOCK, RoutingSettings())
+            instance = Instance(
+                "orders-1",
+                "orders",
+                InstanceState.READY,
+                6,
+                0,
+                "n1",
+                "helsinki",
+                HOST,
+                server.port,
+            )
+            call = make_call()
+            tasks = [
+                await curio.spawn(runner.forward_call, call, instance)
+                for _ in range(2)
+            ]
+            for task in tasks:
+                await task.join()
+            await pools.close()
+            assert max(handed_s) <= call.deadline_s
+
+    curio.run(main)
