Take a response that says leaving for a departure

What callers saw: calls at a backend server that says in its responses that it is leaving, while its heartbeats are late or get no acknowledgement.

Cause: announcements were the only source of departures, and nodes dropped what the instance said in the responses that they passed on.

Why this works: all calls pass through the owner node, which now refuses them from the first such response on, publishes the departure at once and saves it in its row. An entry node that has passed on such a response leaves the incarnation out by itself, whatever its view says, so that a restart of the owner does not bring it back; records of instances carry their time of birth for that.

--- a/libs/membership/auburnjunction/membership/departures.py
+++ b/libs/membership/auburnjunction/membership/departures.py
@@ -26,11 +26,15 @@
     late "ready" brings no backend server back after a node restart.
     """
 
-    def __init__(self):
+    def __init__(self, limit: int = MAX_DEPARTURES):
+        self._limit = limit
         self._born_ms: OrderedDict[str, int] = OrderedDict()
         self._changes = 0
         self._saved_changes = 0
 
+    def __len__(self) -> int:
+        return len(self._born_ms)
+
     def __contains__(self, departure: Departure) -> bool:
         """Return whether an incarnation has departed.
 
@@ -79,5 +83,5 @@
     def _insert(self, departure: Departure) -> None:
         earlier_ms = self._born_ms.pop(departure.instance, 0)
         self._born_ms[departure.instance] = max(earlier_ms, departure.born_ms)
-        while len(self._born_ms) > MAX_DEPARTURES:
+        while len(self._born_ms) > self._limit:
             self._born_ms.popitem(last=False)
--- a/libs/membership/auburnjunction/membership/instances.py
+++ b/libs/membership/auburnjunction/membership/instances.py
@@ -85,12 +85,13 @@
             host=own.address.host,
             peer_port=own.address.port,
             resources=announcement.resources,
+            born_ms=announcement.born_ms,
         )
 
 
 def _without_load(instances: tuple[Instance, ...]) -> list[tuple]:
     return [
-        (i.instance, i.service, i.state, i.slots, i.resources)
+        (i.instance, i.service, i.state, i.slots, i.resources, i.born_ms)
         for i in instances
     ]
 
--- a/libs/membership/auburnjunction/membership/leases.py
+++ b/libs/membership/auburnjunction/membership/leases.py
@@ -42,7 +42,7 @@
 
     def __init__(self, clock: Clock, departures: DepartureLog | None = None):
         self._clock = clock
-        self._departures = departures or DepartureLog()
+        self._departures = DepartureLog() if departures is None else departures
         self._leases: dict[str, Lease] = {}
 
     def renew(self, announcement: Announcement) -> Lease:
--- a/libs/membership/auburnjunction/membership/records.py
+++ b/libs/membership/auburnjunction/membership/records.py
@@ -105,6 +105,7 @@
         slots=instance.slots,
         load_percent=instance.load_percent,
         resources=instance.resources,
+        born_ms=instance.born_ms,
     )
 
 
@@ -164,4 +165,5 @@
         host=owner.host,
         peer_port=owner.peer_port,
         resources=tuple(message.resources),
+        born_ms=message.born_ms,
     )
--- a/libs/model/auburnjunction/model/services.py
+++ b/libs/model/auburnjunction/model/services.py
@@ -42,3 +42,5 @@
     host: str
     peer_port: int
     resources: tuple[str, ...] = ()
+    # Start of this incarnation in milliseconds since the epoch; 0 if unknown.
+    born_ms: int = 0
--- a/libs/node/auburnjunction/node/instances.py
+++ b/libs/node/auburnjunction/node/instances.py
@@ -25,6 +25,7 @@
         self._announced: dict[str, Announcement] = {}
         self._applied_states: dict[str, InstanceState] = {}
         membership.subscribe(self.update_owners)
+        owners.on_departure = self.report_departure
 
     async def handle_announce(self, request: HttpRequest) -> HttpResponse:
         """Handle POST /announce from a backend server of this host."""
@@ -57,6 +58,16 @@
         if not self._membership.are_departures_saved:
             log_event("departure not saved in the table", logging.WARNING)
 
+    def report_departure(self, instance: str, born_ms: int) -> None:
+        """Publish that an incarnation has said in a response that it leaves.
+
+        Its announcement may be late or lost. The departure is saved in the
+        background, as no acknowledgement waits for it.
+        """
+        previous = self._announced.get(instance)
+        if previous is not None and previous.born_ms == born_ms:
+            self.announce(attrs.evolve(previous, state="leaving"))
+
     def deregister(self, instance: str) -> None:
         """Mark a backend server as gone.
 
--- a/libs/traffic/auburnjunction/traffic/backends.py
+++ b/libs/traffic/auburnjunction/traffic/backends.py
@@ -22,6 +22,11 @@
     drop_headers,
     strip_headers,
 )
+from auburnjunction.traffic.notices import (
+    NoticeObserver,
+    ignore_notice,
+    read_notice,
+)
 
 # Statuses with which a backend server may report that it did not run a call.
 SHED_STATUSES = frozenset({400, 429, 503})
@@ -99,12 +104,14 @@
         call: Call,
         timeout_s: float,
         check_start: StartCheck = allow_start,
+        on_notice: NoticeObserver = ignore_notice,
     ) -> HttpResponse:
         """Return the backend server's complete response.
 
         check_start is called once a connection is available, just before
-        the request is written, and may raise NotRunError. Raise NotRunError
-        or UnknownRunError.
+        the request is written, and may raise NotRunError. on_notice gets
+        the notice of each response, also of one that is a refusal. Raise
+        NotRunError or UnknownRunError.
         """
         await self._require_responsive()
         now_s = self._clock.monotonic()
@@ -117,6 +124,8 @@
         if self._cfg.deadline_checks:
             end_s = min(end_s, call.deadline_s)
         response = await self._exchange(call, end_s, check_start)
+        if not is_misdirected(response, self._names):
+            on_notice(read_notice(response, self._names))
         check_response(response, self._names)
         response.headers = strip_headers(response.headers)
         return response
@@ -234,9 +243,14 @@
     return request_id in (None, call.request_id.encode("latin-1"))
 
 
+def is_misdirected(response: HttpResponse, names: HeaderNames) -> bool:
+    """Return whether another instance than the intended one responded."""
+    return bool(names.instance) and response.status == MISDIRECTED_STATUS
+
+
 def check_response(response: HttpResponse, names: HeaderNames) -> None:
     """Raise an error unless the response may be passed on to the caller."""
-    if names.instance and response.status == MISDIRECTED_STATUS:
+    if is_misdirected(response, names):
         raise MisplacedError("another instance uses the address")
     is_shed = response.header(names.not_run) == SHED_VALUE
     if is_shed and response.status in SHED_STATUSES:
--- a/libs/traffic/auburnjunction/traffic/balancers.py
+++ b/libs/traffic/auburnjunction/traffic/balancers.py
@@ -143,7 +143,9 @@
         return [i for i in eligible if i.data_centre not in unreachable]
 
     def _find_eligible(self, routed: RoutedCall) -> Sequence[Instance]:
-        instances = self._instances.find_instances(routed.call.service)
+        instances = self._instance_tracker.exclude_left(
+            self._instances.find_instances(routed.call.service)
+        )
         resource = routed.route.resource
         if not resource:
             return instances
--- a/libs/traffic/auburnjunction/traffic/call_forwarders.py
+++ b/libs/traffic/auburnjunction/traffic/call_forwarders.py
@@ -40,6 +40,7 @@
 from auburnjunction.traffic.headers import (
     CALL_HEADER,
     ERROR_HEADER,
+    LEAVING_HEADER,
     LOAD_HEADER,
     OUTCOME_HEADER,
     OWNER_DURATION_HEADER,
@@ -50,6 +51,7 @@
     parse_call,
     strip_headers,
 )
+from auburnjunction.traffic.notices import LEAVING_VALUE
 from auburnjunction.traffic.packed_headers import (
     pack_headers,
     unpack_headers,
@@ -188,7 +190,8 @@
             _read_number(response, OWNER_DURATION_HEADER)
             / MILLISECONDS_PER_SECOND
         )
-        return Answer(response, load, owner_duration_s)
+        leaving = response.header(LEAVING_HEADER) == LEAVING_VALUE
+        return Answer(response, load, owner_duration_s, leaving)
     message = response.body.decode(errors="replace").strip()
     code = _read_code(response)
     if outcome == NOT_RUN_VALUE:
@@ -308,4 +311,6 @@
         (REQUEST_ID_HEADER, request_id.encode()),
         *strip_headers(response.headers),
     ]
+    if answer.leaving:
+        headers.append((LEAVING_HEADER, LEAVING_VALUE))
     return attrs.evolve(response, headers=pack_headers(headers))
--- a/libs/traffic/auburnjunction/traffic/calls.py
+++ b/libs/traffic/auburnjunction/traffic/calls.py
@@ -88,11 +88,13 @@
     The load is that of the owner node: running and queued requests as a
     share of the slots in force. owner_duration_s is the time that the call
     spent at the owner node; the rest of its latency is due to the link.
+    leaving means that the response says that the backend server is leaving.
     """
 
     response: HttpResponse
     load: float = 0.0
     owner_duration_s: float = 0.0
+    leaving: bool = False
 
 
 class CallRunner(Protocol):
--- a/libs/traffic/auburnjunction/traffic/headers.py
+++ b/libs/traffic/auburnjunction/traffic/headers.py
@@ -37,6 +37,9 @@
 IDEMPOTENCY_KEY_HEADER = b"idempotency-key"
 # Set by a backend server on the refusal of a request that did not run.
 SHED_HEADER = b"auburn-shed"
+# Set to 1 by a backend server, on every response, once it is leaving; also
+# tells the entry node so.
+LEAVING_HEADER = b"auburn-leaving"
 
 # Seconds after which a refused call should be retried.
 RETRY_AFTER_HEADER = b"retry-after"
@@ -68,6 +71,8 @@
     deadline: bytes = DEADLINE_HEADER
     # Marks a backend server's response to a request that it did not run.
     not_run: bytes = SHED_HEADER
+    # Marks the responses of a backend server that is leaving.
+    leaving: bytes = LEAVING_HEADER
     # Target instance of a request; other instances answer 421.
     instance: bytes = b""
     # Service of the host on which the call was made.
--- a/libs/traffic/auburnjunction/traffic/instance_trackers.py
+++ b/libs/traffic/auburnjunction/traffic/instance_trackers.py
@@ -1,9 +1,12 @@
 """Latency, load and refusals of instances, from the calls of this node."""
 
+from collections.abc import Sequence
+
 import attrs
 
 from auburnjunction.base.clocks import Clock
 from auburnjunction.base.errors import ErrorCode
+from auburnjunction.membership.departures import Departure, DepartureLog
 from auburnjunction.model.services import Instance
 from auburnjunction.traffic.call_forwarders import (
     NodeConnectTimeoutError,
@@ -82,6 +85,7 @@
         self._half_life_s = settings.load_half_life_ms / 1000
         self._records: dict[str, InstanceRecord] = {}
         self._link_tracker = LinkTracker(settings)
+        self._departures = DepartureLog(MAX_RECORDS)
 
     def start_call(self, instance: Instance) -> None:
         """Record a call that is about to be sent to the instance."""
@@ -100,6 +104,8 @@
         now_s = self._clock.monotonic()
         name = instance.instance
         self._link_tracker.record_answer(instance.data_centre)
+        if answer.leaving:
+            self._departures.add(Departure(name, instance.born_ms))
         if answer.response.status >= FIRST_SERVER_ERROR:
             self._outlier_tracker.record_failure(name, now_s)
             return
@@ -134,6 +140,22 @@
         """Release the probe of a cancelled call, which has no outcome."""
         self._outlier_tracker.release_probe(instance.instance)
 
+    def exclude_left(
+        self, instances: Sequence[Instance]
+    ) -> Sequence[Instance]:
+        """Return those of which no answer has said that they are leaving.
+
+        Owner nodes refuse calls to them, but one that restarts may learn of
+        the departure later than this node.
+        """
+        if not self._departures:
+            return instances
+        return [
+            i
+            for i in instances
+            if Departure(i.instance, i.born_ms) not in self._departures
+        ]
+
     def estimate_link_latency_s(self, data_centre: str) -> float:
         """Return the estimated round trip to a data centre."""
         return self._link_tracker.estimate_latency_s(data_centre)
--- a/libs/traffic/auburnjunction/traffic/instances.py
+++ b/libs/traffic/auburnjunction/traffic/instances.py
@@ -1,5 +1,6 @@
 """Owner of one backend server; all calls to it pass through its owner."""
 
+from collections.abc import Callable
 from functools import partial
 
 from auburnjunction.base.clocks import Clock
@@ -23,11 +24,20 @@
 from auburnjunction.traffic.headers import DEFAULT_HEADER_NAMES, HeaderNames
 from auburnjunction.traffic.limits import SlotLimit
 from auburnjunction.traffic.meters import OwnerMetrics
+from auburnjunction.traffic.notices import ServerNotice
 from auburnjunction.traffic.slots import AdmissionController
 
 DRAIN_POLL_INTERVAL_S = 0.02
 
 
+# Called with the instance and the incarnation that says that it is leaving.
+DepartureObserver = Callable[[str, int], None]
+
+
+def ignore_departure(_instance: str, _born_ms: int) -> None:
+    """Ignore the departure of a backend server."""
+
+
 class InstanceOwner:
     """Runs calls on one backend server of this node within its slots."""
 
@@ -44,8 +54,13 @@
         claims: ClaimStore | None = None,
         cold: bool = False,
         names: HeaderNames = DEFAULT_HEADER_NAMES,
+        on_departure: DepartureObserver = ignore_departure,
     ):
         self.instance = instance
+        # Incarnation that announced itself last; 0 if it is not known.
+        self.born_ms = 0
+        self._leaving = False
+        self._on_departure = on_departure
         self.service = service
         self.address = address
         self._clock = clock
@@ -109,7 +124,13 @@
             self._metrics.count_error(call, exc)
             raise
         self._metrics.count_answer(call)
-        return Answer(response, self.load)
+        return Answer(response, self.load, leaving=self._leaving)
+
+    def set_incarnation(self, born_ms: int) -> None:
+        """Set the incarnation; a new one is not leaving."""
+        if born_ms != self.born_ms:
+            self.born_ms = born_ms
+            self._leaving = False
 
     def set_capacity(self, slots: int, connections: int) -> None:
         """Set the announced slots and connections."""
@@ -178,7 +199,10 @@
         timeout_s = self.service.attempt_timeout_ms / 1000
         try:
             response = await self._backend.send(
-                call, timeout_s, partial(self._check_start, call)
+                call,
+                timeout_s,
+                partial(self._check_start, call),
+                partial(self._apply_notice, self.born_ms),
             )
         except ShedError:
             # Shedding below the slot limit is not caused by load.
@@ -202,6 +226,14 @@
             self._metrics.count_late_start(call)
             raise
 
+    def _apply_notice(self, born_ms: int, notice: ServerNotice) -> None:
+        """Start draining if the incarnation says that it is leaving."""
+        if not notice.leaving or born_ms != self.born_ms or self._leaving:
+            return
+        self._leaving = True
+        self._admission.start_draining()
+        self._on_departure(self.instance, born_ms)
+
     def _record_duration(self, call: Call, start_s: float) -> None:
         duration_s = self._clock.monotonic() - start_s
         self._limit.add_sample(call.route, duration_s, self.running)
--- a/libs/traffic/auburnjunction/traffic/owners.py
+++ b/libs/traffic/auburnjunction/traffic/owners.py
@@ -14,7 +14,9 @@
 from auburnjunction.traffic.headers import DEFAULT_HEADER_NAMES, HeaderNames
 from auburnjunction.traffic.instances import (
     DRAIN_POLL_INTERVAL_S,
+    DepartureObserver,
     InstanceOwner,
+    ignore_departure,
 )
 from auburnjunction.traffic.meters import OwnerMetrics
 
@@ -35,6 +37,7 @@
         find_service: ServiceFinder = lambda name: None,
         names: HeaderNames = DEFAULT_HEADER_NAMES,
     ):
+        self.on_departure: DepartureObserver = ignore_departure
         self._names = names
         self._cfg = cfg
         self._clock = clock
@@ -64,6 +67,7 @@
             return
         owner = self._find_owner(announcement)
         owner.clear_misplaced()
+        owner.set_incarnation(announcement.born_ms)
         owner.set_capacity(announcement.slots, announcement.connections)
         if announcement.state == "starting":
             owner.restart_ramp()
@@ -179,6 +183,9 @@
         self._owners[name] = owner
         return owner
 
+    def _handle_departure(self, instance: str, born_ms: int) -> None:
+        self.on_departure(instance, born_ms)
+
     def _counts_as_cold_start(self) -> bool:
         age_s = self._clock.monotonic() - self._start_s
         return age_s >= self._cfg.ramp_node_age_s
@@ -199,6 +206,7 @@
             self._claims,
             cold,
             self._names,
+            self._handle_departure,
         )
         owner.set_shutdown_time(self._shutdown_s)
         return owner
--- a/libs/traffic/auburnjunction/traffic/tests/test_balancers.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_balancers.py
@@ -3,6 +3,7 @@
 import random
 from collections import Counter
 
+import attrs
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -44,9 +45,10 @@
             self.outlier_tracker, self.clock, self.settings
         )
         self.instances = {i.instance: i for i in instances}
+        self.source = FixedSource(instances=list(instances))
         self.balancer = Balancer(
             ENTRY_LOCATION,
-            FixedSource(instances=list(instances)),
+            self.source,
             self.outlier_tracker,
             self.instance_tracker,
             self.settings,
@@ -64,9 +66,15 @@
         return Counter(self.choose(**fields) for _ in range(number))
 
     def record_answer(
-        self, name, load=0.1, latency_s=0.01, status=200, owner_duration_s=0.0
+        self,
+        name,
+        load=0.1,
+        latency_s=0.01,
+        status=200,
+        owner_duration_s=0.0,
+        leaving=False,
     ):
-        answer = Answer(HttpResponse(status), load, owner_duration_s)
+        answer = Answer(HttpResponse(status), load, owner_duration_s, leaving)
         instance = self.instances[name]
         self.instance_tracker.record_answer(instance, answer, latency_s)
 
@@ -316,3 +324,25 @@
     counts = fixture.count_choices()
     assert counts["n3"] > 120
     assert sum(counts.values()) == 300
+
+
+# Guards against calls at an instance that has said that it is leaving, from
+# a node whose view says that it is ready.
+@pytest.mark.parametrize(
+    ("leaving", "born_ms", "chosen"),
+    [
+        (False, 7, "dc-1-0"),
+        (True, 7, None),
+        # The instance has restarted since.
+        (True, 8, "dc-1-0"),
+    ],
+)
+def test_instance_that_says_it_is_leaving_is_not_chosen(
+    leaving, born_ms, chosen
+):
+    instance = attrs.evolve(make_local_instances(1)[0], born_ms=7)
+    fixture = Fixture([instance])
+    fixture.record_answer(instance.instance, leaving=leaving)
+    later = attrs.evolve(instance, born_ms=born_ms)
+    fixture.source.instances[:] = [later]
+    assert fixture.choose() == (chosen and instance.instance)
--- a/libs/traffic/auburnjunction/traffic/tests/test_owners.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_owners.py
@@ -336,3 +336,57 @@
 
 def make_announcement(port):
     return Announcement("orders-1", "orders", f"{HOST}:{port}")
+
+
+# Guards against a node that waits for the announcement of a departure that
+# every response tells of.
+@pytest.mark.parametrize(
+    ("status", "headers"),
+    [
+        (200, [(b"auburn-leaving", b"1")]),
+        (503, [(b"auburn-leaving", b"1"), (b"auburn-shed", b"1")]),
+    ],
+)
+def test_response_that_says_leaving_starts_draining(status, headers):
+    async def main():
+        async with open_backend(status=status, headers=headers) as backend:
+            departures = []
+            registry = OwnerRegistry(
+                AdmissionSettings(), CLOCK, OwnerMetrics()
+            )
+            registry.on_departure = lambda *values: departures.append(values)
+            registry.update(announce(backend.port, born_ms=7))
+            owner = registry.get("orders-1")
+            result = await try_call(owner, make_call("first"))
+            if status == 200:
+                assert result.leaving
+            refused = await try_call(owner, make_call("second"))
+            assert refused.code is ErrorCode.DRAINING
+            assert departures == [("orders-1", 7)]
+            backend.status, backend.headers = 200, []
+            registry.update(announce(backend.port, born_ms=8))
+            answer = await try_call(owner, make_call("third"))
+            assert not answer.leaving
+        assert backend.executed == ["first", "third"]
+
+    run(main)
+
+
+def test_late_response_of_an_earlier_incarnation_starts_no_draining():
+    async def main():
+        headers = [(b"auburn-leaving", b"1")]
+        async with open_backend(headers=headers) as backend:
+            backend.gate.clear()
+            registry = OwnerRegistry(
+                AdmissionSettings(), CLOCK, OwnerMetrics()
+            )
+            registry.update(announce(backend.port, born_ms=7))
+            owner = registry.get("orders-1")
+            late = await curio.spawn(try_call, owner, make_call("late"))
+            await wait_until(lambda: backend.running)
+            registry.update(announce(backend.port, born_ms=8))
+            await backend.gate.set()
+            assert not (await late.join()).leaving
+            assert not owner.draining
+
+    run(main)
