--- a/libs/traffic/auburnjunction/traffic/headers.py
+++ b/libs/traffic/auburnjunction/traffic/headers.py
@@ -40,6 +40,9 @@
 # Set to 1 by a backend server, on every response, once it is leaving; also
 # tells the entry node so.
 LEAVING_HEADER = b"auburn-leaving"
+# Calls per second that a backend server takes from all nodes together, as
+# long as its responses say so.
+RATE_LIMIT_HEADER = b"auburn-rate-limit"
 
 # Seconds after which a refused call should be retried.
 RETRY_AFTER_HEADER = b"retry-after"
@@ -73,6 +76,8 @@
     not_run: bytes = SHED_HEADER
     # Marks the responses of a backend server that is leaving.
     leaving: bytes = LEAVING_HEADER
+    # Calls per second that the backend server takes, a decimal number.
+    rate_limit: bytes = RATE_LIMIT_HEADER
     # Target instance of a request; other instances answer 421.
     instance: bytes = b""
     # Service of the host on which the call was made.
--- a/libs/traffic/auburnjunction/traffic/instances.py
+++ b/libs/traffic/auburnjunction/traffic/instances.py
@@ -25,6 +25,7 @@
 from auburnjunction.traffic.limits import SlotLimit
 from auburnjunction.traffic.meters import OwnerMetrics
 from auburnjunction.traffic.notices import ServerNotice
+from auburnjunction.traffic.rate_limits import RateLimiter
 from auburnjunction.traffic.slots import AdmissionController
 
 DRAIN_POLL_INTERVAL_S = 0.02
@@ -66,6 +67,7 @@
         self._clock = clock
         self._metrics = metrics
         self._claims = claims
+        self._rate_limiter = RateLimiter(instance)
         self._limit = SlotLimit(cfg, slots, connections, clock, cold)
         self._admission = AdmissionController(
             cfg, self._limit, service.queue_limit, clock
@@ -96,6 +98,11 @@
         """Number of calls that may run concurrently."""
         return self._limit.value
 
+    @property
+    def rate_limit_per_s(self) -> float | None:
+        """Calls per second that the backend server takes; None if any."""
+        return self._rate_limiter.limit_per_s
+
     @property
     def draining(self) -> bool:
         """Whether new calls are refused."""
@@ -202,7 +209,7 @@
                 call,
                 timeout_s,
                 partial(self._check_start, call),
-                partial(self._apply_notice, self.born_ms),
+                partial(self._apply_notice, self.born_ms, start_s),
             )
         except ShedError:
             # Shedding below the slot limit is not caused by load.
@@ -226,10 +233,18 @@
             self._metrics.count_late_start(call)
             raise
 
-    def _apply_notice(self, born_ms: int, notice: ServerNotice) -> None:
-        """Start draining if the incarnation says that it is leaving."""
-        if not notice.leaving or born_ms != self.born_ms or self._leaving:
+    def _apply_notice(
+        self, born_ms: int, sent_s: float, notice: ServerNotice
+    ) -> None:
+        """Apply what the incarnation says in response to a call."""
+        if born_ms != self.born_ms:
             return
+        now_s = self._clock.monotonic()
+        self._rate_limiter.update(notice.rate_limit_per_s, sent_s, now_s)
+        if notice.leaving and not self._leaving:
+            self._start_leaving(born_ms)
+
+    def _start_leaving(self, born_ms: int) -> None:
         self._leaving = True
         self._admission.start_draining()
         self._on_departure(self.instance, born_ms)
--- a/libs/traffic/auburnjunction/traffic/meters.py
+++ b/libs/traffic/auburnjunction/traffic/meters.py
@@ -41,6 +41,10 @@
         self._limit = registry.make_gauge(
             "auburn_owner_limit", "Calls that may run at one time"
         )
+        self._rate_limit = registry.make_gauge(
+            "auburn_owner_rate_limit",
+            "Calls per second that the backend server takes; 0 if any",
+        )
         registry.add_collector(self._collect)
 
     def set_owners(self, owners: Iterable) -> None:
@@ -81,3 +85,4 @@
             self._running.set(labels, owner.running)
             self._waiting.set(labels, owner.waiting)
             self._limit.set(labels, owner.limit)
+            self._rate_limit.set(labels, owner.rate_limit_per_s or 0)
