Keep the calls to a backend server within the rate limit that it names

What callers saw: nothing; backend servers in need got up to 1.5 times what the rule allows, 368 and 450 calls in 4 s where 311 and 291 were allowed.

Cause: nobody read the limit. Nodes judge an instance by slots, latency and refusals, and one that names a limit stays fast and refuses nothing.

Why this works: all calls to a backend server pass through its owner node, which spaces their starts; no other node needs the limit. A call that can't start in time at that rate is refused at once with the time of its turn, and the load that entry nodes are told counts against the rate.

--- a/libs/traffic/auburnjunction/traffic/admissions.py
+++ b/libs/traffic/auburnjunction/traffic/admissions.py
@@ -122,6 +122,11 @@
     drain_start_limit_s: float = attrs.field(
         default=1.5, validator=check_range(0, 3)
     )
+    # Time over which calls to a backend server with a rate limit may be ahead
+    # of an even spacing.
+    rate_burst_s: float = attrs.field(
+        default=0.25, validator=check_range(0, 2)
+    )
     # Idle time after which a connection to the backend server is closed.
     idle_limit_s: float = attrs.field(
         default=20.0, validator=check_range(0, 3600)
--- a/libs/traffic/auburnjunction/traffic/instances.py
+++ b/libs/traffic/auburnjunction/traffic/instances.py
@@ -67,10 +67,10 @@
         self._clock = clock
         self._metrics = metrics
         self._claims = claims
-        self._rate_limiter = RateLimiter(instance)
+        self._rate_limiter = RateLimiter(instance, cfg.rate_burst_s)
         self._limit = SlotLimit(cfg, slots, connections, clock, cold)
         self._admission = AdmissionController(
-            cfg, self._limit, service.queue_limit, clock
+            cfg, self._limit, service.queue_limit, clock, self._rate_limiter
         )
         self._backend = BackendClient(
             cfg, address, connections, clock, instance, names
@@ -80,8 +80,16 @@
 
     @property
     def load(self) -> float:
-        """Running and waiting calls as a multiple of the limit in force."""
-        return (self.running + self.waiting) / self.limit
+        """Running and waiting calls as a multiple of those it can run.
+
+        These are the limit in force or, if fewer, the calls that its rate
+        limit keeps running.
+        """
+        capacity = float(self.limit)
+        if self.rate_limit_per_s is not None:
+            kept_running = self.rate_limit_per_s * self._limit.times.mean_s
+            capacity = min(capacity, max(1.0, kept_running))
+        return (self.running + self.waiting) / capacity
 
     @property
     def running(self) -> int:
--- a/libs/traffic/auburnjunction/traffic/rate_limits.py
+++ b/libs/traffic/auburnjunction/traffic/rate_limits.py
@@ -2,12 +2,25 @@
 
 from auburnjunction.base.logs import log_event
 
+# Rate at which calls are sent to a backend server that takes fewer: without
+# any, no response could lift the limit.
+MIN_RATE_PER_S = 0.5
+
 
 class RateLimiter:
-    """Rate limit of one backend server, as its responses name it."""
+    """Keeps the calls to one backend server within the rate that it names.
+
+    Calls are spaced evenly (GCRA), but those that come within burst_s of each
+    other may start at once: any span of t seconds has at most
+    rate * (t + burst_s) + 1 of them. The owner node sees every call to its
+    backend server, so no other node needs to know the limit.
+    """
 
-    def __init__(self, instance: str):
+    def __init__(self, instance: str, burst_s: float = 0.0):
         self._instance = instance
+        self._burst_s = burst_s
+        # Time at which the next call would be due if all were spaced evenly.
+        self._due_s = 0.0
         self._limit_per_s: float | None = None
         self._named_s = 0.0
 
@@ -16,6 +29,23 @@
         """Calls per second that the backend server takes; None if any."""
         return self._limit_per_s
 
+    @property
+    def interval_s(self) -> float:
+        """Time between calls that are spaced evenly; 0 without a limit."""
+        if self._limit_per_s is None:
+            return 0.0
+        return 1.0 / max(MIN_RATE_PER_S, self._limit_per_s)
+
+    def find_delay(self, now_s: float) -> float:
+        """Return the time until the next call may start; 0 if it may now."""
+        if self._limit_per_s is None:
+            return 0.0
+        return max(0.0, self._due_s - self._burst_s - now_s)
+
+    def start_call(self, now_s: float) -> None:
+        """Count a call that starts now."""
+        self._due_s = max(self._due_s, now_s) + self.interval_s
+
     def update(
         self, limit_per_s: float | None, sent_s: float, now_s: float
     ) -> None:
--- a/libs/traffic/auburnjunction/traffic/slots.py
+++ b/libs/traffic/auburnjunction/traffic/slots.py
@@ -18,6 +18,7 @@
     WaitQueue,
     make_queue,
 )
+from auburnjunction.traffic.rate_limits import RateLimiter
 from auburnjunction.traffic.waits import WaitEstimator
 
 # Number of mean deviations added to the mean duration of a call when checking
@@ -34,8 +35,11 @@
         limit: SlotLimit,
         queue_limit: int,
         clock: Clock,
+        rate_limiter: RateLimiter | None = None,
     ):
         self.running = 0
+        self._rate_limiter = rate_limiter or RateLimiter("")
+        self._is_dispatch_scheduled = False
         self._cfg = cfg
         self._limit = limit
         self._clock = clock
@@ -118,8 +122,8 @@
                 f"{call.deadline_s - now_s:.3f} s left to the deadline",
                 ErrorCode.TIMEOUT,
             )
-        if not self._queue and self.running < self._limit.value:
-            self.running += 1
+        if not self._queue and self._may_start(now_s):
+            self._start_call(now_s)
             return
         if call.fail_fast:
             raise NotRunError(*_BUSY, self._estimate_wait(ticket, now_s))
@@ -207,10 +211,15 @@
         ahead = self._queue.count_ahead(ticket)
         # A running call must end before the first waiting call starts.
         slot_interval_s = self._limit.times.mean_s / self._limit.value
+        rate_wait_s = self._rate_limiter.find_delay(now_s)
+        rate_wait_s += ahead * self._rate_limiter.interval_s
         ticket.queued_s = now_s
-        ticket.expected_wait_s = (ahead + 1) * slot_interval_s
+        ticket.expected_wait_s = max(
+            (ahead + 1) * slot_interval_s, rate_wait_s
+        )
         correction = self._wait_estimator.correction(now_s)
-        return ticket.expected_wait_s * correction
+        # No call can start sooner than the rate limit lets it.
+        return max(ticket.expected_wait_s * correction, rate_wait_s)
 
     def _find_retry_after(self, excess_s: float) -> float:
         """Return a delay after which the queue should have room.
@@ -267,7 +276,7 @@
     async def _dispatch(self) -> None:
         await self.refuse_waiting()
         now_s = self._clock.monotonic()
-        while self._queue and self.running < self._limit.value:
+        while self._queue and self._may_start(now_s):
             ticket = self._queue.pop()
             if not ticket.nested and not ticket.late:
                 waited_s = now_s - ticket.queued_s
@@ -277,9 +286,32 @@
             if now_s > ticket.latest_start_s:
                 await self._refuse(ticket, *_TOO_LATE)
                 continue
-            self.running += 1
+            self._start_call(now_s)
             ticket.state = TicketState.GRANTED
             await ticket.event.set()
+        if self._queue and self.running < self._limit.value:
+            await self._schedule_dispatch(now_s)
+
+    def _may_start(self, now_s: float) -> bool:
+        """Return whether a slot is free and the rate limit allows a call."""
+        has_slot = self.running < self._limit.value
+        return has_slot and not self._rate_limiter.find_delay(now_s)
+
+    def _start_call(self, now_s: float) -> None:
+        self.running += 1
+        self._rate_limiter.start_call(now_s)
+
+    async def _schedule_dispatch(self, now_s: float) -> None:
+        """Dispatch again as soon as the rate limit allows a call."""
+        if not self._is_dispatch_scheduled:
+            self._is_dispatch_scheduled = True
+            delay_s = self._rate_limiter.find_delay(now_s)
+            await curio.spawn(self._dispatch_after, delay_s, daemon=True)
+
+    async def _dispatch_after(self, delay_s: float) -> None:
+        await self._clock.sleep(delay_s)
+        self._is_dispatch_scheduled = False
+        await self._dispatch()
 
     async def _refuse(
         self, ticket: Ticket, message: str, code: ErrorCode
