Name rate limits and departures in the stand-in's responses, check them in soaks

Change: the backend server stand-in says that it is leaving, and a rate limit if one is set, in its responses. One backend server of each soak names 3 calls a second for six seconds; the soak checks every 4 s of its executions against the users' bound.

--- a/libs/standins/auburnjunction/standins/backend_servers.py
+++ b/libs/standins/auburnjunction/standins/backend_servers.py
@@ -4,7 +4,7 @@
 import curio
 
 from auburnjunction.base.clocks import Clock
-from auburnjunction.http.messages import HttpRequest, HttpResponse
+from auburnjunction.http.messages import Headers, HttpRequest, HttpResponse
 from auburnjunction.http.servers import (
     HttpServer,
     ServerConnection,
@@ -31,6 +31,8 @@
 INSTANCE_HEADER = b"x-instance"
 KEY_HEADER = b"idempotency-key"
 DEADLINE_HEADER = b"auburn-deadline-ms"
+LEAVING_HEADER = b"auburn-leaving"
+RATE_LIMIT_HEADER = b"auburn-rate-limit"
 SHED_HEADERS = [(b"auburn-shed", b"1")]
 SILENT_DELAY_S = 86_400.0
 DEFAULT_PAGE_SIZE = 5000
@@ -134,6 +136,13 @@
             return self._list_executions(request)
         if path == "/stats":
             return make_json_response(self.stats)
+        response = await self._handle_call(request)
+        response.headers += self._list_notices()
+        return response
+
+    async def _handle_call(self, request: HttpRequest) -> HttpResponse:
+        """Answer a request of a caller or a check by the node."""
+        path = request.path
         await self._injector.wait_while_frozen()
         if path == "/health":
             return self._report_health()
@@ -144,6 +153,16 @@
             return make_text_response(200, "ok")
         return await self._serve(request)
 
+    def _list_notices(self) -> Headers:
+        """Return the headers with which responses tell of its state."""
+        notices = []
+        if self.leaving:
+            notices.append((LEAVING_HEADER, b"1"))
+        if self.faults.rate_limit_per_s:
+            rate = b"%.3f" % self.faults.rate_limit_per_s
+            notices.append((RATE_LIMIT_HEADER, rate))
+        return notices
+
     def _change_faults(self, request: HttpRequest) -> HttpResponse:
         if request.method == b"POST":
             faults = parse_body(request, BackendFaults)
--- a/libs/standins/auburnjunction/standins/faults.py
+++ b/libs/standins/auburnjunction/standins/faults.py
@@ -55,6 +55,10 @@
     )
     # Share of requests refused with 503 and auburn-shed: 1.
     shed_share: float = attrs.field(default=0.0, validator=check_share)
+    # Requests per second that responses name as the limit; 0 names none.
+    rate_limit_per_s: float = attrs.field(
+        default=0.0, validator=check_range(0, 1_000_000)
+    )
     # Share of requests that run and are then answered with 500.
     error_share: float = attrs.field(default=0.0, validator=check_share)
     # Share of requests that run and whose response is truncated.
--- a/libs/standins/auburnjunction/standins/soaks.py
+++ b/libs/standins/auburnjunction/standins/soaks.py
@@ -11,9 +11,11 @@
 from pathlib import Path
 
 import attrs
+import orjson
 
 from auburnjunction.base.errors import ExitCode
 from auburnjunction.standins.hosts import HostPlan
+from auburnjunction.standins.processes import fetch
 from auburnjunction.standins.systems import (
     System,
     check_guarantees,
@@ -30,6 +32,15 @@
 RECOVERY_LIMIT_S = 30.0
 # Longest time in which a node ends after SIGTERM: its drain limit and notice.
 STOP_LIMIT_S = 15.0
+# Rate limit that one backend server names, a fraction of its load; no window
+# may hold more than this ratio of it and these calls, once nodes that were
+# told have had this long.
+RATE_LIMIT_PER_S = 3.0
+RATE_LIMIT_LONGEST_S = 6.0
+RATE_WINDOW_S = 4.0
+RATE_EXCESS_RATIO = 1.5
+RATE_EXCESS_CALLS = 5
+RATE_NOTICE_S = 1.0
 # Exit codes of auburnctl after which a change is not tried on another node:
 # it is committed or conflicts with another change, the platform or the node
 # is unavailable, or the outcome is unknown.
@@ -92,6 +103,10 @@
             if kind.end:
                 events.append(SoakEvent(at_s, kind.end, target))
             at_s += rng.uniform(0.1, 1.0)
+    target = rng.randrange(hosts)
+    at_s = rng.uniform(0.5, duration_s - RATE_LIMIT_LONGEST_S)
+    events.append(SoakEvent(at_s, "limit_rate", target))
+    events.append(SoakEvent(at_s + RATE_LIMIT_LONGEST_S, "lift_rate", target))
     return sorted(events, key=lambda event: event.at_s)
 
 
@@ -104,6 +119,8 @@
         self._backends = system.deployment.backends
         # Hosts whose nodes have been terminated and not started since.
         self._terminated: set[str] = set()
+        # Spans of wall clock time in which backend servers named a limit.
+        self.rate_limits: dict[str, list[float]] = {}
 
     def run(self, plan: list[SoakEvent]) -> None:
         """Run each step at its time."""
@@ -174,6 +191,31 @@
             if host.data_centre in ends:
                 link.set_faults(**faults)
 
+    def _limit_rate(self, host: HostPlan) -> None:
+        self._set_backend_faults(host, rate_limit_per_s=RATE_LIMIT_PER_S)
+
+    def _lift_rate(self, host: HostPlan) -> None:
+        self._set_backend_faults(host)
+
+    def _set_backend_faults(self, host: HostPlan, **faults) -> None:
+        # A frozen process takes the request once it resumes.
+        self._thaw_backend(host)
+        body = orjson.dumps(faults)
+        fetch(host.backend_port, "/faults", "POST", body)
+        self.rate_limits.setdefault(host.name, []).append(time.time())
+
+    def check_rate_limits(self) -> None:
+        """Check that no backend server got more than the limit it named."""
+        for host in self._system.hosts:
+            if host.name in self.rate_limits:
+                start_s, end_s = self.rate_limits[host.name]
+                starts_s = [
+                    s
+                    for s in list_execution_starts(host)
+                    if start_s + RATE_NOTICE_S <= s < end_s
+                ]
+                check_rate(starts_s)
+
     def _platform_down(self, _host: HostPlan) -> None:
         self._system.set_platform_faults(down=True)
 
@@ -219,11 +261,35 @@
         system.deployment.wait_ready()
         result = load.finish()
         check_guarantees(result)
+        soak.check_rate_limits()
         commit_final_change(system)
         system.wait_in_force(timeout_s=RECOVERY_LIMIT_S)
         system.check_revisions_increase()
 
 
+def list_execution_starts(host: HostPlan) -> list[float]:
+    """Return when a host's backend server began to run each request."""
+    starts_s: list[float] = []
+    while True:
+        path = f"/executions?after={len(starts_s)}"
+        page = orjson.loads(fetch(host.backend_port, path)[1])
+        starts_s += [e["started_s"] for e in page["executions"]]
+        if len(starts_s) >= page["total"]:
+            return starts_s
+
+
+def check_rate(starts_s: list[float]) -> None:
+    """Check the number of starts in every window; the limit is the target."""
+    limit = RATE_EXCESS_RATIO * RATE_LIMIT_PER_S * RATE_WINDOW_S
+    limit += RATE_EXCESS_CALLS
+    for index, first_s in enumerate(starts_s):
+        window = [s for s in starts_s[index:] if s < first_s + RATE_WINDOW_S]
+        assert len(window) <= limit, (
+            f"{len(window)} calls in {RATE_WINDOW_S} s from {first_s:.3f}, "
+            f"allowed {limit:.0f} at {RATE_LIMIT_PER_S} a second"
+        )
+
+
 def commit_final_change(system: System) -> None:
     """Commit a change on top of the latest revision in force on any node."""
     revisions = [
