Forget a departure and a rate limit when a backend server starts again

A backend server that tells no time of birth stayed marked as leaving in answers after its drain was lifted, and a second departure was not reported. A new incarnation kept the rate limit of the one before until its first response.

Evidence: test_response_that_says_leaving_starts_draining without a time of birth and test_new_incarnation_starts_without_a_limit, red before.

Why this works: the mark ends when calls are admitted again, the limit with the incarnation that named it.

--- a/libs/traffic/auburnjunction/traffic/instances.py
+++ b/libs/traffic/auburnjunction/traffic/instances.py
@@ -142,10 +142,10 @@
         return Answer(response, self.load, leaving=self._leaving)
 
     def set_incarnation(self, born_ms: int) -> None:
-        """Set the incarnation; a new one is not leaving."""
+        """Set the incarnation; a new one has named no rate limit."""
         if born_ms != self.born_ms:
             self.born_ms = born_ms
-            self._leaving = False
+            self._rate_limiter.reset()
 
     def set_capacity(self, slots: int, connections: int) -> None:
         """Set the announced slots and connections."""
@@ -171,6 +171,7 @@
 
     def stop_draining(self) -> None:
         """Admit new calls again."""
+        self._leaving = False
         self._admission.stop_draining()
 
     async def drain(self, limit_s: float) -> int:
--- a/libs/traffic/auburnjunction/traffic/rate_limits.py
+++ b/libs/traffic/auburnjunction/traffic/rate_limits.py
@@ -46,6 +46,10 @@
         """Count a call that starts now."""
         self._due_s = max(self._due_s, now_s) + self.interval_s
 
+    def reset(self) -> None:
+        """Lift the limit, for a backend server that has started again."""
+        self._limit_per_s = None
+
     def update(
         self, limit_per_s: float | None, sent_s: float, now_s: float
     ) -> None:
--- a/libs/traffic/auburnjunction/traffic/tests/test_owners.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_owners.py
@@ -347,7 +347,10 @@
         (503, [(b"auburn-leaving", b"1"), (b"auburn-shed", b"1")]),
     ],
 )
-def test_response_that_says_leaving_starts_draining(status, headers):
+@pytest.mark.parametrize(("born_ms", "later_ms"), [(7, 8), (0, 0)])
+def test_response_that_says_leaving_starts_draining(
+    status, headers, born_ms, later_ms
+):
     async def main():
         async with open_backend(status=status, headers=headers) as backend:
             departures = []
@@ -355,16 +358,16 @@
                 AdmissionSettings(), CLOCK, OwnerMetrics()
             )
             registry.on_departure = lambda *values: departures.append(values)
-            registry.update(announce(backend.port, born_ms=7))
+            registry.update(announce(backend.port, born_ms=born_ms))
             owner = registry.get("orders-1")
             result = await try_call(owner, make_call("first"))
             if status == 200:
                 assert result.leaving
             refused = await try_call(owner, make_call("second"))
             assert refused.code is ErrorCode.DRAINING
-            assert departures == [("orders-1", 7)]
+            assert departures == [("orders-1", born_ms)]
             backend.status, backend.headers = 200, []
-            registry.update(announce(backend.port, born_ms=8))
+            registry.update(announce(backend.port, born_ms=later_ms))
             answer = await try_call(owner, make_call("third"))
             assert not answer.leaving
         assert backend.executed == ["first", "third"]
--- a/libs/traffic/auburnjunction/traffic/tests/test_rate_limits.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_rate_limits.py
@@ -146,6 +146,22 @@
     curio.run(main)
 
 
+def test_new_incarnation_starts_without_a_limit():
+    async def main():
+        headers = [(b"auburn-rate-limit", b"10")]
+        async with open_backend(headers=headers) as backend:
+            owner = make_owner(backend.port, 6)
+            owner.set_incarnation(7)
+            await owner.run_call(make_call("first"))
+            assert owner.rate_limit_per_s == 10
+            owner.set_incarnation(7)
+            assert owner.rate_limit_per_s == 10
+            owner.set_incarnation(8)
+            assert owner.rate_limit_per_s is None
+
+    curio.run(main)
+
+
 def test_load_counts_against_the_rate_limit():
     async def main():
         headers = [(b"auburn-rate-limit", b"10")]
