Hand a restarted owner the rate limit that entry nodes know

What callers saw: nothing. A backend server in need could get a burst of as many calls as it has slots after a restart of its node.

Cause: only the owner's memory held the limit, until the first response after the restart named it again.

Evidence: test_restarted_owner_keeps_the_limit_that_entry_nodes_know: six calls at once where the limit does not arrive, one or two with the change.

Why this works: answers carry the limit to the entry node, and its calls carry it back. An owner takes it only while it has heard no response itself; the first one replaces it, so that a limit that was lifted meanwhile is in force for one call.

--- a/libs/traffic/auburnjunction/traffic/call_forwarders.py
+++ b/libs/traffic/auburnjunction/traffic/call_forwarders.py
@@ -44,11 +44,14 @@
     LOAD_HEADER,
     OUTCOME_HEADER,
     OWNER_DURATION_HEADER,
+    RATE_LIMIT_HEADER,
     REQUEST_ID_HEADER,
     RETRY_AFTER_HEADER,
     format_call,
+    format_rate,
     make_error_response,
     parse_call,
+    parse_rate,
     strip_headers,
 )
 from auburnjunction.traffic.notices import LEAVING_VALUE
@@ -156,9 +159,13 @@
         margin_s = min(self._answer_margin_s, timeout_s / 10)
         value = format_call(call, instance, now_s + margin_s)
         req = call.request
-        packed = pack_headers(req.headers)
+        own_headers = req.headers
+        if call.rate_limit_per_s is not None:
+            rate = format_rate(call.rate_limit_per_s)
+            own_headers = [*own_headers, (RATE_LIMIT_HEADER, rate)]
+        packed = pack_headers(own_headers)
         headers = [(CALL_HEADER, value), *packed]
-        if packed is not req.headers:
+        if packed is not own_headers:
             headers.append(PLACEHOLDER_HOST)
         return HttpRequest(req.method, req.target, headers, req.body)
 
@@ -190,8 +197,13 @@
             _read_number(response, OWNER_DURATION_HEADER)
             / MILLISECONDS_PER_SECOND
         )
-        leaving = response.header(LEAVING_HEADER) == LEAVING_VALUE
-        return Answer(response, load, owner_duration_s, leaving)
+        return Answer(
+            response,
+            load,
+            owner_duration_s,
+            leaving=response.header(LEAVING_HEADER) == LEAVING_VALUE,
+            rate_limit_per_s=parse_rate(response.header(RATE_LIMIT_HEADER)),
+        )
     message = response.body.decode(errors="replace").strip()
     code = _read_code(response)
     if outcome == NOT_RUN_VALUE:
@@ -313,4 +325,7 @@
     ]
     if answer.leaving:
         headers.append((LEAVING_HEADER, LEAVING_VALUE))
+    if answer.rate_limit_per_s is not None:
+        rate = format_rate(answer.rate_limit_per_s)
+        headers.append((RATE_LIMIT_HEADER, rate))
     return attrs.evolve(response, headers=pack_headers(headers))
--- a/libs/traffic/auburnjunction/traffic/calls.py
+++ b/libs/traffic/auburnjunction/traffic/calls.py
@@ -62,7 +62,8 @@
     call is one that a backend server makes while it runs a request. A
     fail-fast call is refused with BUSY instead of being queued for a slot.
     A repeated call was sent to a backend server before, or is made for a
-    request that was.
+    request that was. The rate limit is the one that the backend server has
+    named, in calls per second, as far as the entry node knows.
     """
 
     request_id: str
@@ -79,6 +80,7 @@
     nested: bool = False
     fail_fast: bool = False
     repeated: bool = False
+    rate_limit_per_s: float | None = None
 
 
 @attrs.define(slots=True)
@@ -88,13 +90,15 @@
     The load is that of the owner node: running and queued requests as a
     share of the slots in force. owner_duration_s is the time that the call
     spent at the owner node; the rest of its latency is due to the link.
-    leaving means that the response says that the backend server is leaving.
+    leaving means that the response says that the backend server is leaving;
+    the rate limit is the one that it names, in calls per second.
     """
 
     response: HttpResponse
     load: float = 0.0
     owner_duration_s: float = 0.0
     leaving: bool = False
+    rate_limit_per_s: float | None = None
 
 
 class CallRunner(Protocol):
--- a/libs/traffic/auburnjunction/traffic/headers.py
+++ b/libs/traffic/auburnjunction/traffic/headers.py
@@ -7,6 +7,7 @@
 """
 
 import math
+import re
 from collections.abc import Set
 from urllib.parse import quote, unquote
 
@@ -41,9 +42,12 @@
 # tells the entry node so.
 LEAVING_HEADER = b"auburn-leaving"
 # Calls per second that a backend server takes from all nodes together, as
-# long as its responses say so.
+# long as its responses say so; between nodes, in calls and answers, the last
+# limit known.
 RATE_LIMIT_HEADER = b"auburn-rate-limit"
 
+RATE_PATTERN = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?\Z")
+
 # Seconds after which a refused call should be retried.
 RETRY_AFTER_HEADER = b"retry-after"
 
@@ -103,6 +107,18 @@
 DEFAULT_HEADER_NAMES = HeaderNames()
 
 
+def format_rate(rate_per_s: float) -> bytes:
+    """Return a rate as the value of a header."""
+    return b"%.3f" % rate_per_s
+
+
+def parse_rate(value: bytes | None) -> float | None:
+    """Return a decimal number, or None if it is missing or malformed."""
+    if value is None or not RATE_PATTERN.match(value):
+        return None
+    return float(value)
+
+
 def drop_headers(headers: Headers, names: Set[bytes]) -> Headers:
     """Return the headers whose names are not among the given ones."""
     return [(name, value) for name, value in headers if name not in names]
@@ -188,6 +204,7 @@
             nested=bool(int(fields[10]) & NESTED_FLAG),
             repeated=bool(int(fields[10]) & REPEATED_FLAG),
             fail_fast=fields[11] == "1",
+            rate_limit_per_s=parse_rate(request.header(RATE_LIMIT_HEADER)),
         )
     except (ValueError, OverflowError) as exc:
         raise BadMessageError(f"invalid call header: {exc}") from exc
--- a/libs/traffic/auburnjunction/traffic/instance_trackers.py
+++ b/libs/traffic/auburnjunction/traffic/instance_trackers.py
@@ -68,6 +68,8 @@
     load: float = 0.0
     load_reported_s: float = 0.0
     cooldown_until_s: float = 0.0
+    # Rate limit that the latest answer named.
+    rate_limit_per_s: float | None = None
 
 
 class InstanceTracker:
@@ -116,6 +118,7 @@
             record.latency_s += LATENCY_WEIGHT * change_s
         else:
             record.latency_s = latency_s
+        record.rate_limit_per_s = answer.rate_limit_per_s
         if 0.0 <= answer.load < float("inf"):
             record.load = min(answer.load, MAX_LOAD_REPORT)
             record.load_reported_s = now_s
@@ -169,6 +172,11 @@
         record = self._records.get(instance.instance)
         return record is not None and record.cooldown_until_s > now_s
 
+    def find_rate_limit(self, instance: Instance) -> float | None:
+        """Return the rate limit in calls per second that it named last."""
+        record = self._records.get(instance.instance)
+        return record.rate_limit_per_s if record is not None else None
+
     def find_load(self, instance: Instance, now_s: float) -> float:
         """Return the in-flight or reported load, as a share of the slots.
 
--- a/libs/traffic/auburnjunction/traffic/instances.py
+++ b/libs/traffic/auburnjunction/traffic/instances.py
@@ -129,6 +129,8 @@
         """Return the answer; raise NotRunError or UnknownRunError."""
         if self._is_misplaced:
             raise MisplacedError("another instance uses the address")
+        if call.rate_limit_per_s is not None:
+            self._rate_limiter.adopt(call.rate_limit_per_s)
         try:
             if self._claims is not None and needs_claim(call):
                 response = await self._run_claimed(call, self._claims)
@@ -139,7 +141,12 @@
             self._metrics.count_error(call, exc)
             raise
         self._metrics.count_answer(call)
-        return Answer(response, self.load, leaving=self._leaving)
+        return Answer(
+            response,
+            self.load,
+            leaving=self._leaving,
+            rate_limit_per_s=self.rate_limit_per_s,
+        )
 
     def set_incarnation(self, born_ms: int) -> None:
         """Set the incarnation; a new one has named no rate limit."""
--- a/libs/traffic/auburnjunction/traffic/notices.py
+++ b/libs/traffic/auburnjunction/traffic/notices.py
@@ -1,15 +1,13 @@
 """What backend servers say of themselves in the headers of responses."""
 
-import re
 from collections.abc import Callable
 
 import attrs
 
 from auburnjunction.http.messages import HttpResponse
-from auburnjunction.traffic.headers import HeaderNames
+from auburnjunction.traffic.headers import HeaderNames, parse_rate
 
 LEAVING_VALUE = b"1"
-RATE_PATTERN = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?\Z")
 
 
 @attrs.frozen(slots=True)
@@ -34,12 +32,5 @@
     """Return the notice in the headers of a response."""
     return ServerNotice(
         leaving=response.header(names.leaving) == LEAVING_VALUE,
-        rate_limit_per_s=_parse_rate(response.header(names.rate_limit)),
+        rate_limit_per_s=parse_rate(response.header(names.rate_limit)),
     )
-
-
-def _parse_rate(value: bytes | None) -> float | None:
-    """Return a decimal number, or None if it is missing or malformed."""
-    if value is None or not RATE_PATTERN.match(value):
-        return None
-    return float(value)
--- a/libs/traffic/auburnjunction/traffic/rate_limits.py
+++ b/libs/traffic/auburnjunction/traffic/rate_limits.py
@@ -23,6 +23,8 @@
         self._due_s = 0.0
         self._limit_per_s: float | None = None
         self._named_s = 0.0
+        # Whether a response has told what the backend server takes.
+        self._has_response = False
 
     @property
     def limit_per_s(self) -> float | None:
@@ -46,6 +48,17 @@
         """Count a call that starts now."""
         self._due_s = max(self._due_s, now_s) + self.interval_s
 
+    def adopt(self, limit_per_s: float) -> None:
+        """Apply a limit that another node knows, until the first response.
+
+        A node that has restarted would otherwise start as many calls as there
+        are slots.
+        """
+        if self._has_response or self._limit_per_s is not None:
+            return
+        self._log_change(limit_per_s)
+        self._limit_per_s = limit_per_s
+
     def reset(self) -> None:
         """Lift the limit, for a backend server that has started again."""
         self._limit_per_s = None
@@ -58,6 +71,7 @@
         A response without a limit lifts it unless its call was sent before
         the limit was named last, as responses overtake each other.
         """
+        self._has_response = True
         if limit_per_s is None and sent_s < self._named_s:
             return
         if limit_per_s is not None:
--- a/libs/traffic/auburnjunction/traffic/senders.py
+++ b/libs/traffic/auburnjunction/traffic/senders.py
@@ -170,11 +170,17 @@
         instance_tracker = self._instance_tracker
         instance = planned.instance
         call = _make_attempt_call(routed, now_s)
-        if planned.fail_fast or attempts.sent_count:
+        rate_limit_per_s = instance_tracker.find_rate_limit(instance)
+        if (
+            planned.fail_fast
+            or attempts.sent_count
+            or rate_limit_per_s is not None
+        ):
             call = attrs.evolve(
                 call,
                 fail_fast=planned.fail_fast,
                 repeated=call.repeated or attempts.sent_count > 0,
+                rate_limit_per_s=rate_limit_per_s,
             )
         instance_tracker.start_call(instance)
         try:
--- a/libs/traffic/auburnjunction/traffic/tests/test_rate_limits.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_rate_limits.py
@@ -1,23 +1,38 @@
 """Rate limits that backend servers name in their responses."""
 
+import contextlib
+
+import attrs
 import curio
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from auburnjunction.base.errors import ErrorCode
+from auburnjunction.http.clients import PoolRegistry
 from auburnjunction.http.messages import HttpResponse
+from auburnjunction.http.servers import open_server
+from auburnjunction.membership.announcements import Announcement
 from auburnjunction.traffic.admissions import AdmissionSettings
+from auburnjunction.traffic.call_forwarders import PeerHandler, PeerRunner
+from auburnjunction.traffic.calls import Answer, TrafficError
+from auburnjunction.traffic.ejections import OutlierTracker
 from auburnjunction.traffic.headers import HeaderNames
+from auburnjunction.traffic.instance_trackers import InstanceTracker
+from auburnjunction.traffic.meters import OwnerMetrics
 from auburnjunction.traffic.notices import read_notice
+from auburnjunction.traffic.owners import OwnerRegistry
 from auburnjunction.traffic.rate_limits import MIN_RATE_PER_S, RateLimiter
+from auburnjunction.traffic.routing_settings import RoutingSettings
 from auburnjunction.traffic.tests.owner_support import (
     CLOCK,
+    HOST,
     make_call,
     make_owner,
     open_backend,
     try_call,
 )
+from auburnjunction.traffic.tests.routing_support import make_instance
 
 # The target: in any 4 s, at most 1.5 times the limit, and 5 calls more.
 WINDOW_S = 4.0
@@ -162,6 +177,81 @@
     curio.run(main)
 
 
+# Guards against a burst at a backend server whose limit its node has
+# forgotten in a restart.
+def test_restarted_owner_keeps_the_limit_that_entry_nodes_know():
+    async def main():
+        headers = [(b"auburn-rate-limit", b"4")]
+        async with open_backend(headers=headers) as backend:
+            node = RestartableNode(make_registry(backend.port))
+            peer = PeerHandler(node, CLOCK)
+            async with open_server(HOST, 0, peer.handle, CLOCK) as server:
+                pools = PoolRegistry(CLOCK)
+                runner = PeerRunner([], pools, CLOCK, RoutingSettings())
+                instance = make_instance("orders-1", port=server.port)
+                answer = await runner.forward_call(make_call("1"), instance)
+                assert answer.rate_limit_per_s == 4.0
+                node.registry = make_registry(backend.port)
+                backend.gate.clear()
+
+                async def offer(number):
+                    call = make_call(f"later-{number}", remaining_s=0.2)
+                    call.rate_limit_per_s = answer.rate_limit_per_s
+                    with contextlib.suppress(TrafficError):
+                        await runner.forward_call(call, instance)
+
+                async with curio.TaskGroup() as group:
+                    for number in range(12):
+                        await group.spawn(offer, number)
+                # One at once, and one for the burst of a quarter of a second.
+                assert backend.max_running <= 2
+                await pools.close()
+
+    curio.run(main)
+
+
+@attrs.define
+class RestartableNode:
+    """The owner side of a node, which a test replaces by a new one."""
+
+    registry: OwnerRegistry
+
+    async def run_call(self, call, instance):
+        return await self.registry.run_call(call, instance)
+
+
+def make_registry(port):
+    registry = OwnerRegistry(AdmissionSettings(), CLOCK, OwnerMetrics())
+    address = f"{HOST}:{port}"
+    registry.update(Announcement("orders-1", "orders", address, slots=6))
+    return registry
+
+
+@pytest.mark.parametrize(
+    ("limits", "found"),
+    [([None], None), ([9.5], 9.5), ([9.5, None], None)],
+)
+def test_entry_node_keeps_the_limit_of_the_latest_answer(limits, found):
+    settings = RoutingSettings()
+    tracker = InstanceTracker(OutlierTracker(settings), CLOCK, settings)
+    instance = make_instance("orders-1")
+    assert tracker.find_rate_limit(instance) is None
+    for limit in limits:
+        answer = Answer(HttpResponse(200), rate_limit_per_s=limit)
+        tracker.record_answer(instance, answer, 0.01)
+    assert tracker.find_rate_limit(instance) == found
+
+
+def test_first_response_replaces_an_adopted_limit():
+    limiter = RateLimiter("i-1", BURST_S)
+    limiter.adopt(5.0)
+    assert limiter.limit_per_s == 5.0
+    limiter.update(None, 1.0, 2.0)
+    assert limiter.limit_per_s is None
+    limiter.adopt(5.0)
+    assert limiter.limit_per_s is None
+
+
 def test_load_counts_against_the_rate_limit():
     async def main():
         headers = [(b"auburn-rate-limit", b"10")]
