Hand departures back to a node that restarts while the table is down

A backend server that had left could get calls again: its node acknowledged the departure while the table was down, restarted, and took a late heartbeat for a ready backend server.

Cause: acknowledged, not kept. The departure log of a node lives in its memory and in its row of the table, and an acknowledgement was given with neither beyond the process.

Why this works: a node's record lists its latest departures, and where the table does not take them in half of the time, another node has the record before the acknowledgement. Whoever sees the record of a new incarnation sends it the departures of the one before until its record lists them, in requests and in responses, so that the first exchange after a restart is enough.

--- a/libs/membership/auburnjunction/membership/cluster_states.py
+++ b/libs/membership/auburnjunction/membership/cluster_states.py
@@ -13,6 +13,7 @@
 from auburnjunction.http.clients import Address
 from auburnjunction.membership.departures import DepartureLog
 from auburnjunction.membership.gossip_queues import GossipQueue
+from auburnjunction.membership.handovers import DepartureHandover
 from auburnjunction.membership.pauses import PauseDetector
 from auburnjunction.membership.reachabilities import ReachabilityTable
 from auburnjunction.membership.records import Node, NodeState
@@ -51,6 +52,7 @@
         # Order of the last record of each node that was forwarded as urgent.
         self._forwarded_orders: dict[str, tuple] = {}
         self.departures = DepartureLog()
+        self.handover = DepartureHandover()
         self.reachability = ReachabilityTable(clock, cfg.unreachable_after_s)
         self.pause_detector = PauseDetector(clock, self._pause_limit_s)
         # Shortest lease of any local backend server.
@@ -135,6 +137,7 @@
             state=own.state if state is None else state,
             instances=own.instances if instances is None else instances,
             revision=own.revision if revision is None else revision,
+            departures=self.departures.list_latest(),
         )
         self._publish(self.own_record)
         self.notify_listeners()
@@ -187,6 +190,9 @@
 
     def remove_tombstone(self, node: str) -> None:
         """Remove the tombstone of a node."""
+        tombstone = self.view.get(node)
+        if tombstone is not None:
+            self.handover.forget(tombstone)
         self.view.remove(node)
         self._changes.pop(node, None)
         self._forwarded_orders.pop(node, None)
@@ -202,12 +208,13 @@
         if record.node == self.own_record.node:
             self._refute(record)
             return False
-        is_dead = record.state is NodeState.DEAD
-        if is_dead and self.view.get(record.node) is None:
+        previous = self.view.get(record.node)
+        if record.state is NodeState.DEAD and previous is None:
             return False
         if not self.view.merge(record):
             return False
         merged = self.view.get(record.node)
+        self.handover.observe(previous, merged)
         self._queue_gossip(merged)
         for observer in self._observers:
             observer(merged)
--- a/libs/membership/auburnjunction/membership/departures.py
+++ b/libs/membership/auburnjunction/membership/departures.py
@@ -8,6 +8,8 @@
 # A host runs one backend server at a time; the others are for its
 # replacements.
 MAX_DEPARTURES = 16
+# Latest departures that a node's record lists, so that records stay small.
+MAX_PUBLISHED = 4
 
 
 @attrs.frozen(slots=True)
@@ -19,6 +21,16 @@
     born_ms: int
 
 
+def has_departed(
+    departure: Departure, departures: Iterable[Departure]
+) -> bool:
+    """Return whether others cover the incarnations of a departure."""
+    return any(
+        d.instance == departure.instance and d.born_ms >= departure.born_ms
+        for d in departures
+    )
+
+
 class DepartureLog:
     """Departures acknowledged by this node, also before a restart.
 
@@ -59,6 +71,10 @@
         """Return the departures, the earliest first."""
         return [Departure(*item) for item in self._born_ms.items()]
 
+    def list_latest(self) -> tuple[Departure, ...]:
+        """Return the departures that the node's record lists."""
+        return tuple(self.list_all()[-MAX_PUBLISHED:])
+
     def add(self, departure: Departure) -> None:
         """Add a departure; ignore one without born_ms."""
         if not departure.born_ms or departure in self:
@@ -76,6 +92,15 @@
         for departure in [*departures, *added]:
             self._insert(departure)
 
+    def adopt(self, departures: Iterable[Departure]) -> None:
+        """Restore departures that the table may lack."""
+        unknown = [d for d in departures if d not in self]
+        if not unknown:
+            return
+        self.restore(unknown)
+        if any(d in self for d in unknown):
+            self._changes += 1
+
     def mark_saved(self, change_count: int) -> None:
         """Record that the table holds all changes up to a change count."""
         self._saved_changes = max(self._saved_changes, change_count)
--- /dev/null
+++ b/libs/membership/auburnjunction/membership/handovers.py
@@ -0,0 +1,44 @@
+"""Departures kept for nodes that restart."""
+
+from auburnjunction.http.clients import Address
+from auburnjunction.membership.departures import (
+    MAX_PUBLISHED,
+    Departure,
+    has_departed,
+)
+from auburnjunction.membership.records import Node
+
+
+class DepartureHandover:
+    """Departures that the current records of restarted nodes lack.
+
+    A node that restarts while the table is down has lost its departure log.
+    The nodes that hold the record of its previous incarnation send it the
+    departures in there until its record lists them.
+    """
+
+    def __init__(self):
+        self._departures: dict[Address, tuple[Departure, ...]] = {}
+
+    def observe(self, previous: Node | None, current: Node) -> None:
+        """Compare a record with the one of the same node that it replaces."""
+        missing = list(self._departures.pop(current.address, ()))
+        if previous and previous.incarnation < current.incarnation:
+            missing += previous.departures
+        if len(current.departures) >= MAX_PUBLISHED:
+            # The record lists only the latest; any others are earlier.
+            return
+        missing = [
+            d for d in missing if not has_departed(d, current.departures)
+        ]
+        if missing:
+            latest = dict.fromkeys(missing[-MAX_PUBLISHED:])
+            self._departures[current.address] = tuple(latest)
+
+    def list_for(self, address: Address) -> tuple[Departure, ...]:
+        """Return the departures to send to the node at an address."""
+        return self._departures.get(address, ())
+
+    def forget(self, node: Node) -> None:
+        """Drop the departures of a node."""
+        self._departures.pop(node.address, None)
--- a/libs/membership/auburnjunction/membership/instances.py
+++ b/libs/membership/auburnjunction/membership/instances.py
@@ -23,7 +23,7 @@
         """Renew the lease of a backend server and publish any change."""
         lease = self._leases.renew(announcement)
         self._cluster.shortest_lease_s = self._leases.shortest_s
-        self._publish()
+        self.publish()
         return lease
 
     def set_draining(self, instance: str, draining: bool) -> None:
@@ -37,14 +37,17 @@
                 f"backend server {instance} has not announced itself here"
             )
         lease.draining = draining
-        self._publish()
+        self.publish()
 
     def check(self, revision: int) -> None:
         """Expire leases; publish changes of load or revision when due."""
-        has_departures = self._leases.apply_restored_departures()
-        if self._leases.expire() or has_departures:
+        has_left = self._leases.apply_restored_departures()
+        if self._leases.expire() or has_left:
             self._cluster.shortest_lease_s = self._leases.shortest_s
-            self._publish()
+            self.publish()
+        elif self._has_unpublished_departures():
+            # Peers have handed back departures of an earlier incarnation.
+            self.publish()
         own = self._cluster.own_record
         instances = self._list_instances()
         if instances == own.instances and revision == own.revision:
@@ -57,15 +60,24 @@
         )
         self._cluster.update_own_record(instances=instances, revision=revision)
 
-    def _publish(self) -> None:
+    def publish(self) -> None:
+        """Update this node's record unless only the load has changed."""
         before = self._cluster.own_record
         instances = self._list_instances()
-        if _without_load(instances) == _without_load(before.instances):
+        has_changed = _without_load(instances) != _without_load(
+            before.instances
+        )
+        if not has_changed and not self._has_unpublished_departures():
             return
         self._cluster.update_own_record(instances=instances)
         if _list_ready(before.instances) != _list_ready(instances):
             self._cluster.queue_urgent_push(self._cluster.own_record)
 
+    def _has_unpublished_departures(self) -> bool:
+        cluster = self._cluster
+        latest = cluster.departures.list_latest()
+        return latest != cluster.own_record.departures
+
     def _list_instances(self) -> tuple[Instance, ...]:
         return tuple(
             self._make_instance(lease) for lease in self._leases.list_all()
--- a/libs/membership/auburnjunction/membership/memberships.py
+++ b/libs/membership/auburnjunction/membership/memberships.py
@@ -124,6 +124,7 @@
         """
         born_ms = int(self._clock.now().timestamp() * MILLISECONDS_PER_SECOND)
         self._cluster.departures.add(Departure(instance, born_ms))
+        self._locals.publish()
 
     @property
     def are_departures_saved(self) -> bool:
@@ -133,14 +134,19 @@
     async def save_departures(self) -> None:
         """Write departures that are not saved yet to the table.
 
-        Return after departure_save_limit_s even if the write has not
-        succeeded: a departure is in force without the table, and the
-        periodic check retries the write.
+        If that takes over half of departure_save_limit_s, another node gets
+        this node's record, which lists them. Return after the limit in any
+        case: a departure is in force without the table, and the periodic
+        check retries the write.
         """
         if self._cluster.departures.is_saved:
             return
-        async with curio.ignore_after(self._cfg.departure_save_limit_s):
-            await self._joiner.write_own_row()
+        limit_s = self._cfg.departure_save_limit_s / 2
+        async with curio.ignore_after(limit_s):
+            if await self._joiner.write_own_row():
+                return
+        async with curio.ignore_after(limit_s):
+            await self._urgent_pusher.push_to_one()
 
     def set_draining(self, instance: str, draining: bool) -> None:
         """Start or end the draining of a local backend server.
--- a/libs/membership/auburnjunction/membership/receivers.py
+++ b/libs/membership/auburnjunction/membership/receivers.py
@@ -10,6 +10,8 @@
 from auburnjunction.membership.records import (
     Node,
     NodeState,
+    decode_departures,
+    encode_departures,
     encode_record,
 )
 from auburnjunction.membership.senders import GossipSender
@@ -34,6 +36,8 @@
         Raise PeerUnreachableError if the body is not a request.
         """
         request = parse_message(pb.GossipRequest, body)
+        departures = decode_departures(request.departures)
+        self._cluster.departures.adopt(departures)
         records = decode_records(request.records)
         new_indexes = self._cluster.merge(records)
         if request.urgent:
@@ -62,6 +66,8 @@
         response: pb.GossipResponse,
     ) -> None:
         cluster = self._cluster
+        departures = cluster.handover.list_for(sender.address)
+        response.departures.extend(encode_departures(departures))
         self._sender.on_peer_mark(decode_mark(request.mark), sender.address)
         if sender.data_centre == cluster.own_record.data_centre:
             cluster.reachability.merge(request.reachability)
--- a/libs/membership/auburnjunction/membership/records.py
+++ b/libs/membership/auburnjunction/membership/records.py
@@ -4,12 +4,14 @@
 taking the greater is commutative, associative and idempotent.
 """
 
+from collections.abc import Iterable
 from enum import IntEnum
 
 import attrs
 import xxhash
 
 from auburnjunction.http.clients import Address
+from auburnjunction.membership.departures import Departure
 from auburnjunction.model.services import Instance, InstanceState
 from auburnjunction.schema import control_pb2 as pb
 
@@ -41,6 +43,8 @@
     instances: tuple[Instance, ...] = ()
     # Bandwidth of the host's network link in Mbit/s; 0 if unknown.
     link_mbps: int = 0
+    # Latest departures that the node has acknowledged.
+    departures: tuple[Departure, ...] = ()
 
     @property
     def order(self) -> tuple[int, bool, int, NodeState]:
@@ -109,6 +113,21 @@
     )
 
 
+def encode_departures(
+    departures: Iterable[Departure],
+) -> list[pb.DepartureRecord]:
+    """Encode departures as protobuf messages."""
+    return [
+        pb.DepartureRecord(instance=d.instance, born_ms=d.born_ms)
+        for d in departures
+    ]
+
+
+def decode_departures(messages) -> tuple[Departure, ...]:
+    """Decode departures from protobuf messages."""
+    return tuple(Departure(m.instance, m.born_ms) for m in messages)
+
+
 def encode_record(record: Node) -> pb.NodeRecord:
     """Encode a record as a protobuf message."""
     return pb.NodeRecord(
@@ -122,6 +141,7 @@
         instances=[encode_instance(i) for i in record.instances],
         revision=record.revision,
         link_mbps=record.link_mbps,
+        departures=encode_departures(record.departures),
     )
 
 
@@ -148,6 +168,7 @@
             _decode_instance(message, item) for item in message.instances
         ),
         link_mbps=message.link_mbps,
+        departures=decode_departures(message.departures),
     )
 
 
--- a/libs/membership/auburnjunction/membership/seeds.py
+++ b/libs/membership/auburnjunction/membership/seeds.py
@@ -7,8 +7,11 @@
 from auburnjunction.base.logs import log_event
 from auburnjunction.http.clients import Address
 from auburnjunction.membership.cluster_states import ClusterState
-from auburnjunction.membership.departures import Departure
-from auburnjunction.membership.records import Node
+from auburnjunction.membership.records import (
+    Node,
+    decode_departures,
+    encode_departures,
+)
 from auburnjunction.schema import control_pb2 as pb
 from auburnjunction.storage.tables import (
     Row,
@@ -90,10 +93,8 @@
             return 0
         message = _parse_row(row)
         if message is not None:
-            self._cluster.departures.restore(
-                Departure(item.instance, item.born_ms)
-                for item in message.departures
-            )
+            departures = decode_departures(message.departures)
+            self._cluster.departures.restore(departures)
         return row.version
 
     async def find_own_row(self) -> bool:
@@ -174,10 +175,7 @@
             host=own.address.host,
             peer_port=own.address.port,
             expires_ms=int(expires_s * 1000),
-            departures=[
-                pb.DepartureRecord(instance=d.instance, born_ms=d.born_ms)
-                for d in cluster.departures.list_all()
-            ],
+            departures=encode_departures(cluster.departures.list_all()),
         )
 
     def _read_addresses(self, rows: list[Row]) -> list[Address]:
--- a/libs/membership/auburnjunction/membership/senders.py
+++ b/libs/membership/auburnjunction/membership/senders.py
@@ -15,6 +15,8 @@
 from auburnjunction.membership.records import (
     Node,
     NodeState,
+    decode_departures,
+    encode_departures,
     encode_record,
 )
 from auburnjunction.model.snapshots import NO_REVISION, RevisionMark
@@ -111,6 +113,8 @@
     ) -> pb.GossipResponse:
         """Send one request and merge its response."""
         cluster = self._cluster
+        departures = cluster.handover.list_for(address)
+        request.departures.extend(encode_departures(departures))
         body = request.SerializeToString()
         cluster.stats.count_request(len(body), cross)
         timeout_s = cluster.cfg.exchange_timeout_s
@@ -123,6 +127,7 @@
         response = parse_message(pb.GossipResponse, response_body)
         cluster.record_peer_response(started_s)
         cluster.reachability.merge(response.reachability)
+        cluster.departures.adopt(decode_departures(response.departures))
         cluster.merge(decode_records(response.records))
         if response.sender_unknown:
             cluster.gossip_queue.add(cluster.own_record)
--- a/libs/membership/auburnjunction/membership/settings.py
+++ b/libs/membership/auburnjunction/membership/settings.py
@@ -85,8 +85,9 @@
     table_timeout_s: float = attrs.field(
         default=2.0, validator=check_range(0.05, 60)
     )
-    # Maximum time that the response to a departure waits for the write to
-    # the table; backend servers expect the response within a second.
+    # Maximum time that the response to a departure waits, half of it for the
+    # write to the table, then for another node that keeps it; backend servers
+    # expect the response within a second.
     departure_save_limit_s: float = attrs.field(
         default=0.2, validator=check_range(0, 1)
     )
--- a/libs/membership/auburnjunction/membership/urgent_pushers.py
+++ b/libs/membership/auburnjunction/membership/urgent_pushers.py
@@ -48,6 +48,15 @@
             ]
         return pushes
 
+    async def push_to_one(self) -> None:
+        """Push this node's record until one other node responds."""
+        peers = self._cluster.peers
+        self._cluster.random.shuffle(peers)
+        remote = [n for nodes in self._list_remote_nodes() for n in nodes]
+        await self._push(
+            peers or remote, [self._cluster.own_record], not peers
+        )
+
     def _draw_peers(self) -> list[list[Node]]:
         """Return random groups of peers; a push goes to one of each group."""
         peers = self._cluster.peers
