Keep a departure that a response tells after the lease has expired

A backend server whose heartbeats are late got further calls from nodes that had not passed on its response, although that response said it was leaving.

The node looked the backend server up among those with a lease, and dropped a departure told by a response that came after the lease had expired; a late heartbeat then renewed the lease as ready.

Evidence: test_departure_in_a_response_holds_for_its_incarnation without an announcement, red before (ready, leaving expected).

Why this works: such a departure goes into the log with the time of birth that the owner knows, so that it covers this incarnation and no later one.

--- a/libs/membership/auburnjunction/membership/memberships.py
+++ b/libs/membership/auburnjunction/membership/memberships.py
@@ -116,13 +116,13 @@
         """Renew the lease of a backend server of this host."""
         return self._locals.announce(announcement)
 
-    def log_departure(self, instance: str) -> None:
-        """Log the departure of a backend server without a lease here.
+    def log_departure_by_now(self, instance: str) -> None:
+        """Log the departure of every incarnation that was born by now."""
+        now_ms = int(self._clock.now().timestamp() * MILLISECONDS_PER_SECOND)
+        self.log_departure(instance, now_ms)
 
-        Nothing tells when it was born; every incarnation has departed that
-        was born by now.
-        """
-        born_ms = int(self._clock.now().timestamp() * MILLISECONDS_PER_SECOND)
+    def log_departure(self, instance: str, born_ms: int) -> None:
+        """Log the departure of a backend server without a lease here."""
         self._cluster.departures.add(Departure(instance, born_ms))
         self._locals.publish()
 
--- a/libs/membership/auburnjunction/membership/tests/test_handovers.py
+++ b/libs/membership/auburnjunction/membership/tests/test_handovers.py
@@ -58,7 +58,7 @@
 async def acknowledge_departure(member, last):
     """Do what a node does before it acknowledges a departure."""
     if last == "unknown":
-        member.membership.log_departure("a-1")
+        member.membership.log_departure_by_now("a-1")
     else:
         member.membership.announce(make_state("ready", 1))
         member.membership.announce(make_state(last, 3))
--- a/libs/node/auburnjunction/node/instances.py
+++ b/libs/node/auburnjunction/node/instances.py
@@ -61,12 +61,15 @@
     def report_departure(self, instance: str, born_ms: int) -> None:
         """Publish that an incarnation has said in a response that it leaves.
 
-        Its announcement may be late or lost. The departure is saved in the
-        background, as no acknowledgement waits for it.
+        Its announcement may be late or lost, and its lease may have expired
+        since the call. The departure is saved in the background, as no
+        acknowledgement waits for it.
         """
         previous = self._announced.get(instance)
         if previous is not None and previous.born_ms == born_ms:
             self.announce(attrs.evolve(previous, state="leaving"))
+        else:
+            self._membership.log_departure(instance, born_ms)
 
     def deregister(self, instance: str) -> None:
         """Mark a backend server as gone.
@@ -81,7 +84,7 @@
                 logging.WARNING,
                 instance=instance,
             )
-            self._membership.log_departure(instance)
+            self._membership.log_departure_by_now(instance)
             return
         self.announce(attrs.evolve(previous, state="gone"))
 
--- /dev/null
+++ b/libs/node/auburnjunction/node/tests/test_instances.py
@@ -0,0 +1,68 @@
+"""Departures that a node learns of from responses."""
+
+import random
+
+import pytest
+
+from auburnjunction.base.clocks import ManualClock
+from auburnjunction.base.metrics import MetricRegistry
+from auburnjunction.http.clients import Address, PoolRegistry
+from auburnjunction.membership.announcements import Announcement
+from auburnjunction.membership.memberships import Membership
+from auburnjunction.membership.settings import MembershipSettings
+from auburnjunction.model.services import InstanceState
+from auburnjunction.node.instances import LocalInstanceRegistry
+from auburnjunction.traffic.admissions import AdmissionSettings
+from auburnjunction.traffic.meters import OwnerMetrics
+from auburnjunction.traffic.owners import OwnerRegistry
+
+BORN_MS = 1_764_840_000_000
+LEAVING, READY = InstanceState.LEAVING, InstanceState.READY
+
+
+def make_registry():
+    clock = ManualClock()
+    address = Address("127.0.0.1", 9001)
+    membership = Membership(
+        MembershipSettings(),
+        "n0",
+        "helsinki",
+        address,
+        clock,
+        PoolRegistry(clock),
+        None,
+        random.Random(1),
+    )
+    metrics = OwnerMetrics(MetricRegistry())
+    owners = OwnerRegistry(AdmissionSettings(), clock, metrics)
+    return LocalInstanceRegistry(membership, owners)
+
+
+def make_ready(born_ms, sequence):
+    return Announcement(
+        "a-1", "orders", "127.0.0.1:80", born_ms=born_ms, sequence=sequence
+    )
+
+
+# Guards against calls at a backend server that has said in a response that
+# it is leaving, after its lease expired and a late heartbeat renewed it.
+@pytest.mark.parametrize(
+    ("announced_ms", "left_ms", "next_ms", "state"),
+    [
+        (BORN_MS, BORN_MS, BORN_MS, LEAVING),
+        # Its lease has expired, or it has not announced itself yet.
+        (None, BORN_MS, BORN_MS, LEAVING),
+        (None, BORN_MS, BORN_MS + 1, READY),
+        # The response is of an earlier incarnation.
+        (BORN_MS + 1, BORN_MS, BORN_MS + 1, READY),
+        (None, 0, BORN_MS, READY),
+    ],
+)
+def test_departure_in_a_response_holds_for_its_incarnation(
+    announced_ms, left_ms, next_ms, state
+):
+    registry = make_registry()
+    if announced_ms is not None:
+        registry.announce(make_ready(announced_ms, 1))
+    registry.report_departure("a-1", left_ms)
+    assert registry.announce(make_ready(next_ms, 2)) is state
