Look departures up without building a key for each instance

Cause: once a response has said leaving, every choice of an instance built a Departure for each instance of the service.

Measured: 29 us for 27 instances before, 6.6 us after (timeit, beside other runs). Behaviour as before; tests of balancers and departures green.

--- a/libs/membership/auburnjunction/membership/departures.py
+++ b/libs/membership/auburnjunction/membership/departures.py
@@ -48,14 +48,16 @@
         return len(self._born_ms)
 
     def __contains__(self, departure: Departure) -> bool:
+        """Return whether an incarnation has departed."""
+        return self.covers(departure.instance, departure.born_ms)
+
+    def covers(self, instance: str, born_ms: int) -> bool:
         """Return whether an incarnation has departed.
 
         One without born_ms never has: it cannot be told from a new one of
         the same backend server.
         """
-        return (
-            0 < departure.born_ms <= self._born_ms.get(departure.instance, 0)
-        )
+        return 0 < born_ms <= self._born_ms.get(instance, 0)
 
     @property
     def is_saved(self) -> bool:
--- a/libs/traffic/auburnjunction/traffic/instance_trackers.py
+++ b/libs/traffic/auburnjunction/traffic/instance_trackers.py
@@ -153,11 +153,8 @@
         """
         if not self._departures:
             return instances
-        return [
-            i
-            for i in instances
-            if Departure(i.instance, i.born_ms) not in self._departures
-        ]
+        has_left = self._departures.covers
+        return [i for i in instances if not has_left(i.instance, i.born_ms)]
 
     def estimate_link_latency_s(self, data_centre: str) -> float:
         """Return the estimated round trip to a data centre."""
