--- a/libs/standins/auburnjunction/standins/backend_servers.py
+++ b/libs/standins/auburnjunction/standins/backend_servers.py
@@ -154,7 +154,7 @@
         return await self._serve(request)
 
     def _list_notices(self) -> Headers:
-        """Return the headers with which responses tell of its state."""
+        """Return the headers that describe its state."""
         notices = []
         if self.leaving:
             notices.append((LEAVING_HEADER, b"1"))
--- a/libs/standins/auburnjunction/standins/soaks.py
+++ b/libs/standins/auburnjunction/standins/soaks.py
@@ -33,8 +33,8 @@
 # Longest time in which a node ends after SIGTERM: its drain limit and notice.
 STOP_LIMIT_S = 15.0
 # Rate limit that one backend server names, a fraction of its load; no window
-# may hold more than this ratio of it and these calls, once nodes that were
-# told have had this long.
+# may hold more than this ratio of it and these calls, from this long after
+# its first response with the limit.
 RATE_LIMIT_PER_S = 3.0
 RATE_LIMIT_LONGEST_S = 6.0
 RATE_WINDOW_S = 4.0
--- a/libs/traffic/auburnjunction/traffic/headers.py
+++ b/libs/traffic/auburnjunction/traffic/headers.py
@@ -38,8 +38,8 @@
 IDEMPOTENCY_KEY_HEADER = b"idempotency-key"
 # Set by a backend server on the refusal of a request that did not run.
 SHED_HEADER = b"auburn-shed"
-# Set to 1 by a backend server, on every response, once it is leaving; also
-# tells the entry node so.
+# Set to 1 by a backend server, on every response, once it is leaving; owner
+# nodes set it for entry nodes.
 LEAVING_HEADER = b"auburn-leaving"
 # Calls per second that a backend server takes from all nodes together, as
 # long as its responses say so; between nodes, in calls and answers, the last
--- a/libs/traffic/auburnjunction/traffic/rate_limits.py
+++ b/libs/traffic/auburnjunction/traffic/rate_limits.py
@@ -23,7 +23,7 @@
         self._due_s = 0.0
         self._limit_per_s: float | None = None
         self._named_s = 0.0
-        # Whether a response has told what the backend server takes.
+        # Whether a response has named a limit, or that there is none.
         self._has_response = False
 
     @property
--- a/libs/traffic/auburnjunction/traffic/tests/test_owners.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_owners.py
@@ -338,8 +338,8 @@
     return Announcement("orders-1", "orders", f"{HOST}:{port}")
 
 
-# Guards against a node that waits for the announcement of a departure that
-# every response tells of.
+# Guards against calls at a backend server that says in every response that
+# it is leaving, until its announcement arrives.
 @pytest.mark.parametrize(
     ("status", "headers"),
     [
