--- a/libs/membership/auburnjunction/membership/tests/test_handovers.py
+++ b/libs/membership/auburnjunction/membership/tests/test_handovers.py
@@ -78,8 +78,7 @@
     await wait_until(has_departed, CONTACT_S, "a late ready changes nothing")
 
 
-# Guards against calls at a backend server that has left, after its node
-# acknowledged the departure while the table was down and restarted.
+# Guards against an acknowledged departure that is lost with its node.
 @pytest.mark.parametrize("last", ["leaving", "gone", "unknown"])
 @pytest.mark.parametrize("restarts", [1, 2])
 @pytest.mark.parametrize("make_table", [RefusingTable, SilentTable])
--- a/libs/node/auburnjunction/node/tests/test_instances.py
+++ b/libs/node/auburnjunction/node/tests/test_instances.py
@@ -44,8 +44,7 @@
     )
 
 
-# Guards against calls at a backend server that has said in a response that
-# it is leaving, after its lease expired and a late heartbeat renewed it.
+# Guards against a departure in a response that a late heartbeat undoes.
 @pytest.mark.parametrize(
     ("announced_ms", "left_ms", "next_ms", "state"),
     [
--- a/libs/traffic/auburnjunction/traffic/tests/test_balancers.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_balancers.py
@@ -326,8 +326,7 @@
     assert sum(counts.values()) == 300
 
 
-# Guards against calls at an instance that has said that it is leaving, from
-# a node whose view says that it is ready.
+# Guards against calls of a stale view after a response that says leaving.
 @pytest.mark.parametrize(
     ("leaving", "born_ms", "chosen"),
     [
--- a/libs/traffic/auburnjunction/traffic/tests/test_delayed_starts.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_delayed_starts.py
@@ -78,8 +78,7 @@
         yield owner, backend, call
 
 
-# Guards against calls that get a slot in time and reach a backend server
-# after the drain start limit.
+# Guards against calls with a slot that are sent after the drain start limit.
 @pytest.mark.parametrize("open_delayed", [open_slow_probe, open_slow_claim])
 @pytest.mark.parametrize(
     ("draining", "executed"), [(False, ["late"]), (True, [])]
--- a/libs/traffic/auburnjunction/traffic/tests/test_owners.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_owners.py
@@ -338,8 +338,7 @@
     return Announcement("orders-1", "orders", f"{HOST}:{port}")
 
 
-# Guards against calls at a backend server that says in every response that
-# it is leaving, until its announcement arrives.
+# Guards against calls between a response that says leaving and its heartbeat.
 @pytest.mark.parametrize(
     ("status", "headers"),
     [
--- a/libs/traffic/auburnjunction/traffic/tests/test_rate_limits.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_rate_limits.py
@@ -103,8 +103,7 @@
     assert limiter.find_delay(1.0) <= 1 / MIN_RATE_PER_S
 
 
-# Guards against a backend server that gets more calls than the limit that it
-# has named, from callers that offer many times of it.
+# Guards against more calls than the limit that a backend server names.
 @pytest.mark.parametrize("fail_fast", [False, True])
 def test_calls_keep_the_rate_limit_of_the_backend_server(fail_fast):
     rate, duration_s = 20, 1.0
@@ -177,8 +176,7 @@
     curio.run(main)
 
 
-# Guards against a burst at a backend server whose limit its node has
-# forgotten in a restart.
+# Guards against a burst of calls after a restart that forgets the limit.
 def test_restarted_owner_keeps_the_limit_that_entry_nodes_know():
     async def main():
         headers = [(b"auburn-rate-limit", b"4")]
