Leave owners as they are after an announcement that is late

A late announcement of POST /announce is acknowledged and changes no lease, but its address and slots were applied to the owner, so that calls could go to the address of an earlier incarnation.

Cause: one part ignored the announcement, the other applied it. On the users' machines heartbeats go another way, which checks.

Evidence: test_late_announcement_does_not_change_the_owner, the cases of an earlier sequence number and of an earlier time of birth red before (port 81, 80 expected), green now.

Why this works: the owner takes an announcement only if the lease holds it. Tests of node and membership green.

--- a/libs/membership/auburnjunction/membership/instances.py
+++ b/libs/membership/auburnjunction/membership/instances.py
@@ -26,6 +26,11 @@
         self.publish()
         return lease
 
+    def is_latest(self, announcement: Announcement) -> bool:
+        """Return whether no later announcement of its instance is known."""
+        lease = self._leases.get(announcement.instance)
+        return lease is not None and lease.announcement == announcement
+
     def set_draining(self, instance: str, draining: bool) -> None:
         """Start or end draining, which is published as leaving.
 
--- a/libs/membership/auburnjunction/membership/memberships.py
+++ b/libs/membership/auburnjunction/membership/memberships.py
@@ -116,6 +116,10 @@
         """Renew the lease of a backend server of this host."""
         return self._locals.announce(announcement)
 
+    def is_latest(self, announcement: Announcement) -> bool:
+        """Return whether no later announcement of its instance is known."""
+        return self._locals.is_latest(announcement)
+
     def log_departure_by_now(self, instance: str) -> None:
         """Log the departure of every incarnation that was born by now."""
         now_ms = int(self._clock.now().timestamp() * MILLISECONDS_PER_SECOND)
--- a/libs/node/auburnjunction/node/instances.py
+++ b/libs/node/auburnjunction/node/instances.py
@@ -31,9 +31,9 @@
         """Handle POST /announce from a backend server of this host."""
         response = await self._membership.handle_announce(request)
         if response.status == 200:
-            self._record_announcement(
-                parse_settings(request.body, Announcement)
-            )
+            announcement = parse_settings(request.body, Announcement)
+            if self._membership.is_latest(announcement):
+                self._record_announcement(announcement)
             await self.save_departures()
         return response
 
--- a/libs/node/auburnjunction/node/tests/test_instances.py
+++ b/libs/node/auburnjunction/node/tests/test_instances.py
@@ -1,12 +1,16 @@
-"""Departures that a node learns of from responses."""
+"""Announcements and departures of the backend servers of a host."""
 
 import random
 
+import attrs
+import curio
+import orjson
 import pytest
 
 from auburnjunction.base.clocks import ManualClock
 from auburnjunction.base.metrics import MetricRegistry
 from auburnjunction.http.clients import Address, PoolRegistry
+from auburnjunction.http.messages import HttpRequest
 from auburnjunction.membership.announcements import Announcement
 from auburnjunction.membership.memberships import Membership
 from auburnjunction.membership.settings import MembershipSettings
@@ -20,7 +24,12 @@
 LEAVING, READY = InstanceState.LEAVING, InstanceState.READY
 
 
-def make_registry():
+def make_owners():
+    metrics = OwnerMetrics(MetricRegistry())
+    return OwnerRegistry(AdmissionSettings(), ManualClock(), metrics)
+
+
+def make_registry(owners=None):
     clock = ManualClock()
     address = Address("127.0.0.1", 9001)
     membership = Membership(
@@ -33,9 +42,7 @@
         None,
         random.Random(1),
     )
-    metrics = OwnerMetrics(MetricRegistry())
-    owners = OwnerRegistry(AdmissionSettings(), clock, metrics)
-    return LocalInstanceRegistry(membership, owners)
+    return LocalInstanceRegistry(membership, owners or make_owners())
 
 
 def make_ready(born_ms, sequence):
@@ -65,3 +72,30 @@
         registry.announce(make_ready(announced_ms, 1))
     registry.report_departure("a-1", left_ms)
     assert registry.announce(make_ready(next_ms, 2)) is state
+
+
+# Guards against calls at the address of an earlier incarnation.
+@pytest.mark.parametrize(
+    ("born_ms", "sequence", "port"),
+    [
+        (BORN_MS, 2, 80),
+        (BORN_MS - 1, 9, 80),
+        (BORN_MS, 4, 81),
+        (BORN_MS + 1, 1, 81),
+    ],
+)
+def test_late_announcement_does_not_change_the_owner(born_ms, sequence, port):
+    async def main():
+        owners = make_owners()
+        registry = make_registry(owners)
+        first = make_ready(BORN_MS, 3)
+        second = attrs.evolve(
+            make_ready(born_ms, sequence), address="127.0.0.1:81"
+        )
+        for announcement in (first, second):
+            body = orjson.dumps(attrs.asdict(announcement))
+            request = HttpRequest(b"POST", b"/announce", [], body)
+            assert (await registry.handle_announce(request)).status == 200
+        assert owners.get("a-1").address == Address("127.0.0.1", port)
+
+    curio.run(main)
