Check calls after a departure in soaks from 2 s on, as stated

Cause: setting the fault counted as a disturbance of its host, so that calls in the first 3 s after a departure were excused, where 2 s are the bound.

--- a/libs/standins/auburnjunction/standins/soaks.py
+++ b/libs/standins/auburnjunction/standins/soaks.py
@@ -220,8 +220,9 @@
         self._departed.add(host.name)
 
     def _set_backend_faults(self, host: HostPlan, **faults) -> None:
-        # A frozen process takes the request once it resumes.
-        self._thaw_backend(host)
+        # A frozen process takes the request once it resumes. This excuses no
+        # calls after a departure.
+        self._backends[host.name].send_signal(signal.SIGCONT)
         body = orjson.dumps(faults)
         fetch(host.backend_port, "/faults", "POST", body)
 
