Compare handed departures by the departure log, and publish in one branch

Cause: has_departed stated again what the log's covers says, and the check of leases published in two branches. A record without departures to compare now builds nothing.

--- a/libs/membership/auburnjunction/membership/departures.py
+++ b/libs/membership/auburnjunction/membership/departures.py
@@ -21,16 +21,6 @@
     born_ms: int
 
 
-def has_departed(
-    departure: Departure, departures: Iterable[Departure]
-) -> bool:
-    """Return whether others cover the incarnations of a departure."""
-    return any(
-        d.instance == departure.instance and d.born_ms >= departure.born_ms
-        for d in departures
-    )
-
-
 class DepartureLog:
     """Departures acknowledged by this node, also before a restart.
 
--- a/libs/membership/auburnjunction/membership/handovers.py
+++ b/libs/membership/auburnjunction/membership/handovers.py
@@ -4,7 +4,7 @@
 from auburnjunction.membership.departures import (
     MAX_PUBLISHED,
     Departure,
-    has_departed,
+    DepartureLog,
 )
 from auburnjunction.membership.records import Node
 
@@ -25,12 +25,12 @@
         missing = list(self._departures.pop(current.address, ()))
         if previous and previous.incarnation < current.incarnation:
             missing += previous.departures
-        if len(current.departures) >= MAX_PUBLISHED:
+        if not missing or len(current.departures) >= MAX_PUBLISHED:
             # The record lists only the latest; any others are earlier.
             return
-        missing = [
-            d for d in missing if not has_departed(d, current.departures)
-        ]
+        listed = DepartureLog()
+        listed.restore(current.departures)
+        missing = [d for d in missing if d not in listed]
         if missing:
             latest = dict.fromkeys(missing[-MAX_PUBLISHED:])
             self._departures[current.address] = tuple(latest)
--- a/libs/membership/auburnjunction/membership/instances.py
+++ b/libs/membership/auburnjunction/membership/instances.py
@@ -47,12 +47,10 @@
     def check(self, revision: int) -> None:
         """Expire leases; publish changes of load or revision when due."""
         has_left = self._leases.apply_restored_departures()
-        if self._leases.expire() or has_left:
+        has_expired = bool(self._leases.expire())
+        if has_left or has_expired or self._has_unpublished_departures():
             self._cluster.shortest_lease_s = self._leases.shortest_s
             self.publish()
-        elif self._has_unpublished_departures():
-            # Peers have handed back departures of an earlier incarnation.
-            self.publish()
         own = self._cluster.own_record
         instances = self._list_instances()
         if instances == own.instances and revision == own.revision:
