Log the origin of a revision, the readers of the head and failed reads

The logs couldn't tell apart the hypotheses on late configurations: how a revision came to a node, whether the nodes of a data centre had a reader that could read, and how long a failed read had taken.

"configuration in force" names its origin, nodes log when they become head readers or stop being ones and when they read as a fall-back, with the age of the last known read, and "head not read" has the duration. Failed reads are counted (auburn_distribution_failed_platform_reads_total). No behaviour changes; tests of distribution and platform: all passed.

--- a/libs/distribution/auburnjunction/distribution/distributors.py
+++ b/libs/distribution/auburnjunction/distribution/distributors.py
@@ -28,7 +28,10 @@
     HeadPoller,
 )
 from auburnjunction.distribution.head_readers import HeadReader
-from auburnjunction.distribution.holders import SnapshotHolder
+from auburnjunction.distribution.holders import (
+    RevisionOrigin,
+    SnapshotHolder,
+)
 from auburnjunction.distribution.peers import PeerDirectory, PeerView
 from auburnjunction.distribution.pullers import Puller, adopt_and_count
 from auburnjunction.distribution.pushers import Pusher
@@ -163,7 +166,7 @@
 
         A head read of this node may have adopted it already.
         """
-        self._holder.adopt(revised)
+        self._holder.adopt(revised, RevisionOrigin.COMMIT)
         if self._holder.mark == revised.mark:
             await self._background.spawn(self._pusher.push_to_all)
 
@@ -181,7 +184,13 @@
         try:
             if mark.revision > self._holder.mark.revision:
                 revised = decode_content(message, self._holder.current)
-                adopt_and_count(self._holder, revised, message, self.stats)
+                adopt_and_count(
+                    self._holder,
+                    revised,
+                    message,
+                    RevisionOrigin.PUSH,
+                    self.stats,
+                )
         except MissingBaseError:
             return self._make_push_response(need_snapshot=True)
         except BadContentError as exc:
--- a/libs/distribution/auburnjunction/distribution/head_pollers.py
+++ b/libs/distribution/auburnjunction/distribution/head_pollers.py
@@ -3,6 +3,7 @@
 from random import Random
 
 from auburnjunction.base.clocks import Clock
+from auburnjunction.base.logs import log_event
 from auburnjunction.base.tasks import run_forever
 from auburnjunction.distribution.freshness import ReadFreshness
 from auburnjunction.distribution.head_readers import HeadReader
@@ -62,12 +63,24 @@
     async def step(self) -> None:
         """Read the head if this node is a reader or reads are overdue."""
         rank = self.rank
-        self._is_reader = rank is not None
+        self._record_rank(rank)
         if rank is not None:
             await self._read(rank)
         elif self._freshness.age_s > self._cfg.silence_s:
             await self._read_as_fallback()
 
+    def _record_rank(self, rank: int | None) -> None:
+        is_reader = rank is not None
+        if is_reader != self._is_reader:
+            log_event(
+                "elected as head reader"
+                if is_reader
+                else "no longer a head reader",
+                rank=rank,
+                read_age_s=round(self._freshness.age_s, 3),
+            )
+        self._is_reader = is_reader
+
     @property
     def rank(self) -> int | None:
         """Index among the readers of the data centre; None if not one."""
@@ -126,6 +139,11 @@
         if self._random.random() * read_spacing_s > self.poll_interval_s:
             return
         self._stats.fall_back_reads += 1
+        log_event(
+            "no recent head read known; reading the head",
+            read_age_s=round(self._freshness.age_s, 3),
+            limit_s=self._cfg.silence_s,
+        )
         if await self._reader.try_read():
             await self._pusher.push_local()
 
--- a/libs/distribution/auburnjunction/distribution/head_readers.py
+++ b/libs/distribution/auburnjunction/distribution/head_readers.py
@@ -10,7 +10,10 @@
     DistributionError,
 )
 from auburnjunction.distribution.freshness import ReadFreshness
-from auburnjunction.distribution.holders import SnapshotHolder
+from auburnjunction.distribution.holders import (
+    RevisionOrigin,
+    SnapshotHolder,
+)
 from auburnjunction.distribution.settings import DistributionSettings
 from auburnjunction.distribution.sources import HeadSource
 from auburnjunction.distribution.statistics import DistributionStats
@@ -81,24 +84,29 @@
 
     async def try_read(self, wait_s: float = 0.0) -> bool | None:
         """Read the head; log a failure and return None."""
+        start_s = self._clock.monotonic()
         try:
             adopted = await self.read_head(wait_s)
         except DistributionError as exc:
-            self._record_failure(exc)
+            self._record_failure(exc, self._clock.monotonic() - start_s)
             return None
         if self._failures:
             log_event("head read again", failures=self._failures)
             self._failures = 0
         return adopted
 
-    def _record_failure(self, exc: DistributionError) -> None:
+    def _record_failure(
+        self, exc: DistributionError, duration_s: float
+    ) -> None:
         # Only the first failure of an outage is logged, to limit log volume.
         self._failures += 1
+        self._stats.failed_platform_reads += 1
         if self._failures == 1:
             log_event(
                 "head not read",
                 logging.WARNING,
                 reason=exc.message,
+                duration_s=round(duration_s, 3),
                 head=self.head.revision,
                 revision=self._holder.mark.revision,
             )
@@ -110,7 +118,7 @@
             if self.head.revision <= self._holder.mark.revision:
                 return False
             revised = await self._source.fetch(self.head)
-            adopted = self._holder.adopt(revised)
+            adopted = self._holder.adopt(revised, RevisionOrigin.PLATFORM)
         except PlatformError as exc:
             raise DistributionError(exc.message) from exc
         except BadContentError:
--- a/libs/distribution/auburnjunction/distribution/holders.py
+++ b/libs/distribution/auburnjunction/distribution/holders.py
@@ -1,5 +1,6 @@
 """The snapshot that is in force on a node."""
 
+import enum
 from collections.abc import Callable
 
 from auburnjunction.base.logs import log_event
@@ -18,6 +19,15 @@
 Listener = Callable[[RevisedSnapshot], None]
 
 
+class RevisionOrigin(enum.StrEnum):
+    """How a revision reached a node."""
+
+    PLATFORM = "platform"
+    COMMIT = "commit"
+    PUSH = "push"
+    PULL = "pull"
+
+
 class SnapshotHolder:
     """Holds the snapshot in force; only a higher revision replaces it.
 
@@ -38,7 +48,7 @@
         """Call the listener with each snapshot that comes into force."""
         self._listeners.append(listener)
 
-    def adopt(self, revised: RevisedSnapshot) -> bool:
+    def adopt(self, revised: RevisedSnapshot, origin: RevisionOrigin) -> bool:
         """Bring a snapshot into force if its revision is higher.
 
         Return whether it was adopted. Raise BadContentError, and keep the
@@ -48,7 +58,11 @@
             return False
         require_valid_content(revised)
         self.current = revised
-        log_event("configuration in force", revision=revised.mark.revision)
+        log_event(
+            "configuration in force",
+            revision=revised.mark.revision,
+            origin=origin.value,
+        )
         for listener in self._listeners:
             listener(revised)
         return True
--- a/libs/distribution/auburnjunction/distribution/pullers.py
+++ b/libs/distribution/auburnjunction/distribution/pullers.py
@@ -11,7 +11,10 @@
 from auburnjunction.distribution.errors import BadContentError, PeerError
 from auburnjunction.distribution.exchanges import PULL_PATH, PeerClient
 from auburnjunction.distribution.freshness import ReadFreshness
-from auburnjunction.distribution.holders import SnapshotHolder
+from auburnjunction.distribution.holders import (
+    RevisionOrigin,
+    SnapshotHolder,
+)
 from auburnjunction.distribution.peers import Node, PeerView
 from auburnjunction.distribution.revisions import (
     MissingBaseError,
@@ -153,7 +156,13 @@
         if response.mark.revision <= self._holder.mark.revision:
             return
         revised = decode_content(response, self._holder.current)
-        adopt_and_count(self._holder, revised, response, self._stats)
+        adopt_and_count(
+            self._holder,
+            revised,
+            response,
+            RevisionOrigin.PULL,
+            self._stats,
+        )
 
     def _is_remote(self, address: Address) -> bool:
         node = find_node(self._view.list_peers(), address)
@@ -172,10 +181,11 @@
     holder: SnapshotHolder,
     revised: RevisedSnapshot,
     message: pb.PushRequest | pb.PullResponse,
+    origin: RevisionOrigin,
     stats: DistributionStats,
 ) -> bool:
     """Adopt a received revision and count it as a delta or snapshot."""
-    if not holder.adopt(revised):
+    if not holder.adopt(revised, origin):
         return False
     if message.snapshot:
         stats.wholes += 1
--- a/libs/distribution/auburnjunction/distribution/statistics.py
+++ b/libs/distribution/auburnjunction/distribution/statistics.py
@@ -16,6 +16,7 @@
     bytes_local: int = 0
     bytes_remote: int = 0
     platform_reads: int = 0
+    failed_platform_reads: int = 0
     fall_back_reads: int = 0
     deltas: int = 0
     wholes: int = 0
--- a/libs/distribution/auburnjunction/distribution/tests/test_holders.py
+++ b/libs/distribution/auburnjunction/distribution/tests/test_holders.py
@@ -3,7 +3,7 @@
 import pytest
 
 from auburnjunction.distribution.errors import BadContentError
-from auburnjunction.distribution.holders import SnapshotHolder
+from auburnjunction.distribution.holders import RevisionOrigin, SnapshotHolder
 from auburnjunction.distribution.tests.support import make_snapshot
 from auburnjunction.model.codecs import digest_snapshot
 from auburnjunction.model.routes import Route
@@ -29,9 +29,9 @@
     notified = []
     holder.subscribe(notified.append)
     first = make_revised(5, make_snapshot(1))
-    assert holder.adopt(first)
+    assert holder.adopt(first, RevisionOrigin.PLATFORM)
     other = make_revised(revision, make_snapshot(2))
-    assert holder.adopt(other) is adopted
+    assert holder.adopt(other, RevisionOrigin.PLATFORM) is adopted
     assert holder.current is (other if adopted else first)
     assert notified == ([first, other] if adopted else [first])
 
@@ -47,7 +47,7 @@
 def test_bad_content_keeps_the_snapshot_in_force(bad):
     holder = SnapshotHolder()
     first = make_revised(5, make_snapshot(1))
-    holder.adopt(first)
+    holder.adopt(first, RevisionOrigin.PLATFORM)
     with pytest.raises(BadContentError):
-        holder.adopt(bad)
+        holder.adopt(bad, RevisionOrigin.PLATFORM)
     assert holder.current is first
--- a/libs/distribution/auburnjunction/distribution/tests/test_pullers.py
+++ b/libs/distribution/auburnjunction/distribution/tests/test_pullers.py
@@ -6,7 +6,7 @@
 import pytest
 
 from auburnjunction.base.clocks import ManualClock
-from auburnjunction.distribution.holders import SnapshotHolder
+from auburnjunction.distribution.holders import RevisionOrigin, SnapshotHolder
 from auburnjunction.distribution.pullers import Puller
 from auburnjunction.distribution.settings import DistributionSettings
 from auburnjunction.distribution.tests.support import make_snapshot
@@ -50,7 +50,7 @@
         puller.try_pull = record_pull
         for revision in reported:
             await puller.queue_pull(make_revised(revision).mark, PEER)
-        holder.adopt(make_revised(1))
+        holder.adopt(make_revised(1), RevisionOrigin.PLATFORM)
         await puller._pull_when_queued()
 
     curio.run(main)
--- a/libs/distribution/auburnjunction/distribution/tests/test_start_ups.py
+++ b/libs/distribution/auburnjunction/distribution/tests/test_start_ups.py
@@ -4,6 +4,7 @@
 import curio
 import pytest
 
+from auburnjunction.distribution.holders import RevisionOrigin
 from auburnjunction.distribution.tests.support import (
     FAST_SETTINGS,
     Fleet,
@@ -100,7 +101,7 @@
                 earlier = RevisedSnapshot(
                     (await fleet.log.get(1)).commit.mark, make_snapshot(1)
                 )
-                member.holder.adopt(earlier)
+                member.holder.adopt(earlier, RevisionOrigin.PLATFORM)
                 assert not member.distributor.is_ready
                 await member.distributor.start_up()
                 assert member.distributor.is_ready
