Let other nodes read for readers that cannot reach the platform

What callers saw: calls handled by an older configuration more than 2.5 s after a newer one had been acknowledged, on nodes that were in touch.

One that is alive but refused by the platform, or cut off from it, stayed the reader, and no other node read until the last known read was 20 s old (silence_s).

Change: a reader whose read failed asks other nodes of its data centre to read the head, the other readers first, then batches that grow within the read budget. The first that can is an acting reader for 5 s, as long as it is asked, and pushes what it reads. While reads fail, they no longer wait for a change. Why that works: any node that reaches the platform is found within a few batches, whatever its place in the election.

Evidence: test_nodes_read_for_readers_that_cannot_reach_the_platform, four cases, all failed before.

Tests of distribution, platform and node passed.

--- a/libs/distribution/auburnjunction/distribution/distributors.py
+++ b/libs/distribution/auburnjunction/distribution/distributors.py
@@ -35,6 +35,7 @@
 from auburnjunction.distribution.peers import PeerDirectory, PeerView
 from auburnjunction.distribution.pullers import Puller, adopt_and_count
 from auburnjunction.distribution.pushers import Pusher
+from auburnjunction.distribution.read_delegations import ReadDelegator
 from auburnjunction.distribution.revisions import (
     MissingBaseError,
     RecentRevisions,
@@ -107,6 +108,7 @@
             self._head_reader,
             self._pusher,
             self._puller,
+            ReadDelegator(cfg, view, self._puller, random),
             self._freshness,
             self.stats,
             clock,
@@ -203,9 +205,12 @@
     async def handle_pull(self, request: HttpRequest) -> HttpResponse:
         """Handle POST /pull: return a delta or the full snapshot."""
         try:
-            have = parse_request(pb.PullRequest, request).have
+            message = parse_request(pb.PullRequest, request)
         except PeerError as exc:
             return make_error_response(400, exc.message)
+        if message.read_head and not await self._read_for_peer():
+            return make_error_response(503, "the head cannot be read")
+        have = message.have
         response = pb.PullResponse(
             mark=encode_mark(self._holder.mark),
             read_age_ms=self._freshness.age_ms,
@@ -226,6 +231,13 @@
             )
         return make_message_response(response)
 
+    async def _read_for_peer(self) -> bool:
+        """Read the head for a reader; return whether that succeeded."""
+        adopted = await self._head_poller.act_as_reader()
+        if adopted:
+            await self._background.spawn(self._pusher.push_to_all)
+        return adopted is not None
+
     async def _forward(self, message: pb.PushRequest) -> None:
         if message.spread:
             await self._background.spawn(self._pusher.push_local)
--- a/libs/distribution/auburnjunction/distribution/head_pollers.py
+++ b/libs/distribution/auburnjunction/distribution/head_pollers.py
@@ -2,6 +2,8 @@
 
 from random import Random
 
+import curio
+
 from auburnjunction.base.clocks import Clock
 from auburnjunction.base.logs import log_event
 from auburnjunction.base.tasks import run_forever
@@ -10,17 +12,22 @@
 from auburnjunction.distribution.peers import Node, PeerView
 from auburnjunction.distribution.pullers import Puller
 from auburnjunction.distribution.pushers import Pusher
+from auburnjunction.distribution.read_delegations import ReadDelegator
 from auburnjunction.distribution.settings import DistributionSettings
 from auburnjunction.distribution.statistics import DistributionStats
 
 JITTER_SHARE = 0.25
+# Time for which a node reads on behalf of a reader, which asks again earlier.
+ACTING_READER_S = 5.0
 
 
 class HeadPoller:
-    """Polls the head while this node is an elected reader.
+    """Polls the head while this node is an elected or acting reader.
 
-    If the last known read is older than silence_s, any other node may read
-    as well, within the read budget of the fleet.
+    A reader that cannot read delegates its reads to another node of the data
+    centre, which then is an acting reader. If the last known read is older
+    than silence_s, any other node may read as well, within the read budget
+    of the fleet.
     """
 
     def __init__(
@@ -30,6 +37,7 @@
         reader: HeadReader,
         pusher: Pusher,
         puller: Puller,
+        delegator: ReadDelegator,
         freshness: ReadFreshness,
         stats: DistributionStats,
         clock: Clock,
@@ -40,11 +48,13 @@
         self._reader = reader
         self._pusher = pusher
         self._puller = puller
+        self._delegator = delegator
         self._freshness = freshness
         self._stats = stats
         self._clock = clock
         self._random = random
         self._is_reader = False
+        self._acting_until_s = clock.monotonic()
 
     async def run(self) -> None:
         """Call step at jittered intervals until cancelled."""
@@ -83,11 +93,15 @@
 
     @property
     def rank(self) -> int | None:
-        """Index among the readers of the data centre; None if not one."""
+        """Index among the readers of the data centre; None if not one.
+
+        An acting reader takes the place of the first one.
+        """
         readers = self._view.choose_readers(self._cfg.readers)
-        if self._view.node not in readers:
-            return None
-        return readers.index(self._view.node)
+        if self._view.node in readers:
+            return readers.index(self._view.node)
+        is_acting = self._clock.monotonic() < self._acting_until_s
+        return 0 if is_acting else None
 
     @property
     def poll_interval_s(self) -> float:
@@ -108,12 +122,45 @@
         )
 
     async def _read(self, rank: int) -> None:
-        adopted = await self._reader.try_read(self._cfg.read_wait_s)
-        if adopted is None:
-            await self._pull_remote()
-        elif adopted:
+        if self._reader.is_failing:
+            await self._read_after_failure()
+            return
+        if await self._reader.try_read(self._cfg.read_wait_s):
             await self._push_adopted(rank)
 
+    async def _read_after_failure(self) -> None:
+        """Read again, and through other nodes at the same time."""
+        previous_revision = self._reader.holder_revision
+        async with curio.TaskGroup() as group:
+            await group.spawn(self._reader.try_read)
+            await group.spawn(self._read_through_peers)
+        if not self._reader.is_failing:
+            self._delegator.reset()
+        if self._reader.holder_revision > previous_revision:
+            await self._pusher.push_to_all()
+
+    async def _read_through_peers(self) -> None:
+        if not await self._delegator.delegate():
+            await self._pull_remote()
+
+    async def act_as_reader(self) -> bool | None:
+        """Read the head for a reader that cannot, and poll it for a while.
+
+        Return whether a higher revision was adopted, None if the head
+        cannot be read here either.
+        """
+        adopted = False
+        if not self._is_reader:
+            if self._reader.is_backing_off:
+                return None
+            adopted = await self._reader.try_read()
+        elif self._reader.is_failing:
+            return None
+        if adopted is not None:
+            now_s = self._clock.monotonic()
+            self._acting_until_s = now_s + ACTING_READER_S
+        return adopted
+
     async def _push_adopted(self, rank: int) -> None:
         await self._pusher.push_local()
         if rank == 0:
@@ -121,14 +168,10 @@
 
     async def _pull_remote(self) -> None:
         """Pull from another data centre that may still reach the platform."""
-        previous_revision = self._reader.holder_revision
         nodes = [n for group in self._group_remote_nodes() for n in group]
-        if not nodes:
-            return
-        node = self._random.choice(nodes)
-        await self._puller.try_pull(node.address)
-        if self._reader.holder_revision > previous_revision:
-            await self._pusher.push_local()
+        if nodes:
+            node = self._random.choice(nodes)
+            await self._puller.try_pull(node.address)
 
     def _group_remote_nodes(self) -> list[list[Node]]:
         return list(self._view.group_remote().values())
--- a/libs/distribution/auburnjunction/distribution/head_readers.py
+++ b/libs/distribution/auburnjunction/distribution/head_readers.py
@@ -46,6 +46,7 @@
         self._clock = clock
         # Consecutive failed reads.
         self._failures = 0
+        self._failed_s = clock.monotonic()
         self.head: RevisionMark = NO_REVISION
 
     @property
@@ -53,6 +54,17 @@
         """Revision in force on this node."""
         return self._holder.mark.revision
 
+    @property
+    def is_failing(self) -> bool:
+        """Whether the last read failed."""
+        return self._failures > 0
+
+    @property
+    def is_backing_off(self) -> bool:
+        """Whether a read failed less than the backoff ago."""
+        age_s = self._clock.monotonic() - self._failed_s
+        return self.is_failing and age_s < self.backoff_s
+
     @property
     def backoff_s(self) -> float:
         """Backoff in seconds; 0 if the last read succeeded."""
@@ -100,6 +112,7 @@
     ) -> None:
         # Only the first failure of an outage is logged, to limit log volume.
         self._failures += 1
+        self._failed_s = self._clock.monotonic()
         self._stats.failed_platform_reads += 1
         if self._failures == 1:
             log_event(
--- a/libs/distribution/auburnjunction/distribution/pullers.py
+++ b/libs/distribution/auburnjunction/distribution/pullers.py
@@ -94,13 +94,16 @@
         """Pull from queued peers until cancelled."""
         await run_forever(self._pull_when_queued, self._clock, 0)
 
-    async def pull(self, address: Address) -> None:
+    async def pull(self, address: Address, read_head: bool = False) -> None:
         """Pull from a peer and adopt its revision if it is higher.
 
+        With read_head, the peer reads the head from the platform first.
         Raise PeerError or BadContentError.
         """
         start_s = self._clock.monotonic()
-        response = await self._request_content(address, self._holder.mark)
+        response = await self._request_content(
+            address, self._holder.mark, read_head
+        )
         try:
             self._adopt(response)
         except MissingBaseError:
@@ -110,10 +113,12 @@
         if is_current and response.HasField("read_age_ms"):
             self._freshness.record_peer_read(response.read_age_ms, start_s)
 
-    async def try_pull(self, address: Address) -> bool:
+    async def try_pull(
+        self, address: Address, read_head: bool = False
+    ) -> bool:
         """Pull; log a failure and return whether the pull succeeded."""
         try:
-            await self.pull(address)
+            await self.pull(address, read_head)
         except PeerError as exc:
             log_event("pull failed", peer=str(address), reason=exc.message)
             return False
@@ -140,13 +145,13 @@
                 await self.try_pull(source.address)
 
     async def _request_content(
-        self, address: Address, have: RevisionMark
+        self, address: Address, have: RevisionMark, read_head: bool = False
     ) -> pb.PullResponse:
         self._stats.pulls += 1
         return await self._client.post(
             address,
             PULL_PATH,
-            pb.PullRequest(have=encode_mark(have)),
+            pb.PullRequest(have=encode_mark(have), read_head=read_head),
             pb.PullResponse,
             self._cfg.pull_timeout_s,
             self._is_remote(address),
--- a/libs/distribution/auburnjunction/distribution/tests/support.py
+++ b/libs/distribution/auburnjunction/distribution/tests/support.py
@@ -177,6 +177,8 @@
         """Read a row, unless the node or its data centre is isolated."""
         self.fleet.read_times.append(self.fleet.clock.monotonic())
         if {self.node, self.node[:3]} & self.fleet.isolated_from_platform:
+            if self.fleet.is_platform_silent:
+                await curio.sleep(timeout_s)
             raise UnavailableError("isolated from the platform")
         return await self.fleet.table.get(key, timeout_s)
 
@@ -206,6 +208,8 @@
         self.log = CommitLog(self.table, self.objects, self.clock)
         self.members: dict[str, Member] = {}
         self.isolated_from_platform: set[str] = set()
+        # Whether reads of isolated nodes time out instead of failing at once.
+        self.is_platform_silent = False
         self.read_times: list[float] = []
         self.gossip_enabled = True
         self.data_centres = [f"dc{i}" for i in range(data_centres)]
--- a/libs/distribution/auburnjunction/distribution/tests/test_distributors.py
+++ b/libs/distribution/auburnjunction/distribution/tests/test_distributors.py
@@ -22,6 +22,8 @@
 from auburnjunction.schema import control_pb2 as pb
 
 FIRST = make_snapshot(1, 30)
+# The users' limit from a commit until it is in force on every node.
+CONFIG_APPLY_S = 2.0
 
 
 def test_commit_reaches_every_node_by_push():
@@ -95,6 +97,37 @@
     curio.run(main)
 
 
+def isolate_all_but_one(fleet):
+    """Isolate every node but one that is no reader from the platform."""
+    isolate_readers(fleet)
+    isolated = fleet.isolated_from_platform
+    names = [name for name, _ in fleet.list_names() if name not in isolated]
+    isolated.update(names[1:])
+
+
+# Guards against changes that come into force only after silence_s, because
+# the elected readers are alive but cannot reach the platform.
+@pytest.mark.parametrize("is_silent", [False, True])
+@pytest.mark.parametrize("isolate", [isolate_readers, isolate_all_but_one])
+def test_nodes_read_for_readers_that_cannot_reach_the_platform(
+    isolate, is_silent
+):
+    cfg = attrs.evolve(FAST_SETTINGS, silence_s=20, check_interval_s=10)
+
+    async def main():
+        fleet = Fleet(12, cfg=cfg)
+        fleet.is_platform_silent = is_silent
+        async with fleet.open():
+            isolate(fleet)
+            for revision in (1, 2):
+                await fleet.commit(
+                    str(revision), revision - 1, make_snapshot(revision)
+                )
+                await fleet.wait_for(revision, CONFIG_APPLY_S)
+
+    curio.run(main)
+
+
 def leave_only_push(fleet):
     fleet.gossip_enabled = False
     fleet.isolated_from_platform.update(fleet.data_centres)
