Detect readers that have silently lost the platform within the limit

What callers saw: calls handled by an older configuration more than 2.5 s after a newer one had been acknowledged, while all readers were cut off from the store without a reset.

Cause: a long poll waited for contact_ms + config_apply_ms - 3 s, then tried again in the rest of its time-out.

--- a/libs/distribution/auburnjunction/distribution/head_pollers.py
+++ b/libs/distribution/auburnjunction/distribution/head_pollers.py
@@ -125,7 +125,10 @@
         if self._reader.is_failing:
             await self._read_after_failure()
             return
-        if await self._reader.try_read(self._cfg.read_wait_s):
+        # Without jitter, each change would bring the polls of all readers
+        # into step, and the loss of several would be detected equally late.
+        wait_s = jitter(self._random, self._cfg.read_wait_s)
+        if await self._reader.try_read(wait_s):
             await self._push_adopted(rank)
 
     async def _read_after_failure(self) -> None:
@@ -149,18 +152,23 @@
         Return whether a higher revision was adopted, None if the head
         cannot be read here either.
         """
+        if self._reader.is_backing_off:
+            return None
         adopted = False
-        if not self._is_reader:
-            if self._reader.is_backing_off:
-                return None
+        if not self._is_polling:
             adopted = await self._reader.try_read()
-        elif self._reader.is_failing:
-            return None
         if adopted is not None:
             now_s = self._clock.monotonic()
             self._acting_until_s = now_s + ACTING_READER_S
         return adopted
 
+    @property
+    def _is_polling(self) -> bool:
+        """Whether the head is polled and the last poll is due at most now."""
+        max_wait_s = self._cfg.read_wait_s * (1 + JITTER_SHARE)
+        max_age_s = max_wait_s + self.poll_interval_s
+        return self._is_reader and self._reader.age_s < max_age_s
+
     async def _push_adopted(self, rank: int) -> None:
         await self._pusher.push_local()
         if rank == 0:
--- a/libs/distribution/auburnjunction/distribution/head_readers.py
+++ b/libs/distribution/auburnjunction/distribution/head_readers.py
@@ -47,6 +47,7 @@
         # Consecutive failed reads.
         self._failures = 0
         self._failed_s = clock.monotonic()
+        self._succeeded_s = clock.monotonic()
         self.head: RevisionMark = NO_REVISION
 
     @property
@@ -65,6 +66,11 @@
         age_s = self._clock.monotonic() - self._failed_s
         return self.is_failing and age_s < self.backoff_s
 
+    @property
+    def age_s(self) -> float:
+        """Seconds since the last successful read, or the start if none."""
+        return self._clock.monotonic() - self._succeeded_s
+
     @property
     def backoff_s(self) -> float:
         """Backoff in seconds; 0 if the last read succeeded."""
@@ -102,6 +108,7 @@
         except DistributionError as exc:
             self._record_failure(exc, self._clock.monotonic() - start_s)
             return None
+        self._succeeded_s = self._clock.monotonic()
         if self._failures:
             log_event("head read again", failures=self._failures)
             self._failures = 0
--- a/libs/distribution/auburnjunction/distribution/tests/test_head_pollers.py
+++ b/libs/distribution/auburnjunction/distribution/tests/test_head_pollers.py
@@ -7,6 +7,7 @@
 
 from auburnjunction.base.clocks import SystemClock
 from auburnjunction.distribution.distributors import open_distribution
+from auburnjunction.distribution.head_pollers import JITTER_SHARE
 from auburnjunction.distribution.holders import SnapshotHolder
 from auburnjunction.distribution.tests.support import (
     FAST_SETTINGS,
@@ -78,3 +79,16 @@
         await wait_until(lambda: any(source.waits_s[count:]))
 
     run_reader(test)
+
+
+# Guards against readers whose polls end at the same time, so that the silent
+# loss of all their connections is detected equally late by each.
+def test_waits_of_polls_are_jittered():
+    async def test(source):
+        await wait_until(lambda: len(source.waits_s) >= 12)
+        waits_s = [wait_s for wait_s in source.waits_s if wait_s]
+        assert len(set(waits_s)) == len(waits_s)
+        for wait_s in waits_s:
+            assert abs(wait_s / READ_WAIT_S - 1) <= JITTER_SHARE
+
+    run_reader(test)
--- a/libs/storage/auburnjunction/storage/clients.py
+++ b/libs/storage/auburnjunction/storage/clients.py
@@ -64,8 +64,8 @@
 
         The attempt on a pooled connection times out after first_timeout_s
         seconds, by default a share of timeout_s; the second attempt uses
-        a new connection. While the platform is slow, one request is sent
-        on a new connection with the whole time-out. Raise
+        a new connection, if time remains. While the platform is slow, one
+        request is sent on a new connection with the whole time-out. Raise
         UnavailableError if no complete response arrived.
         """
         start_s = self._clock.monotonic()
@@ -76,6 +76,11 @@
             response = await self._read_pooled(request, first_timeout_s)
             if response is None:
                 remaining_s = start_s + timeout_s - self._clock.monotonic()
+                if remaining_s <= 0:
+                    raise ExchangeTimeoutError(
+                        f"no response from {self._address} "
+                        f"within {timeout_s:.3f} s"
+                    )
                 response = await self._exchange(request, remaining_s, 0.0)
         except ExchangeTimeoutError as exc:
             self._is_slow = True
