--- a/libs/storage/auburnjunction/storage/clients.py
+++ b/libs/storage/auburnjunction/storage/clients.py
@@ -158,7 +158,9 @@
 
 
 class HttpTable:
-    """HTTP client of the platform's table."""
+    """HTTP client of the platform's table, which is never restored."""
+
+    generation = 0
 
     def __init__(self, address: Address, clock: Clock, pools: PoolRegistry):
         self._client = PlatformClient(address, clock, pools)
--- a/libs/storage/auburnjunction/storage/fakes.py
+++ b/libs/storage/auburnjunction/storage/fakes.py
@@ -20,6 +20,7 @@
 
     def __init__(self):
         self.available = True
+        self.generation = 1
         self.lost_answers = 0
         self.reads = 0
         self.writes = 0
--- a/libs/storage/auburnjunction/storage/tables.py
+++ b/libs/storage/auburnjunction/storage/tables.py
@@ -51,6 +51,15 @@
     UnknownOutcomeError if they may or may not have taken effect.
     """
 
+    @property
+    def generation(self) -> int:
+        """Rises when the table is restored from an older copy.
+
+        Writes that were acknowledged in an earlier generation may be lost,
+        and their versions may belong to other writes. 0 if the platform
+        does not report restores.
+        """
+
     async def get(self, key: str, timeout_s: float) -> Row | None:
         """Return the row, or None if there is none."""
 
