--- a/libs/distribution/auburnjunction/distribution/head_pollers.py
+++ b/libs/distribution/auburnjunction/distribution/head_pollers.py
@@ -2,8 +2,6 @@
 
 from random import Random
 
-import curio
-
 from auburnjunction.base.clocks import Clock
 from auburnjunction.base.logs import log_event
 from auburnjunction.base.tasks import run_forever
@@ -18,7 +16,7 @@
 
 JITTER_SHARE = 0.25
 # Time for which a node reads on behalf of a reader, which asks again earlier.
-ACTING_READER_S = 5.0
+ACTING_READER_S = 4.0
 
 
 class HeadPoller:
@@ -72,7 +70,9 @@
 
     async def step(self) -> None:
         """Read the head if this node is a reader or reads are overdue."""
-        rank = self.rank
+        rank = self._elected_rank
+        if rank is None and self._is_acting:
+            rank = 0
         self._record_rank(rank)
         if rank is not None:
             await self._read(rank)
@@ -92,16 +92,16 @@
         self._is_reader = is_reader
 
     @property
-    def rank(self) -> int | None:
-        """Index among the readers of the data centre; None if not one.
-
-        An acting reader takes the place of the first one.
-        """
+    def _elected_rank(self) -> int | None:
+        """Index among the readers of the data centre; None if not one."""
         readers = self._view.choose_readers(self._cfg.readers)
-        if self._view.node in readers:
-            return readers.index(self._view.node)
-        is_acting = self._clock.monotonic() < self._acting_until_s
-        return 0 if is_acting else None
+        if self._view.node not in readers:
+            return None
+        return readers.index(self._view.node)
+
+    @property
+    def _is_acting(self) -> bool:
+        return self._clock.monotonic() < self._acting_until_s
 
     @property
     def poll_interval_s(self) -> float:
@@ -122,25 +122,25 @@
         )
 
     async def _read(self, rank: int) -> None:
-        if self._reader.is_failing:
-            await self._read_after_failure()
+        wait_s = 0.0 if self._reader.is_failing else self._draw_wait_s()
+        previous_revision = self._reader.holder_revision
+        adopted = await self._reader.try_read(wait_s)
+        if adopted is None:
+            if self._elected_rank is None:
+                self._acting_until_s = self._clock.monotonic()
+                return
+            await self._read_through_peers()
+            if self._reader.holder_revision > previous_revision:
+                await self._pusher.push_local()
             return
-        # Without jitter, each change would bring the polls of all readers
-        # into step, and the loss of several would be detected equally late.
-        wait_s = jitter(self._random, self._cfg.read_wait_s)
-        if await self._reader.try_read(wait_s):
+        self._delegator.reset()
+        if adopted:
             await self._push_adopted(rank)
 
-    async def _read_after_failure(self) -> None:
-        """Read again, and through other nodes at the same time."""
-        previous_revision = self._reader.holder_revision
-        async with curio.TaskGroup() as group:
-            await group.spawn(self._reader.try_read)
-            await group.spawn(self._read_through_peers)
-        if not self._reader.is_failing:
-            self._delegator.reset()
-        if self._reader.holder_revision > previous_revision:
-            await self._pusher.push_to_all()
+    def _draw_wait_s(self) -> float:
+        # Without jitter, each change would bring the polls of all readers
+        # into step, and the loss of several would be detected equally late.
+        return jitter(self._random, self._cfg.read_wait_s)
 
     async def _read_through_peers(self) -> None:
         if not await self._delegator.delegate():
