Save departures and rows again after a restore of the platform's table

What callers would see: calls sent to a backend server that had said it was leaving, after its node had restarted and a late "ready" had arrived; and nodes that restart and are not found by others.

Cause: a departure counted as saved, and a node's row as written, once the table had acknowledged the write. A restore from an older copy loses both, and only nodes that poll the table would notice.

Change: Table.generation rises with each restore; nodes pass the highest known generation on in gossip. Departures count as unsaved and the row as not recent when it rises, and a write across a restore counts for the generation before it.

--- a/libs/membership/auburnjunction/membership/cluster_states.py
+++ b/libs/membership/auburnjunction/membership/cluster_states.py
@@ -59,6 +59,8 @@
         self.shortest_lease_s = math.inf
         # Time of the last response from another node or the table.
         self.last_contact_s = -math.inf
+        # Highest known Table.generation, also of other nodes; 0 if unknown.
+        self.table_generation = 0
         self._change_count = 0
         self._changes: OrderedDict[str, int] = OrderedDict()
         self._listeners: list[Listener] = []
@@ -107,6 +109,17 @@
         if not self.peers:
             self.pause_detector.record_exchange(started_s)
 
+    def observe_table_generation(self, generation: int) -> None:
+        """Record the generation of the table that a response has named.
+
+        What was saved in an earlier one has to be saved again.
+        """
+        if generation <= self.table_generation:
+            return
+        if self.table_generation:
+            self.departures.mark_lost()
+        self.table_generation = generation
+
     def end_pause_if_isolated(self) -> None:
         """End a pause without an exchange if this node is isolated.
 
--- a/libs/membership/auburnjunction/membership/departures.py
+++ b/libs/membership/auburnjunction/membership/departures.py
@@ -97,6 +97,11 @@
         """Record that the table holds all changes up to a change count."""
         self._saved_changes = max(self._saved_changes, change_count)
 
+    def mark_lost(self) -> None:
+        """Record that the table may have lost what it held."""
+        if self._born_ms:
+            self._changes += 1
+
     def _insert(self, departure: Departure) -> None:
         earlier_ms = self._born_ms.pop(departure.instance, 0)
         self._born_ms[departure.instance] = max(earlier_ms, departure.born_ms)
--- a/libs/membership/auburnjunction/membership/joins.py
+++ b/libs/membership/auburnjunction/membership/joins.py
@@ -100,6 +100,11 @@
                 error=exc.message,
             )
 
+    def observe_table(self) -> None:
+        """Detect a restore of the table from an older copy."""
+        if self._seed_table is not None:
+            self._seed_table.observe_generation()
+
     def reset_backoffs(self) -> None:
         """Reset the join backoffs once this node has a peer."""
         self._seed_backoff.reset()
--- a/libs/membership/auburnjunction/membership/memberships.py
+++ b/libs/membership/auburnjunction/membership/memberships.py
@@ -270,6 +270,7 @@
         """Process expired leases and suspicions, pauses and urgent pushes."""
         self._locals.check(self.mark_source().revision)
         self._suspicions.check()
+        self._joiner.observe_table()
         self._cluster.pause_detector.tick()
         if not self._cluster.departures.is_saved:
             await self._spawn(self._joiner.save_departures)
--- a/libs/membership/auburnjunction/membership/receivers.py
+++ b/libs/membership/auburnjunction/membership/receivers.py
@@ -38,6 +38,7 @@
         request = parse_message(pb.GossipRequest, body)
         departures = decode_departures(request.departures)
         self._cluster.departures.adopt(departures)
+        self._cluster.observe_table_generation(request.table_generation)
         records = decode_records(request.records)
         new_indexes = self._cluster.merge(records)
         if request.urgent:
@@ -48,6 +49,7 @@
             mark=encode_mark(self._sender.mark_source()),
             news=new_indexes,
             sender_unknown=sender is None,
+            table_generation=self._cluster.table_generation,
         )
         self._add_records(request, records, response)
         response.view_digest = self._cluster.view.digest
--- a/libs/membership/auburnjunction/membership/seeds.py
+++ b/libs/membership/auburnjunction/membership/seeds.py
@@ -39,6 +39,8 @@
         self._table = table
         self._version: int | None = None
         self._written_s = -math.inf
+        # Table generation of the last write of the row.
+        self._written_generation = 0
 
     @property
     def is_own_row_recent(self) -> bool:
@@ -46,7 +48,20 @@
         cluster = self._cluster
         age_s = cluster.clock.monotonic() - self._written_s
         limit_s = cluster.cfg.table_refresh_s * ROW_REWRITE_REFRESHES
-        return age_s < limit_s and cluster.departures.is_saved
+        return (
+            age_s < limit_s
+            and cluster.departures.is_saved
+            and not self._may_have_lost_row
+        )
+
+    @property
+    def _may_have_lost_row(self) -> bool:
+        """Whether the table was restored after the last write of the row."""
+        return 0 < self._written_generation < self._cluster.table_generation
+
+    def observe_generation(self) -> None:
+        """Take over the generation that the last response has named."""
+        self._cluster.observe_table_generation(self._table.generation)
 
     async def insert_own_row(self) -> bool:
         """Write this node's first row; return whether there was none.
@@ -71,12 +86,17 @@
         timeout_s = cluster.cfg.table_timeout_s
         started_s = cluster.clock.monotonic()
         version, self._version = self._version, None
-        if version is None:
+        if version is None or self._may_have_lost_row:
             version = await self._read_version(key)
+        generation = cluster.table_generation
         change_count = cluster.departures.change_count
         value = self._make_row().SerializeToString()
         cluster.stats.table_writes += 1
         row = await self._table.put_if(key, value, version, timeout_s)
+        self.observe_generation()
+        # A restore during the write may have lost it, so the generation
+        # from before is the one that counts.
+        self._written_generation = generation or cluster.table_generation
         self._version = row.version
         self._written_s = started_s
         cluster.departures.mark_saved(change_count)
--- a/libs/membership/auburnjunction/membership/senders.py
+++ b/libs/membership/auburnjunction/membership/senders.py
@@ -106,6 +106,7 @@
             sender=self._cluster.own_record.node,
             mark=encode_mark(self.mark_source()),
             view_digest=self._cluster.view.digest,
+            table_generation=self._cluster.table_generation,
         )
 
     async def send(
@@ -128,6 +129,7 @@
         cluster.record_peer_response(started_s)
         cluster.reachability.merge(response.reachability)
         cluster.departures.adopt(decode_departures(response.departures))
+        cluster.observe_table_generation(response.table_generation)
         cluster.merge(decode_records(response.records))
         if response.sender_unknown:
             cluster.gossip_queue.add(cluster.own_record)
--- a/libs/membership/auburnjunction/membership/tests/support.py
+++ b/libs/membership/auburnjunction/membership/tests/support.py
@@ -8,13 +8,14 @@
 import attrs
 import curio
 
-from auburnjunction.base.clocks import SystemClock
+from auburnjunction.base.clocks import ManualClock, SystemClock
 from auburnjunction.http.clients import Address, PoolRegistry
 from auburnjunction.http.errors import NotSentError
 from auburnjunction.http.messages import HttpResponse
 from auburnjunction.http.servers import open_server
 from auburnjunction.http.tests.support import LOOPBACK_HOST
 from auburnjunction.membership.announcements import Announcement
+from auburnjunction.membership.cluster_states import ClusterState
 from auburnjunction.membership.memberships import Membership, open_membership
 from auburnjunction.membership.records import Node, NodeState
 from auburnjunction.membership.settings import MembershipSettings
@@ -56,6 +57,13 @@
     return Node(node, data_centre, **(values | fields))
 
 
+def make_cluster_state(node="n0"):
+    """Return the state of a membership without tasks."""
+    address = Address(HOST, 9001)
+    clock = ManualClock()
+    return ClusterState(FAST, node, "helsinki", address, clock, Random(1))
+
+
 class JumpingClock(SystemClock):
     """Clock that jumps, as after a pause, and may show a wrong date."""
 
--- a/libs/storage/auburnjunction/storage/fakes.py
+++ b/libs/storage/auburnjunction/storage/fakes.py
@@ -26,6 +26,19 @@
         self.writes = 0
         self._rows: SortedDict = SortedDict()
 
+    def has(self, key: str) -> bool:
+        """Return whether there is a row, without a read."""
+        return key in self._rows
+
+    def copy(self) -> dict[str, Row]:
+        """Return a copy of the rows, for restore."""
+        return dict(self._rows)
+
+    def restore(self, copy: dict[str, Row]) -> None:
+        """Come back from a copy; its later versions are given out again."""
+        self._rows = SortedDict(copy)
+        self.generation += 1
+
     async def get(self, key: str, timeout_s: float) -> Row | None:
         """Return the row, or None if there is none."""
         self._start_read()
