--- a/libs/distribution/auburnjunction/distribution/head_pollers.py
+++ b/libs/distribution/auburnjunction/distribution/head_pollers.py
@@ -167,7 +167,7 @@
         return jitter(self._random, self._cfg.read_wait_s)
 
     async def can_act_as_reader(self) -> bool:
-        """Return whether the platform responds to this node."""
+        """Return whether this node can read the head for a reader."""
         if self._reader.is_backing_off:
             return False
         return self._is_polling or await self._reader.can_read()
@@ -190,7 +190,7 @@
 
     @property
     def _is_polling(self) -> bool:
-        """Whether the head is polled and the last poll is due at most now."""
+        """Whether this node polls the head and no poll is overdue."""
         max_wait_s = self._cfg.read_wait_s * (1 + JITTER_SHARE)
         max_age_s = max_wait_s + self.poll_interval_s
         return self._is_reader and self._reader.age_s < max_age_s
