--- a/libs/distribution/auburnjunction/distribution/head_readers.py
+++ b/libs/distribution/auburnjunction/distribution/head_readers.py
@@ -1,5 +1,7 @@
 """Reading of the committed head from the platform."""
 
+import math
+
 import curio
 from absl import logging
 
@@ -28,6 +30,8 @@
 # from overloading the platform during an outage, and its maximum lets
 # nodes detect the end of the outage within a second.
 BACKOFF_BOUNDS_S = (0.2, 0.8)
+# Time-out of a small read, within which a slow platform responds as well.
+CHECK_TIMEOUT_S = 0.7
 
 
 class HeadReader:
@@ -83,16 +87,20 @@
         min_s, max_s = BACKOFF_BOUNDS_S
         return min(max_s, min_s * 2 ** min(self._failures - 1, 8))
 
-    async def read_head(self, wait_s: float = 0.0) -> bool:
+    async def read_head(
+        self, wait_s: float = 0.0, timeout_s: float = math.inf
+    ) -> bool:
         """Read the head; return whether a higher revision was adopted.
 
         If the source supports long polls, wait up to wait_s for a change.
+        Beyond the wait, it may take the shorter of timeout_s and
+        platform_timeout_s.
         Raise DistributionError if the head or its content cannot be read;
         the snapshot in force then stays.
         """
         start_s = self._clock.monotonic()
         self._stats.platform_reads += 1
-        timeout_s = wait_s + self._cfg.platform_timeout_s
+        timeout_s = wait_s + min(timeout_s, self._cfg.platform_timeout_s)
         async with curio.ignore_after(timeout_s):
             adopted = await self._read_source(wait_s)
             # A long poll returns the head as of its response; any other
@@ -104,11 +112,13 @@
             f"the platform did not respond within {timeout_s} s"
         )
 
-    async def try_read(self, wait_s: float = 0.0) -> bool | None:
+    async def try_read(
+        self, wait_s: float = 0.0, timeout_s: float = math.inf
+    ) -> bool | None:
         """Read the head; log a failure and return None."""
         start_s = self._clock.monotonic()
         try:
-            adopted = await self.read_head(wait_s)
+            adopted = await self.read_head(wait_s, timeout_s)
         except DistributionError as exc:
             self._record_failure(exc, self._clock.monotonic() - start_s)
             return None
@@ -122,10 +132,10 @@
         """Return whether the platform responds to a small read."""
         start_s = self._clock.monotonic()
         self._stats.platform_reads += 1
-        timeout_s = self._cfg.platform_timeout_s
+        timeout_s = min(CHECK_TIMEOUT_S, self._cfg.platform_timeout_s)
         try:
             async with curio.ignore_after(timeout_s):
-                await self._source.check()
+                await self._source.check(timeout_s)
                 return True
             raise UnavailableError(
                 f"the platform did not respond within {timeout_s} s"
--- a/libs/distribution/auburnjunction/distribution/sources.py
+++ b/libs/distribution/auburnjunction/distribution/sources.py
@@ -35,8 +35,8 @@
     async def fetch(self, mark: RevisionMark) -> RevisedSnapshot:
         """Return the content of the mark that was read last."""
 
-    async def check(self) -> None:
-        """Return if the platform responds to a small read."""
+    async def check(self, timeout_s: float) -> None:
+        """Return if the platform responds to a small read in timeout_s."""
 
 
 class CommittedHead:
@@ -57,6 +57,6 @@
         """Return the content of a mark from the object store."""
         return await fetch_content(self._objects, mark, CALL_TIMEOUT_S)
 
-    async def check(self) -> None:
+    async def check(self, timeout_s: float) -> None:
         """Return if the platform responds: the head's row is small."""
         await self._commit_reader.read_head()
--- a/libs/distribution/auburnjunction/distribution/start_ups.py
+++ b/libs/distribution/auburnjunction/distribution/start_ups.py
@@ -14,6 +14,9 @@
 from auburnjunction.distribution.settings import DistributionSettings
 
 ROUND_INTERVAL_S = 0.2
+# Time-out of a read, also where a large configuration takes longer on the
+# host's link: a starting node then gets it from its peers.
+READ_TIMEOUT_S = 2.0
 
 
 class StartUp:
@@ -70,7 +73,7 @@
             await self._pull_from_peers()
             now_s = self._clock.monotonic()
             if now_s >= next_read_s and not self._freshness.is_confirmed:
-                await self._reader.try_read()
+                await self._reader.try_read(timeout_s=READ_TIMEOUT_S)
                 next_read_s = self._clock.monotonic() + max(
                     ROUND_INTERVAL_S, read_spacing_s
                 )
--- a/libs/distribution/auburnjunction/distribution/tests/test_head_pollers.py
+++ b/libs/distribution/auburnjunction/distribution/tests/test_head_pollers.py
@@ -30,7 +30,7 @@
     checks: int = 0
     fails: bool = False
 
-    async def check(self):
+    async def check(self, timeout_s):
         self.checks += 1
         if self.fails:
             raise UnavailableError("the source fails")
