Push from every reader to the other data centres

What callers could see: calls handled by an older configuration in one data centre, while the others had the newer one.

Cause: only the first reader of a data centre pushed a change to the others.

--- a/libs/distribution/auburnjunction/distribution/head_pollers.py
+++ b/libs/distribution/auburnjunction/distribution/head_pollers.py
@@ -72,34 +72,24 @@
 
     async def step(self) -> None:
         """Read the head if this node is a reader or reads are overdue."""
-        rank = self._elected_rank
-        if rank is None and self._is_acting:
-            rank = 0
-        self._record_rank(rank)
-        if rank is not None:
-            await self._read(rank)
+        self._set_reader(self._is_elected or self._is_acting)
+        if self._is_reader:
+            await self._read()
         elif self._freshness.age_s > self._cfg.silence_s:
             await self._read_as_fallback()
 
-    def _record_rank(self, rank: int | None) -> None:
-        is_reader = rank is not None
+    def _set_reader(self, is_reader: bool) -> None:
         if is_reader != self._is_reader:
             log_event(
-                "elected as head reader"
-                if is_reader
-                else "no longer a head reader",
-                rank=rank,
+                "head reader" if is_reader else "no longer a head reader",
+                elected=self._is_elected,
                 read_age_s=round(self._freshness.age_s, 3),
             )
         self._is_reader = is_reader
 
     @property
-    def _elected_rank(self) -> int | None:
-        """Index among the readers of the data centre; None if not one."""
-        readers = self._view.choose_readers(self._cfg.readers)
-        if self._view.node not in readers:
-            return None
-        return readers.index(self._view.node)
+    def _is_elected(self) -> bool:
+        return self._view.node in self._view.choose_readers(self._cfg.readers)
 
     @property
     def _is_acting(self) -> bool:
@@ -123,14 +113,16 @@
             self._reader.backoff_s,
         )
 
-    async def _read(self, rank: int) -> None:
+    async def _read(self) -> None:
         adopted = None
         if not self._reader.is_failing:
             adopted = await self._reader.try_read(self._draw_wait_s())
         if adopted is None:
             adopted = await self._read_after_failure()
         if adopted:
-            await self._push_adopted(rank)
+            # The readers of another data centre may all be about to detect
+            # that they cannot read, so not only one reader pushes there.
+            await self._pusher.push_to_all()
 
     async def _read_after_failure(self) -> bool | None:
         """Read again if the platform responds, else through another node.
@@ -156,7 +148,7 @@
 
     async def _find_delegate(self) -> Node | None:
         """Return a node that can read; None if this one is not elected."""
-        if self._elected_rank is not None:
+        if self._is_elected:
             return await self._delegator.find()
         self._acting_until_s = self._clock.monotonic()
         return None
@@ -195,11 +187,6 @@
         max_age_s = max_wait_s + self.poll_interval_s
         return self._is_reader and self._reader.age_s < max_age_s
 
-    async def _push_adopted(self, rank: int) -> None:
-        await self._pusher.push_local()
-        if rank == 0:
-            await self._pusher.push_remote()
-
     async def _pull_remote(self) -> None:
         """Pull from another data centre that may still reach the platform."""
         nodes = [n for group in self._group_remote_nodes() for n in group]
--- a/libs/distribution/auburnjunction/distribution/tests/test_distributors.py
+++ b/libs/distribution/auburnjunction/distribution/tests/test_distributors.py
@@ -64,12 +64,22 @@
     fleet.isolated_from_platform.update(["dc0", "dc2"])
 
 
+def choose_fleet_readers(fleet):
+    """Return the elected readers of each data centre, by rank."""
+    names = [name for name, _ in fleet.list_names()]
+    return {
+        data_centre: choose_readers(
+            [name for name in names if name[:3] == data_centre],
+            data_centre,
+            fleet.cfg.readers,
+        )
+        for data_centre in fleet.data_centres
+    }
+
+
 def isolate_readers(fleet):
     """Isolate all elected readers from the platform."""
-    names = [name for name, _ in fleet.list_names()]
-    for data_centre in fleet.data_centres:
-        local = [name for name in names if name[:3] == data_centre]
-        readers = choose_readers(local, data_centre, fleet.cfg.readers)
+    for readers in choose_fleet_readers(fleet).values():
         fleet.isolated_from_platform.update(readers)
 
 
@@ -128,6 +138,28 @@
     curio.run(main)
 
 
+# Guards against a data centre that gets no change until its own readers have
+# detected that the platform is silent for them, although others can read.
+@pytest.mark.parametrize("rank", [0, 1])
+def test_every_reader_pushes_to_other_data_centres(rank):
+    cfg = attrs.evolve(
+        FAST_SETTINGS, silence_s=20, check_interval_s=10, platform_timeout_s=10
+    )
+
+    async def main():
+        fleet = Fleet(12, cfg=cfg)
+        fleet.gossip_enabled = False
+        fleet.is_platform_silent = True
+        async with fleet.open():
+            readers = choose_fleet_readers(fleet)
+            isolated = {readers[name][rank] for name in ("dc1", "dc2")}
+            fleet.isolated_from_platform.update({"dc0", *isolated})
+            await fleet.commit("one", 0, FIRST)
+            await fleet.wait_for(1, CONFIG_APPLY_S)
+
+    curio.run(main)
+
+
 def leave_only_push(fleet):
     fleet.gossip_enabled = False
     fleet.isolated_from_platform.update(fleet.data_centres)
