--- a/libs/distribution/auburnjunction/distribution/head_pollers.py
+++ b/libs/distribution/auburnjunction/distribution/head_pollers.py
@@ -17,7 +17,7 @@
 from auburnjunction.distribution.statistics import DistributionStats
 
 JITTER_SHARE = 0.25
-# Time for which a node reads on behalf of a reader, which asks again earlier.
+# Term of an acting reader; the reader that it acts for renews it earlier.
 ACTING_READER_S = 4.0
 
 
--- a/libs/membership/auburnjunction/membership/seeds.py
+++ b/libs/membership/auburnjunction/membership/seeds.py
@@ -60,7 +60,7 @@
         return 0 < self._written_generation < self._cluster.table_generation
 
     def observe_generation(self) -> None:
-        """Take over the generation that the last response has named."""
+        """Detect whether the table has been restored."""
         self._cluster.observe_table_generation(self._table.generation)
 
     async def insert_own_row(self) -> bool:
