Take back the pushes of every reader to the other data centres

Cause: since every reader pushes to the other data centres, and waits for that before it polls again. A data centre that is cut off takes up to a second for each of its nodes, so that nobody polled meanwhile. Before, the first reader alone did so, and the second went on.

--- a/libs/distribution/auburnjunction/distribution/head_pollers.py
+++ b/libs/distribution/auburnjunction/distribution/head_pollers.py
@@ -72,24 +72,34 @@
 
     async def step(self) -> None:
         """Read the head if this node is a reader or reads are overdue."""
-        self._set_reader(self._is_elected or self._is_acting)
-        if self._is_reader:
-            await self._read()
+        rank = self._elected_rank
+        if rank is None and self._is_acting:
+            rank = 0
+        self._record_rank(rank)
+        if rank is not None:
+            await self._read(rank)
         elif self._freshness.age_s > self._cfg.silence_s:
             await self._read_as_fallback()
 
-    def _set_reader(self, is_reader: bool) -> None:
+    def _record_rank(self, rank: int | None) -> None:
+        is_reader = rank is not None
         if is_reader != self._is_reader:
             log_event(
-                "head reader" if is_reader else "no longer a head reader",
-                elected=self._is_elected,
+                "elected as head reader"
+                if is_reader
+                else "no longer a head reader",
+                rank=rank,
                 read_age_s=round(self._freshness.age_s, 3),
             )
         self._is_reader = is_reader
 
     @property
-    def _is_elected(self) -> bool:
-        return self._view.node in self._view.choose_readers(self._cfg.readers)
+    def _elected_rank(self) -> int | None:
+        """Index among the readers of the data centre; None if not one."""
+        readers = self._view.choose_readers(self._cfg.readers)
+        if self._view.node not in readers:
+            return None
+        return readers.index(self._view.node)
 
     @property
     def _is_acting(self) -> bool:
@@ -113,16 +123,14 @@
             self._reader.backoff_s,
         )
 
-    async def _read(self) -> None:
+    async def _read(self, rank: int) -> None:
         adopted = None
         if not self._reader.is_failing:
             adopted = await self._reader.try_read(self._draw_wait_s())
         if adopted is None:
             adopted = await self._read_after_failure()
         if adopted:
-            # The readers of another data centre may all be about to detect
-            # that they cannot read, so not only one reader pushes there.
-            await self._pusher.push_to_all()
+            await self._push_adopted(rank)
 
     async def _read_after_failure(self) -> bool | None:
         """Read again if the platform responds, else through another node.
@@ -148,7 +156,7 @@
 
     async def _find_delegate(self) -> Node | None:
         """Return a node that can read; None if this one is not elected."""
-        if self._is_elected:
+        if self._elected_rank is not None:
             return await self._delegator.find()
         self._acting_until_s = self._clock.monotonic()
         return None
@@ -187,6 +195,11 @@
         max_age_s = max_wait_s + self.poll_interval_s
         return self._is_reader and self._reader.age_s < max_age_s
 
+    async def _push_adopted(self, rank: int) -> None:
+        await self._pusher.push_local()
+        if rank == 0:
+            await self._pusher.push_remote()
+
     async def _pull_remote(self) -> None:
         """Pull from another data centre that may still reach the platform."""
         nodes = [n for group in self._group_remote_nodes() for n in group]
