--- a/libs/http/auburnjunction/http/clients.py
+++ b/libs/http/auburnjunction/http/clients.py
@@ -97,6 +97,7 @@
         """
         self._is_broken = True
         self._stray_count = 0
+        origin = self._describe_origin()
         try:
             async with curio.timeout_after(timeout_s):
                 response = await self._run_exchange(request, is_own_response)
@@ -104,13 +105,20 @@
             if self._stray_count:
                 raise StrayResponseError(STRAY_MESSAGE) from exc
             raise ExchangeTimeoutError(
-                f"no complete response within {timeout_s:.3f} s"
+                f"no complete response within {timeout_s:.3f} s on {origin}"
             ) from exc
         except OSError as exc:
             raise ExchangeError(f"connection failed: {exc}") from exc
         self._finish_exchange(response)
         return response
 
+    def _describe_origin(self) -> str:
+        """Return whether the connection is new, or how long it was idle."""
+        if not self.exchanges:
+            return "a new connection"
+        idle_s = self._clock.monotonic() - self.last_used_s
+        return f"a connection idle for {idle_s:.3f} s"
+
     async def _run_exchange(
         self, request: HttpRequest, is_own_response: ResponsePredicate
     ) -> HttpResponse:
--- /dev/null
+++ b/libs/http/auburnjunction/http/tests/test_silent_connections.py
@@ -0,0 +1,89 @@
+"""Connections that are lost without a reset, while new ones work."""
+
+from contextlib import asynccontextmanager
+
+import curio
+import pytest
+
+from auburnjunction.base.clocks import SystemClock
+from auburnjunction.base.tasks import open_task_group
+from auburnjunction.http.clients import Address, ConnectionPool
+from auburnjunction.http.errors import ExchangeTimeoutError
+from auburnjunction.http.messages import HttpRequest
+from auburnjunction.http.servers import bind_socket
+
+HOST = "127.0.0.1"
+CLOCK = SystemClock()
+REQUEST = HttpRequest(b"GET", b"/", [(b"host", b"t")])
+RESPONSE = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+LONG_ENOUGH_S = 5.0
+TIMEOUT_S = 0.1
+
+
+class SilentPeer:
+    """Answers requests, except on connections that it has severed."""
+
+    def __init__(self):
+        self.accepted = 0
+        # Connections with a lower number are read, but not answered.
+        self.severed = 0
+        self.requests = 0
+        self.delay_s = 0.0
+
+    def sever(self):
+        """Answer nothing further on the connections that are open now."""
+        self.severed = self.accepted
+
+    async def serve(self, client):
+        number = self.accepted
+        self.accepted += 1
+        async with client:
+            while await client.recv(65536):
+                self.requests += 1
+                await curio.sleep(self.delay_s)
+                if number >= self.severed:
+                    await client.sendall(RESPONSE)
+
+
+@asynccontextmanager
+async def open_peer():
+    """Yield a peer and a pool of connections to it."""
+    sock = bind_socket(HOST, 0)
+    peer = SilentPeer()
+
+    async def accept(group):
+        while True:
+            client, _ = await sock.accept()
+            await group.spawn(peer.serve, client)
+
+    async with sock, open_task_group() as group:
+        await group.spawn(accept, group)
+        pool = ConnectionPool(Address(HOST, sock.getsockname()[1]), CLOCK)
+        yield peer, pool
+        await pool.close()
+
+
+async def open_idle(pool, count):
+    """Open idle connections by that many exchanges at a time."""
+    async with curio.TaskGroup() as group:
+        for _ in range(count):
+            await group.spawn(pool.exchange, REQUEST, LONG_ENOUGH_S)
+    assert pool.idle_count == count
+
+
+# Guards against time-outs that leave open whether a connection was lost or
+# the peer was slow.
+@pytest.mark.parametrize(
+    ("connections", "origin"),
+    [(0, "a new connection"), (1, "a connection idle for 0.")],
+)
+def test_time_out_names_the_origin_of_the_connection(connections, origin):
+    async def main():
+        async with open_peer() as (peer, pool):
+            await open_idle(pool, connections)
+            peer.severed = 1
+            with pytest.raises(ExchangeTimeoutError) as caught:
+                await pool.exchange(REQUEST, TIMEOUT_S)
+            assert origin in caught.value.message
+
+    curio.run(main)
