Close connections that idled while an exchange on one of them timed out

Cause, first part: a pool dropped only the connection that timed out and handed out the next one, lost at the same moment, so each idle connection to a peer cost a time-out of its own.

The pool now has the rule, for all clients: after a time-out on a reused connection only those are kept that have been used since that exchange started; they are known to work. A cancelled exchange or a time-out on a new connection says nothing of the others. The closing in the clients of the store and of nodes is gone. Two things were in the way: pool.exchange() applied its time-out twice, and the store's client had a time-out of its own around it, which the pool could not see.

Red before: test_one_time_out_discards_all_connections_that_were_idle[2], [5] and test_connections_used_during_the_time_out_are_kept ("no complete response within 0.100 s on a connection idle for 0.000 s" in the second exchange).

--- a/libs/http/auburnjunction/http/clients.py
+++ b/libs/http/auburnjunction/http/clients.py
@@ -77,6 +77,9 @@
         self._is_request_truncated = False
         self._stray_count = 0
         self.last_used_s = clock.monotonic()
+        # Whether an exchange on this connection timed out after others had
+        # succeeded; the connection may be lost then without a reset.
+        self.may_be_severed = False
         # Time in seconds for which the peer keeps the connection open
         # while it is idle.
         self.keep_alive_s = float("inf")
@@ -104,6 +107,7 @@
         except curio.TaskTimeout as exc:
             if self._stray_count:
                 raise StrayResponseError(STRAY_MESSAGE) from exc
+            self.may_be_severed = self.exchanges > 0
             raise ExchangeTimeoutError(
                 f"no complete response within {timeout_s:.3f} s on {origin}"
             ) from exc
@@ -235,7 +239,10 @@
 class ConnectionPool:
     """Pool of connections to one address.
 
-    Each connection carries one exchange at a time.
+    Each connection carries one exchange at a time. Connections may be lost
+    without a reset, mostly all of a peer at once: after a time-out on a
+    reused connection, only those that have been used since the exchange
+    started are kept.
     """
 
     def __init__(
@@ -281,10 +288,13 @@
             if timeout_s is not None:
                 timeout_s -= self._clock.monotonic() - start_s
             conn = await self._acquire_connection(max_idle_s, timeout_s)
+            start_s = self._clock.monotonic()
             try:
                 yield conn
             finally:
                 await self._release_connection(conn)
+                if conn.may_be_severed:
+                    await self._close_unused_since(start_s)
         finally:
             await self._permits.release()
 
@@ -297,10 +307,13 @@
     ) -> HttpResponse:
         """Send a request on a pooled connection.
 
-        See ClientConnection.exchange().
+        timeout_s covers the wait for a connection too. See
+        ClientConnection.exchange().
         """
+        end_s = self._clock.monotonic() + timeout_s
         async with self.lease(max_idle_s, timeout_s) as conn:
-            return await conn.exchange(request, timeout_s, is_own_response)
+            remaining_s = max(0.0, end_s - self._clock.monotonic())
+            return await conn.exchange(request, remaining_s, is_own_response)
 
     @property
     def is_unused(self) -> bool:
@@ -324,6 +337,14 @@
         while self._idle:
             await self._idle.pop().close()
 
+    async def _close_unused_since(self, time_s: float) -> None:
+        """Close the idle connections that were last used before a time."""
+        kept = deque(c for c in self._idle if c.last_used_s >= time_s)
+        unused = [c for c in self._idle if c.last_used_s < time_s]
+        self._idle = kept
+        for conn in unused:
+            await conn.close()
+
     async def _acquire_permit(self, timeout_s: float | None) -> None:
         if self._permits.value or timeout_s is None:
             await self._permits.acquire()
@@ -379,7 +400,7 @@
         **options,
     ):
         self._clock = clock
-        self._translations = translations or {}
+        self._translations = {} if translations is None else translations
         self._options = options
         self._pools: dict[Address, ConnectionPool] = {}
 
--- a/libs/http/auburnjunction/http/tests/test_silent_connections.py
+++ b/libs/http/auburnjunction/http/tests/test_silent_connections.py
@@ -28,7 +28,8 @@
         # Connections with a lower number are read, but not answered.
         self.severed = 0
         self.requests = 0
-        self.delay_s = 0.0
+        # Numbers of requests that are answered after LONG_ENOUGH_S.
+        self.slow_requests = set()
 
     def sever(self):
         """Answer nothing further on the connections that are open now."""
@@ -39,8 +40,10 @@
         self.accepted += 1
         async with client:
             while await client.recv(65536):
+                is_slow = self.requests in self.slow_requests
                 self.requests += 1
-                await curio.sleep(self.delay_s)
+                if is_slow:
+                    await curio.sleep(LONG_ENOUGH_S)
                 if number >= self.severed:
                     await client.sendall(RESPONSE)
 
@@ -87,3 +90,55 @@
             assert origin in caught.value.message
 
     curio.run(main)
+
+
+# Guards against lost connections that cost one time-out each, although they
+# were lost at the same moment.
+@pytest.mark.parametrize("connections", [1, 2, 5])
+def test_one_time_out_discards_all_connections_that_were_idle(connections):
+    async def main():
+        async with open_peer() as (peer, pool):
+            await open_idle(pool, connections)
+            peer.sever()
+            with pytest.raises(ExchangeTimeoutError):
+                await pool.exchange(REQUEST, TIMEOUT_S)
+            response = await pool.exchange(REQUEST, LONG_ENOUGH_S)
+            assert response.body == b"ok"
+            assert pool.idle_count == 1
+            assert peer.accepted == connections + 1
+
+    curio.run(main)
+
+
+# Guards against the loss of connections that a peer answers on, because it
+# answers one request too late.
+def test_connections_used_during_the_time_out_are_kept():
+    async def main():
+        async with open_peer() as (peer, pool):
+            await open_idle(pool, 3)
+            peer.slow_requests.add(peer.requests)
+            late = await curio.spawn(pool.exchange, REQUEST, TIMEOUT_S)
+            await curio.sleep(0)
+            while peer.requests < 4:
+                await curio.sleep(0.001)
+            await pool.exchange(REQUEST, LONG_ENOUGH_S)
+            with pytest.raises(curio.TaskError):
+                await late.join()
+            assert pool.idle_count == 1
+
+    curio.run(main)
+
+
+# Guards against the closing of sound connections because a caller has left.
+def test_cancelled_exchange_keeps_idle_connections():
+    async def main():
+        async with open_peer() as (peer, pool):
+            await open_idle(pool, 2)
+            peer.slow_requests.add(peer.requests)
+            task = await curio.spawn(pool.exchange, REQUEST, LONG_ENOUGH_S)
+            while peer.requests < 3:
+                await curio.sleep(0.001)
+            await task.cancel()
+            assert pool.idle_count == 1
+
+    curio.run(main)
--- a/libs/storage/auburnjunction/storage/clients.py
+++ b/libs/storage/auburnjunction/storage/clients.py
@@ -4,7 +4,6 @@
 import binascii
 from urllib.parse import quote, urlencode
 
-import curio
 import orjson
 
 from auburnjunction.base.clocks import Clock
@@ -103,7 +102,6 @@
         try:
             return await self._exchange(request, timeout_s, None)
         except HttpError:
-            await self._pools.get(self._address).close()
             return None
 
     async def write(
@@ -125,7 +123,6 @@
         except NotSentError as exc:
             raise UnavailableError(f"platform: {exc.message}") from exc
         except HttpError as exc:
-            await self._pools.get(self._address).close()
             raise UnknownOutcomeError(f"platform: {exc.message}") from exc
 
     def _make_request(self, method, target, body=b"", headers=()):
@@ -136,25 +133,7 @@
         self, request: HttpRequest, timeout_s: float, max_idle_s: float | None
     ) -> HttpResponse:
         pool = self._pools.get(self._address)
-        end_s = self._clock.monotonic() + timeout_s
-        sent = False
-        try:
-            async with (
-                curio.timeout_after(max(timeout_s, 0.0)),
-                pool.lease(max_idle_s) as conn,
-            ):
-                remaining_s = end_s - self._clock.monotonic()
-                sent = True
-                return await conn.exchange(request, max(remaining_s, 0.0))
-        except curio.TaskTimeout as exc:
-            if not sent:
-                raise NotSentError(
-                    f"no connection to {self._address} "
-                    f"within {timeout_s:.3f} s"
-                ) from exc
-            raise ExchangeTimeoutError(
-                f"no response from {self._address} within {timeout_s:.3f} s"
-            ) from exc
+        return await pool.exchange(request, timeout_s, max_idle_s)
 
 
 class HttpTable:
--- a/libs/traffic/auburnjunction/traffic/call_forwarders.py
+++ b/libs/traffic/auburnjunction/traffic/call_forwarders.py
@@ -147,9 +147,6 @@
             raise NodeConnectTimeoutError(exc.message) from exc
         except NotSentError as exc:
             raise NotRunError(exc.message, ErrorCode.UNREACHABLE) from exc
-        except ReusedConnectionError:
-            await pool.close()
-            raise
         return _read_answer(response)
 
     def _make_request(
