Push and pull on new connections

Cause, second part: pushes and pulls used connections idle for up to 20 s. Changes are rarer than network disturbances, so that after a silent loss every push waits out 1 s and its child is left out of the tree; the pull that gossip leads to waits out up to 2 s on another lost connection.

Both now open a connection. Established, it works; and a peer that cannot be reached is known after the time-out for connecting, 0.25 s, so that a lost connection and a slow peer are no longer one thing. It costs a round trip and a handshake for each push, that is a few for each change and node.

--- a/libs/distribution/auburnjunction/distribution/exchanges.py
+++ b/libs/distribution/auburnjunction/distribution/exchanges.py
@@ -19,7 +19,11 @@
 CONTENT_TYPE = (b"content-type", b"application/x-protobuf")
 # A colon, a space and CRLF.
 HEADER_LINE_OVERHEAD_BYTES = 4
-MAX_IDLE_S = 20.0
+# A change is rare, so that an idle connection has mostly not been used since
+# the one before and may be lost. A connection that has just been established
+# works, and a peer that cannot be reached is known after the time-out for
+# connecting.
+MAX_IDLE_S = 0.0
 
 T = TypeVar("T", bound=Message)
 
--- a/libs/distribution/auburnjunction/distribution/tests/support.py
+++ b/libs/distribution/auburnjunction/distribution/tests/support.py
@@ -250,7 +250,6 @@
         address = Address(name, index + 1)
         node = FakeNode(name, name[:3], address)
         self.directory.nodes.append(node)
-        pools = FakePools(name[:3], self.network)
         async with open_distribution(
             self.cfg,
             name,
@@ -259,17 +258,27 @@
             self.directory,
             CommittedHead(LocalTable(self, name), self.objects),
             self.clock,
-            pools,
+            self.make_pools(name),
             Random(index),
         ) as distributor:
             self.members[name] = Member(name, holder, distributor, history)
-            self.network.handlers[address] = Router(distributor)
-            try:
+            async with self.open_listener(address, Router(distributor)):
                 yield self.members[name]
-            finally:
-                del self.network.handlers[address]
-                self.directory.nodes.remove(node)
-                del self.members[name]
+            self.directory.nodes.remove(node)
+            del self.members[name]
+
+    def make_pools(self, name):
+        """Return the connection pools of a node."""
+        return FakePools(name[:3], self.network)
+
+    @asynccontextmanager
+    async def open_listener(self, address, handler):
+        """Serve requests to a node until the block ends."""
+        self.network.handlers[address] = handler
+        try:
+            yield
+        finally:
+            del self.network.handlers[address]
 
     async def _gossip(self):
         """Pass the mark of a random node to each node periodically."""
