Repeat pushes that get no response

After push_repeat_s, 0.4 s, the push is sent again on another connection and the other nodes of the branch are pushed to meanwhile. A child that was only slow forwards to them as well; a push of a revision that a node has is answered at once. Each child costs at most one push more.

Red before: test_push_without_response_is_repeated, 2, 6 and 12 nodes (TaskTimeout after 2 s). Passes after.

--- a/libs/distribution/auburnjunction/distribution/pushers.py
+++ b/libs/distribution/auburnjunction/distribution/pushers.py
@@ -90,9 +90,22 @@
         return range(self._cfg.fan_out)
 
     async def _push_branch(self, nodes: list[Node]) -> None:
+        """Push to the first node, which forwards to the others.
+
+        Without a response within push_repeat_s, the connection may have been
+        lost with the push on it: push again, and do not wait for the first
+        node with the others.
+        """
         child, rest = nodes[0], nodes[1:]
-        if not await self._push(child, rest, spread=False) and rest:
-            await self.push_tree(rest)
+        async with curio.TaskGroup() as group:
+            first = await group.spawn(self._push, child, rest, False)
+            async with curio.ignore_after(self._cfg.push_repeat_s):
+                await first.wait()
+            if first.terminated and first.result:
+                return
+            if rest:
+                await group.spawn(self.push_tree, rest)
+            await self._push(child, [], spread=False)
 
     async def _push_to_data_centre(self, nodes: list[Node]) -> None:
         """Push to remote_copies nodes of another data centre.
--- a/libs/distribution/auburnjunction/distribution/settings.py
+++ b/libs/distribution/auburnjunction/distribution/settings.py
@@ -54,6 +54,11 @@
     push_timeout_s: float = attrs.field(
         default=1.0, validator=check_range(0.01, 30)
     )
+    # Time without a response after which a push is repeated. The first push
+    # may still succeed, until push_timeout_s.
+    push_repeat_s: float = attrs.field(
+        default=0.4, validator=check_range(0.01, 30)
+    )
     pull_timeout_s: float = attrs.field(
         default=2.0, validator=check_range(0.01, 30)
     )
--- a/libs/standins/auburnjunction/standins/tests/test_severed_connections.py
+++ b/libs/standins/auburnjunction/standins/tests/test_severed_connections.py
@@ -34,8 +34,8 @@
 class SeverableFleet(Fleet):
     """A fleet whose nodes exchange messages over loopback connections."""
 
-    def __init__(self, size, cfg):
-        super().__init__(size, cfg=cfg)
+    def __init__(self, size, cfg, data_centres=3):
+        super().__init__(size, data_centres, cfg)
         self.pools = {}
         self.forwarders = []
         # Number of further pushes to each node that get no response.
@@ -111,3 +111,22 @@
             await fleet.wait_for(2, CONFIG_APPLY_S)
 
     curio.run(main)
+
+
+# Guards against nodes that are left out of a change, because the connection
+# was lost on which it was pushed to them.
+@pytest.mark.parametrize("size", [2, 6, 12])
+def test_push_without_response_is_repeated(size):
+    cfg = attrs.evolve(SETTINGS, readers=1)
+
+    async def main():
+        fleet = SeverableFleet(size, cfg, data_centres=1)
+        async with fleet.open():
+            await fleet.commit("one", 0, make_snapshot(1))
+            await fleet.wait_for(1)
+            fleet.gossip_enabled = False
+            fleet.lost_pushes = 1
+            await fleet.commit("two", 1, make_snapshot(2))
+            await fleet.wait_for(2, CONFIG_APPLY_S)
+
+    curio.run(main)
