Push beside the polls, and from every reader to every data centre

Callers of a data centre whose readers had silently lost the store were served by an older configuration until those had detected it (CONFIG), although others had read the change: only the first reader of a data centre pushed to the others.

Pushes now run in tasks of their own: one for a tree, and one for each other data centre, which goes on with the newest revision if one comes into force meanwhile. A reader polls on at once, so every reader can push.

--- a/libs/distribution/auburnjunction/distribution/distributors.py
+++ b/libs/distribution/auburnjunction/distribution/distributors.py
@@ -98,6 +98,7 @@
             self.stats,
             random,
             self._puller.queue_pull,
+            background,
         )
         self._head_reader = HeadReader(
             cfg, source, holder, self._freshness, self.stats, clock
@@ -170,7 +171,7 @@
         """
         self._holder.adopt(revised, RevisionOrigin.COMMIT)
         if self._holder.mark == revised.mark:
-            await self._background.spawn(self._pusher.push_to_all)
+            await self._pusher.push_to_all()
 
     async def on_mark(self, mark: RevisionMark, address: Address) -> None:
         """Schedule a pull if a peer reports a higher revision."""
@@ -237,17 +238,17 @@
             return await self._head_poller.can_act_as_reader()
         adopted = await self._head_poller.act_as_reader()
         if adopted:
-            await self._background.spawn(self._pusher.push_to_all)
+            await self._pusher.push_to_all()
         return adopted is not None
 
     async def _forward(self, message: pb.PushRequest) -> None:
         if message.spread:
-            await self._background.spawn(self._pusher.push_local)
+            await self._pusher.push_local()
         else:
             self._pusher.record_pushed(message.mark.revision)
         if message.targets:
             nodes = self._view.find(message.targets)
-            await self._background.spawn(self._pusher.push_tree, nodes)
+            await self._pusher.push_tree(nodes)
 
     def _make_push_response(self, need_snapshot: bool) -> HttpResponse:
         return make_message_response(
--- a/libs/distribution/auburnjunction/distribution/head_pollers.py
+++ b/libs/distribution/auburnjunction/distribution/head_pollers.py
@@ -77,7 +77,7 @@
             rank = 0
         self._record_rank(rank)
         if rank is not None:
-            await self._read(rank)
+            await self._read()
         elif self._freshness.age_s > self._cfg.silence_s:
             await self._read_as_fallback()
 
@@ -123,14 +123,14 @@
             self._reader.backoff_s,
         )
 
-    async def _read(self, rank: int) -> None:
+    async def _read(self) -> None:
         adopted = None
         if not self._reader.is_failing:
             adopted = await self._reader.try_read(self._draw_wait_s())
         if adopted is None:
             adopted = await self._read_after_failure()
         if adopted:
-            await self._push_adopted(rank)
+            await self._pusher.push_to_all()
 
     async def _read_after_failure(self) -> bool | None:
         """Read again if the platform responds, else through another node.
@@ -195,11 +195,6 @@
         max_age_s = max_wait_s + self.poll_interval_s
         return self._is_reader and self._reader.age_s < max_age_s
 
-    async def _push_adopted(self, rank: int) -> None:
-        await self._pusher.push_local()
-        if rank == 0:
-            await self._pusher.push_remote()
-
     async def _pull_remote(self) -> None:
         """Pull from another data centre that may still reach the platform."""
         nodes = [n for group in self._group_remote_nodes() for n in group]
--- a/libs/distribution/auburnjunction/distribution/pushers.py
+++ b/libs/distribution/auburnjunction/distribution/pushers.py
@@ -6,6 +6,7 @@
 import curio
 
 from auburnjunction.base.logs import log_event
+from auburnjunction.distribution.background_tasks import BackgroundTasks
 from auburnjunction.distribution.errors import PeerError
 from auburnjunction.distribution.exchanges import PUSH_PATH, PeerClient
 from auburnjunction.distribution.holders import SnapshotHolder
@@ -37,6 +38,7 @@
         stats: DistributionStats,
         random: Random,
         on_mark: MarkListener,
+        background: BackgroundTasks,
     ):
         self._cfg = cfg
         self._view = view
@@ -46,16 +48,18 @@
         self._stats = stats
         self._random = random
         self._on_mark = on_mark
+        self._background = background
         self._pushed_revision = 0
+        # Other data centres that a task is pushing to.
+        self._active_data_centres: set[str] = set()
 
     async def push_to_all(self) -> None:
-        """Push to this data centre and some nodes of each other one."""
-        async with curio.TaskGroup() as group:
-            await group.spawn(self.push_local)
-            await group.spawn(self.push_remote)
+        """Start pushes to this and to every other data centre."""
+        await self.push_local()
+        await self.push_remote()
 
     async def push_local(self) -> None:
-        """Push to every node of this data centre, once per revision."""
+        """Start a push to every node of this data centre, once a revision."""
         revision = self._holder.mark.revision
         if revision <= self._pushed_revision:
             return
@@ -65,15 +69,24 @@
         await self.push_tree(nodes)
 
     async def push_remote(self) -> None:
-        """Push to some nodes of each other data centre."""
-        groups = self._view.group_remote()
-        async with curio.TaskGroup() as group:
-            for nodes in groups.values():
-                self._random.shuffle(nodes)
-                await group.spawn(self._push_to_data_centre, nodes)
+        """Start pushes to some nodes of each other data centre.
+
+        There is one task for each data centre, as one that is cut off takes
+        seconds: a revision that comes into force meanwhile is pushed next.
+        """
+        for data_centre in self._view.group_remote():
+            if data_centre not in self._active_data_centres:
+                self._active_data_centres.add(data_centre)
+                await self._background.spawn(
+                    self._push_to_data_centre, data_centre
+                )
 
     async def push_tree(self, nodes: list[Node]) -> None:
-        """Push to fan_out of the nodes, which forward to the rest."""
+        """Start pushes to fan_out of the nodes, which forward to the rest."""
+        if nodes:
+            await self._background.spawn(self._push_tree, nodes)
+
+    async def _push_tree(self, nodes: list[Node]) -> None:
         branches = [
             nodes[i :: self._cfg.fan_out] for i in self._branch_indexes()
         ]
@@ -104,14 +117,26 @@
             if first.terminated and first.result:
                 return
             if rest:
-                await group.spawn(self.push_tree, rest)
+                await group.spawn(self._push_tree, rest)
             await self._push(child, [], spread=False)
 
-    async def _push_to_data_centre(self, nodes: list[Node]) -> None:
+    async def _push_to_data_centre(self, data_centre: str) -> None:
+        """Push to another data centre until it has the revision in force."""
+        pushed_revision = 0
+        try:
+            while pushed_revision < self._holder.mark.revision:
+                pushed_revision = self._holder.mark.revision
+                await self._push_copies(data_centre)
+        finally:
+            self._active_data_centres.discard(data_centre)
+
+    async def _push_copies(self, data_centre: str) -> None:
         """Push to remote_copies nodes of another data centre.
 
         The first one that responds also pushes within its data centre.
         """
+        nodes = self._view.list_peers(data_centre)
+        self._random.shuffle(nodes)
         acknowledged = 0
         for node in nodes:
             if await self._push(node, [], spread=acknowledged == 0):
--- a/libs/standins/auburnjunction/standins/tests/test_severed_connections.py
+++ b/libs/standins/auburnjunction/standins/tests/test_severed_connections.py
@@ -37,7 +37,7 @@
     def __init__(self, size, cfg, data_centres=3):
         super().__init__(size, data_centres, cfg)
         self.pools = {}
-        self.forwarders = []
+        self.forwarders = {}
         # Number of further pushes to each node that get no response.
         self.lost_pushes = 0
         self._translations = {}
@@ -56,7 +56,7 @@
             ) as (forwarder, port),
         ):
             self._translations[address] = Address(HOST, port)
-            self.forwarders.append(forwarder)
+            self.forwarders[address] = forwarder
             yield
 
     async def open_idle_connections(self, count):
@@ -71,9 +71,15 @@
 
     def sever(self):
         """Make every open connection silent; new ones work."""
-        for forwarder in self.forwarders:
+        for forwarder in self.forwarders.values():
             forwarder.set_faults(ForwarderFaults(silent=True))
 
+    def cut_off(self, data_centre):
+        """Hold back what is sent to the nodes of a data centre."""
+        for address, forwarder in self.forwarders.items():
+            if address.host.startswith(data_centre):
+                forwarder.set_faults(ForwarderFaults(cut="both"))
+
 
 @attrs.define
 class LossyHandler:
@@ -130,3 +136,24 @@
             await fleet.wait_for(2, CONFIG_APPLY_S)
 
     curio.run(main)
+
+
+# Guards against readers that do not read the next change, because they wait
+# for pushes to a data centre that is cut off.
+def test_readers_read_on_while_a_data_centre_is_cut_off():
+    cfg = attrs.evolve(SETTINGS, readers=1)
+
+    async def main():
+        fleet = SeverableFleet(12, cfg)
+        async with fleet.open():
+            fleet.gossip_enabled = False
+            fleet.cut_off("dc2")
+            members = [
+                m for m in fleet.members.values() if m.name[:3] != "dc2"
+            ]
+            for revision in (1, 2, 3):
+                snapshot = make_snapshot(revision)
+                await fleet.commit(str(revision), revision - 1, snapshot)
+                await fleet.wait_for(revision, CONFIG_APPLY_S, members)
+
+    curio.run(main)
