Keep idle connections between nodes for one second

Connections between nodes were kept for 30 s. Among 75 nodes a connection to one of them is used every few seconds, so that nearly every call was sent on one that had not been used since the loss, and each cost a call up to its deadline. Only calls that may not be repeated had a limit of 1 s.

All calls, and gossip, now have it (routing.pool_idle_ms 1,000, was 30,000).

--- a/libs/http/auburnjunction/http/tests/test_silent_connections.py
+++ b/libs/http/auburnjunction/http/tests/test_silent_connections.py
@@ -1,69 +1,19 @@
 """Connections that are lost without a reset, while new ones work."""
 
-from contextlib import asynccontextmanager
-
 import curio
 import pytest
 
 from auburnjunction.base.clocks import SystemClock
-from auburnjunction.base.tasks import open_task_group
-from auburnjunction.http.clients import Address, ConnectionPool
+from auburnjunction.http.clients import PoolRegistry
 from auburnjunction.http.errors import ExchangeTimeoutError
-from auburnjunction.http.messages import HttpRequest
-from auburnjunction.http.servers import bind_socket
-
-HOST = "127.0.0.1"
-CLOCK = SystemClock()
-REQUEST = HttpRequest(b"GET", b"/", [(b"host", b"t")])
-RESPONSE = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
-LONG_ENOUGH_S = 5.0
-TIMEOUT_S = 0.1
-
+from auburnjunction.http.tests.support import (
+    LONG_ENOUGH_S,
+    REQUEST,
+    open_silent_peer,
+)
 
-class SilentPeer:
-    """Answers requests, except on connections that it has severed."""
-
-    def __init__(self):
-        self.accepted = 0
-        # Connections with a lower number are read, but not answered.
-        self.severed = 0
-        self.requests = 0
-        # Numbers of requests that are answered after LONG_ENOUGH_S.
-        self.slow_requests = set()
-
-    def sever(self):
-        """Answer nothing further on the connections that are open now."""
-        self.severed = self.accepted
-
-    async def serve(self, client):
-        number = self.accepted
-        self.accepted += 1
-        async with client:
-            while await client.recv(65536):
-                is_slow = self.requests in self.slow_requests
-                self.requests += 1
-                if is_slow:
-                    await curio.sleep(LONG_ENOUGH_S)
-                if number >= self.severed:
-                    await client.sendall(RESPONSE)
-
-
-@asynccontextmanager
-async def open_peer():
-    """Yield a peer and a pool of connections to it."""
-    sock = bind_socket(HOST, 0)
-    peer = SilentPeer()
-
-    async def accept(group):
-        while True:
-            client, _ = await sock.accept()
-            await group.spawn(peer.serve, client)
-
-    async with sock, open_task_group() as group:
-        await group.spawn(accept, group)
-        pool = ConnectionPool(Address(HOST, sock.getsockname()[1]), CLOCK)
-        yield peer, pool
-        await pool.close()
+TIMEOUT_S = 0.1
+POOLS = PoolRegistry(SystemClock())
 
 
 async def open_idle(pool, count):
@@ -82,7 +32,7 @@
 )
 def test_time_out_names_the_origin_of_the_connection(connections, origin):
     async def main():
-        async with open_peer() as (peer, pool):
+        async with open_silent_peer(POOLS) as (peer, pool):
             await open_idle(pool, connections)
             peer.severed = 1
             with pytest.raises(ExchangeTimeoutError) as caught:
@@ -97,7 +47,7 @@
 @pytest.mark.parametrize("connections", [1, 2, 5])
 def test_one_time_out_discards_all_connections_that_were_idle(connections):
     async def main():
-        async with open_peer() as (peer, pool):
+        async with open_silent_peer(POOLS) as (peer, pool):
             await open_idle(pool, connections)
             peer.sever()
             with pytest.raises(ExchangeTimeoutError):
@@ -114,7 +64,7 @@
 # answers one request too late.
 def test_connections_used_during_the_time_out_are_kept():
     async def main():
-        async with open_peer() as (peer, pool):
+        async with open_silent_peer(POOLS) as (peer, pool):
             await open_idle(pool, 3)
             peer.slow_requests.add(peer.requests)
             late = await curio.spawn(pool.exchange, REQUEST, TIMEOUT_S)
@@ -132,7 +82,7 @@
 # Guards against the closing of sound connections because a caller has left.
 def test_cancelled_exchange_keeps_idle_connections():
     async def main():
-        async with open_peer() as (peer, pool):
+        async with open_silent_peer(POOLS) as (peer, pool):
             await open_idle(pool, 2)
             peer.slow_requests.add(peer.requests)
             task = await curio.spawn(pool.exchange, REQUEST, LONG_ENOUGH_S)
--- a/libs/traffic/auburnjunction/traffic/routing_settings.py
+++ b/libs/traffic/auburnjunction/traffic/routing_settings.py
@@ -93,8 +93,11 @@
     pool_connections: int = attrs.field(
         default=64, validator=check_range(1, 10_000)
     )
+    # Maximum idle time of a connection to another node. A connection that is
+    # lost without a reset costs the call or message that is sent on it, a new
+    # one a round trip.
     pool_idle_ms: float = attrs.field(
-        default=30_000.0, validator=check_range(1.0, 3_600_000.0)
+        default=1000.0, validator=check_range(1.0, 3_600_000.0)
     )
     # Maximum idle time of a connection that is reused for a non-repeatable
     # call.
