Detect and log the crash of a backend server, and the requests at it

The logs could not tell a crash from a broken connection, nor two tries of one request from two requests.

When a connection breaks under a call, its node tries to open another: a backend server that accepts none has ended, unless it was leaving. Its node then logs "backend server crashed" with the fingerprints of the requests that were running: digests of method, host, path, caller and body. Requests that it has answered before are left out, and if some were running at crashes known before, only those with the most. Calls fail with the code "crashed" and status 502, as before with "unknown".

Routing and retries are unchanged.

--- a/libs/base/auburnjunction/base/errors.py
+++ b/libs/base/auburnjunction/base/errors.py
@@ -23,6 +23,10 @@
     MISPLACED = "misplaced"
     DRAINING = "draining"
     UNRESPONSIVE = "unresponsive"
+    # The backend server ended while it ran the call.
+    CRASHED = "crashed"
+    # Backend servers have crashed under the request, so it is not sent.
+    QUARANTINED = "quarantined"
     TOO_LARGE = "too-large"
     PROTOCOL = "protocol"
     INTERNAL = "internal"
--- /dev/null
+++ b/libs/membership/auburnjunction/membership/crashes.py
@@ -0,0 +1,224 @@
+"""Log of calls that were running when a backend server crashed."""
+
+from collections.abc import Callable, Iterable
+
+import attrs
+import xxhash
+
+from auburnjunction.base.clocks import Clock
+from auburnjunction.base.logs import log_event
+from auburnjunction.schema import control_pb2 as pb
+
+MILLISECONDS_PER_SECOND = 1000
+# Crashes under a request after which it is sent to no backend server.
+CRASH_LIMIT = 3
+# Time for which it is refused after the third crash. Each further one doubles
+# it, up to the maximum.
+FIRST_HOLD_S = 120.0
+MAX_HOLD_S = 960.0
+# Time after its last crash for which a request below the limit is suspect.
+SUSPICION_S = 120.0
+# Bounds of the log. A record takes about 60 bytes in a message.
+MAX_FINGERPRINTS = 256
+MAX_CRASHES = 8
+MAX_SENT_RECORDS = 64
+
+
+@attrs.frozen(slots=True)
+class Crash:
+    """A request that was running when a backend server crashed."""
+
+    # Digest of the request, see traffic.fingerprints.
+    fingerprint: bytes
+    instance: str
+    # Start of the incarnation in milliseconds since the epoch.
+    born_ms: int
+    # Time of the crash by the local monotonic clock.
+    crashed_s: float
+
+    @property
+    def key(self) -> tuple[str, int]:
+        """The incarnation that has crashed."""
+        return self.instance, self.born_ms
+
+
+Listener = Callable[[list[Crash]], None]
+
+
+@attrs.define(slots=True)
+class Suspect:
+    """The crashes under one request, by incarnation."""
+
+    crashes: dict[tuple[str, int], Crash] = attrs.field(factory=dict)
+
+    @property
+    def count(self) -> int:
+        """Number of incarnations that have crashed."""
+        return len(self.crashes)
+
+    @property
+    def last_crash_s(self) -> float:
+        """Time of the last crash."""
+        return max(crash.crashed_s for crash in self.crashes.values())
+
+    @property
+    def is_quarantined(self) -> bool:
+        """Whether the request has reached the limit of crashes."""
+        return self.count >= CRASH_LIMIT
+
+    @property
+    def expires_s(self) -> float:
+        """Time at which its quarantine or the suspicion ends."""
+        if not self.is_quarantined:
+            return self.last_crash_s + SUSPICION_S
+        hold_s = FIRST_HOLD_S * 2 ** (self.count - CRASH_LIMIT)
+        return self.last_crash_s + min(MAX_HOLD_S, hold_s)
+
+    @property
+    def forgotten_s(self) -> float:
+        """Time at which the crashes are forgotten.
+
+        Until then, a request that was quarantined is so again after one
+        further crash.
+        """
+        if not self.is_quarantined:
+            return self.expires_s
+        return self.last_crash_s + 2 * MAX_HOLD_S
+
+
+class CrashLog:
+    """Crashes that this node knows of, by the digest of the request.
+
+    A request that ends each backend server that runs it is only known by the
+    crashes of several, which different nodes see. Others may run on the same
+    backend server by chance, so that one crash proves nothing.
+    """
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._suspects: dict[bytes, Suspect] = {}
+
+    def __bool__(self) -> bool:
+        return bool(self._suspects)
+
+    @property
+    def digest(self) -> int:
+        """Digest of what select() returns; 0 if there is nothing."""
+        digest = 0
+        for crash in self.select():
+            name = f"{crash.instance}/{crash.born_ms}".encode()
+            digest ^= xxhash.xxh64_intdigest(crash.fingerprint + name)
+        return digest
+
+    def count_crashes(self, fingerprint: bytes) -> int:
+        """Return how many backend servers have crashed under a request."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or self._is_forgotten(suspect):
+            return 0
+        return suspect.count
+
+    def find_hold(self, fingerprint: bytes) -> float:
+        """Return for how many seconds a request is refused, or 0."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or not suspect.is_quarantined:
+            return 0.0
+        return max(0.0, suspect.expires_s - self._clock.monotonic())
+
+    def add(self, crashes: Iterable[Crash]) -> list[Crash]:
+        """Add crashes; return those that were not known."""
+        self._forget()
+        return [crash for crash in crashes if self._add_crash(crash)]
+
+    def select(self) -> list[Crash]:
+        """Return the crashes that a message carries.
+
+        Those of the requests with the most crashes come first.
+        """
+        self._forget()
+        suspects = sorted(
+            self._suspects.values(),
+            key=lambda suspect: (suspect.count, suspect.last_crash_s),
+            reverse=True,
+        )
+        crashes = [crash for s in suspects for crash in s.crashes.values()]
+        return crashes[:MAX_SENT_RECORDS]
+
+    def _add_crash(self, crash: Crash) -> bool:
+        known = self._suspects.get(crash.fingerprint)
+        if known is not None and (
+            crash.key in known.crashes or known.count >= MAX_CRASHES
+        ):
+            return False
+        suspect = known or Suspect()
+        suspect.crashes[crash.key] = crash
+        if self._is_forgotten(suspect):
+            return False
+        self._suspects[crash.fingerprint] = suspect
+        if suspect.is_quarantined:
+            log_event(
+                "request quarantined",
+                fingerprint=crash.fingerprint.hex(),
+                crashes=suspect.count,
+                limit=CRASH_LIMIT,
+                hold_s=round(self.find_hold(crash.fingerprint), 3),
+                instance=crash.instance,
+            )
+        while len(self._suspects) > MAX_FINGERPRINTS:
+            self._drop_least()
+        return crash.fingerprint in self._suspects
+
+    def _is_forgotten(self, suspect: Suspect) -> bool:
+        return suspect.forgotten_s <= self._clock.monotonic()
+
+    def _forget(self) -> None:
+        self._suspects = {
+            fingerprint: suspect
+            for fingerprint, suspect in self._suspects.items()
+            if not self._is_forgotten(suspect)
+        }
+
+    def _drop_least(self) -> None:
+        """Drop the request with the fewest crashes, the oldest of these."""
+        least = min(
+            self._suspects,
+            key=lambda fingerprint: (
+                self._suspects[fingerprint].count,
+                self._suspects[fingerprint].last_crash_s,
+            ),
+        )
+        del self._suspects[least]
+
+
+def encode_crashes(
+    crashes: Iterable[Crash], clock: Clock
+) -> list[pb.CrashRecord]:
+    """Encode crashes, with their ages, as protobuf messages."""
+    now_s = clock.monotonic()
+    return [
+        pb.CrashRecord(
+            fingerprint=crash.fingerprint,
+            instance=crash.instance,
+            born_ms=crash.born_ms,
+            age_ms=max(
+                0, int((now_s - crash.crashed_s) * MILLISECONDS_PER_SECOND)
+            ),
+        )
+        for crash in crashes
+    ]
+
+
+def decode_crashes(
+    messages: Iterable[pb.CrashRecord], clock: Clock
+) -> list[Crash]:
+    """Decode at most MAX_SENT_RECORDS crashes; skip incomplete ones."""
+    now_s = clock.monotonic()
+    return [
+        Crash(
+            message.fingerprint,
+            message.instance,
+            message.born_ms,
+            now_s - message.age_ms / MILLISECONDS_PER_SECOND,
+        )
+        for message in list(messages)[:MAX_SENT_RECORDS]
+        if message.fingerprint and message.instance
+    ]
--- a/libs/traffic/auburnjunction/traffic/backends.py
+++ b/libs/traffic/auburnjunction/traffic/backends.py
@@ -4,9 +4,10 @@
 
 from auburnjunction.base.clocks import Clock
 from auburnjunction.base.errors import ErrorCode
-from auburnjunction.http.clients import Address, ConnectionPool
+from auburnjunction.http.clients import Address, ConnectionPool, connect
 from auburnjunction.http.errors import (
     ConnectError,
+    ConnectTimeoutError,
     ExchangeTimeoutError,
     HttpError,
     NotSentError,
@@ -169,6 +170,21 @@
             return False
         return True
 
+    async def has_ended(self) -> bool:
+        """Return whether the backend server accepts no connection any more.
+
+        A connection that is not established in time proves nothing.
+        """
+        timeout_s = self._cfg.connect_timeout_s
+        try:
+            conn = await connect(self.address, self._clock, timeout_s)
+        except ConnectTimeoutError:
+            return False
+        except ConnectError:
+            return True
+        await conn.close()
+        return False
+
     async def close_idle(self) -> None:
         """Close the idle connections."""
         await self._pool.close()
--- /dev/null
+++ b/libs/traffic/auburnjunction/traffic/crash_watches.py
@@ -0,0 +1,130 @@
+"""Detection of the calls under which a backend server has crashed."""
+
+import math
+from collections.abc import Callable, Iterable
+
+import attrs
+import curio
+
+from auburnjunction.base.clocks import Clock
+from auburnjunction.base.logs import log_event
+from auburnjunction.membership.crashes import Crash, CrashLog
+from auburnjunction.traffic.backends import BackendClient
+from auburnjunction.traffic.calls import Call
+from auburnjunction.traffic.fingerprints import (
+    AnsweredRequests,
+    compute_fingerprint,
+)
+from auburnjunction.traffic.headers import HeaderNames
+
+MILLISECONDS_PER_SECOND = 1000
+
+CrashObserver = Callable[[list[Crash]], None]
+
+
+def ignore_crashes(_crashes: list[Crash]) -> None:
+    """Ignore the crash of a backend server."""
+
+
+@attrs.frozen(slots=True)
+class RunningCall:
+    """A call that the backend server was sent, and when."""
+
+    call: Call
+    started_s: float
+
+
+class CrashWatch:
+    """Watches one backend server for crashes, and the calls that it runs.
+
+    Which of the calls that were running has ended it, one crash cannot tell.
+    Requests that the backend server has answered before are left out, and if
+    some of the others were running at earlier crashes, only those with the
+    most of them are reported: a request that crashes whatever runs it has
+    been at all of them.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        backend: BackendClient,
+        log: CrashLog,
+        clock: Clock,
+        names: HeaderNames,
+        on_crash: CrashObserver = ignore_crashes,
+    ):
+        self._instance = instance
+        self._backend = backend
+        self._log = log
+        self._clock = clock
+        self._names = names
+        self._on_crash = on_crash
+        self._running: dict[int, RunningCall] = {}
+        self._answered = AnsweredRequests()
+        self._check = curio.Lock()
+        # Time at which the last crash was found.
+        self._crashed_s = -math.inf
+
+    def start_call(self, call: Call) -> None:
+        """Record a call that is sent to the backend server."""
+        self._running[id(call)] = RunningCall(call, self._clock.monotonic())
+
+    def end_call(self, call: Call) -> None:
+        """Record the end of a call with any outcome."""
+        self._running.pop(id(call), None)
+
+    def record_answer(self, call: Call) -> None:
+        """Record that the backend server has survived a call."""
+        self._answered.add(compute_fingerprint(call.request, self._names))
+
+    async def has_crashed(self, call: Call, born_ms: int) -> bool:
+        """Return whether a call ended with a crash of the backend server.
+
+        Its connection has broken; the backend server has crashed if it
+        accepts no connection any more. Report the calls that were running,
+        once for each crash. born_ms is that of the incarnation, 0 if unknown.
+        """
+        sent = self._running.get(id(call))
+        if sent is None:
+            return False
+        running = list(self._running.values())
+        async with self._check:
+            if sent.started_s <= self._crashed_s:
+                return True
+            if not await self._backend.has_ended():
+                return False
+            self._crashed_s = self._clock.monotonic()
+            self._report([r.call for r in running], born_ms)
+            return True
+
+    def _report(self, calls: Iterable[Call], born_ms: int) -> None:
+        # A crash of an unknown incarnation counts as one of its own.
+        born_ms = born_ms or self._read_time_ms()
+        running = {
+            compute_fingerprint(call.request, self._names) for call in calls
+        }
+        blamed = self._select_blamed(running)
+        log_event(
+            "backend server crashed",
+            instance=self._instance,
+            born_ms=born_ms,
+            running=len(running),
+            fingerprints=[fingerprint.hex() for fingerprint in blamed],
+        )
+        now_s = self._clock.monotonic()
+        self._on_crash(
+            [Crash(f, self._instance, born_ms, now_s) for f in blamed]
+        )
+
+    def _read_time_ms(self) -> int:
+        return int(self._clock.now().timestamp() * MILLISECONDS_PER_SECOND)
+
+    def _select_blamed(self, fingerprints: set[bytes]) -> list[bytes]:
+        suspects = [f for f in fingerprints if f not in self._answered]
+        counts = [self._log.count_crashes(f) for f in suspects]
+        most = max(counts, default=0)
+        return sorted(
+            f
+            for f, count in zip(suspects, counts, strict=True)
+            if count == most
+        )
--- a/libs/traffic/auburnjunction/traffic/headers.py
+++ b/libs/traffic/auburnjunction/traffic/headers.py
@@ -224,8 +224,10 @@
     ErrorCode.DRAINING: 503,
     ErrorCode.UNRESPONSIVE: 503,
     ErrorCode.UNAVAILABLE: 503,
+    ErrorCode.QUARANTINED: 503,
     ErrorCode.TIMEOUT: 504,
     ErrorCode.UNKNOWN: 502,
+    ErrorCode.CRASHED: 502,
     ErrorCode.PROTOCOL: 502,
     ErrorCode.INTERNAL: 500,
 }
--- a/libs/traffic/auburnjunction/traffic/instances.py
+++ b/libs/traffic/auburnjunction/traffic/instances.py
@@ -4,8 +4,10 @@
 from functools import partial
 
 from auburnjunction.base.clocks import Clock
+from auburnjunction.base.errors import ErrorCode
 from auburnjunction.http.clients import Address
 from auburnjunction.http.messages import HttpResponse
+from auburnjunction.membership.crashes import CrashLog
 from auburnjunction.model.services import Service
 from auburnjunction.traffic.admissions import AdmissionSettings
 from auburnjunction.traffic.backends import (
@@ -21,6 +23,11 @@
     UnknownRunError,
 )
 from auburnjunction.traffic.claims import ClaimStore, needs_claim
+from auburnjunction.traffic.crash_watches import (
+    CrashObserver,
+    CrashWatch,
+    ignore_crashes,
+)
 from auburnjunction.traffic.headers import DEFAULT_HEADER_NAMES, HeaderNames
 from auburnjunction.traffic.limits import SlotLimit
 from auburnjunction.traffic.meters import OwnerMetrics
@@ -56,6 +63,8 @@
         cold: bool = False,
         names: HeaderNames = DEFAULT_HEADER_NAMES,
         on_departure: DepartureObserver = ignore_departure,
+        crashes: CrashLog | None = None,
+        on_crash: CrashObserver = ignore_crashes,
     ):
         self.instance = instance
         # Incarnation that announced itself last; 0 if it is not known.
@@ -77,6 +86,10 @@
         )
         self._backend.health_target = service.health_path.encode()
         self._is_misplaced = False
+        log = CrashLog(clock) if crashes is None else crashes
+        self._crash_watch = CrashWatch(
+            instance, self._backend, log, clock, names, on_crash
+        )
 
     @property
     def load(self) -> float:
@@ -219,13 +232,14 @@
 
     async def _send(self, call: Call) -> HttpResponse:
         start_s = self._clock.monotonic()
+        born_ms = self.born_ms
         timeout_s = self.service.attempt_timeout_ms / 1000
         try:
             response = await self._backend.send(
                 call,
                 timeout_s,
                 partial(self._check_start, call),
-                partial(self._apply_notice, self.born_ms, start_s),
+                partial(self._apply_notice, born_ms, start_s),
             )
         except ShedError:
             # Shedding below the slot limit is not caused by load.
@@ -235,19 +249,36 @@
         except MisplacedError:
             self._is_misplaced = True
             raise
-        except UnknownRunError:
+        except UnknownRunError as exc:
             self._record_duration(call, start_s)
+            if await self._has_crashed(call, exc, born_ms):
+                raise UnknownRunError(
+                    "the backend server crashed while it ran the call",
+                    ErrorCode.CRASHED,
+                ) from exc
             raise
+        finally:
+            self._crash_watch.end_call(call)
+        self._crash_watch.record_answer(call)
         self._record_duration(call, start_s)
         return response
 
+    async def _has_crashed(
+        self, call: Call, exc: UnknownRunError, born_ms: int
+    ) -> bool:
+        """Return whether the backend server has ended, and not as planned."""
+        if exc.code is ErrorCode.TIMEOUT or self.draining:
+            return False
+        return await self._crash_watch.has_crashed(call, born_ms)
+
     def _check_start(self, call: Call) -> None:
-        """Raise NotRunError if it is too late to send the call."""
+        """Raise NotRunError if the call may not be sent any more."""
         try:
             self._admission.check_start()
         except NotRunError:
             self._metrics.count_late_start(call)
             raise
+        self._crash_watch.start_call(call)
 
     def _apply_notice(
         self, born_ms: int, sent_s: float, notice: ServerNotice
--- a/libs/traffic/auburnjunction/traffic/owners.py
+++ b/libs/traffic/auburnjunction/traffic/owners.py
@@ -7,10 +7,12 @@
 from auburnjunction.base.errors import ErrorCode
 from auburnjunction.http.clients import Address, parse_address
 from auburnjunction.membership.announcements import Announcement
+from auburnjunction.membership.crashes import Crash, CrashLog
 from auburnjunction.model.services import Service
 from auburnjunction.traffic.admissions import AdmissionSettings
 from auburnjunction.traffic.calls import Answer, Call, NotRunError
 from auburnjunction.traffic.claims import ClaimStore
+from auburnjunction.traffic.crash_watches import CrashObserver, ignore_crashes
 from auburnjunction.traffic.headers import DEFAULT_HEADER_NAMES, HeaderNames
 from auburnjunction.traffic.instances import (
     DRAIN_POLL_INTERVAL_S,
@@ -36,8 +38,11 @@
         claims: ClaimStore | None = None,
         find_service: ServiceFinder = lambda name: None,
         names: HeaderNames = DEFAULT_HEADER_NAMES,
+        crashes: CrashLog | None = None,
     ):
         self.on_departure: DepartureObserver = ignore_departure
+        self.on_crash: CrashObserver = ignore_crashes
+        self._crashes = CrashLog(clock) if crashes is None else crashes
         self._names = names
         self._cfg = cfg
         self._clock = clock
@@ -186,6 +191,9 @@
     def _handle_departure(self, instance: str, born_ms: int) -> None:
         self.on_departure(instance, born_ms)
 
+    def _handle_crash(self, crashes: list[Crash]) -> None:
+        self.on_crash(crashes)
+
     def _counts_as_cold_start(self) -> bool:
         age_s = self._clock.monotonic() - self._start_s
         return age_s >= self._cfg.ramp_node_age_s
@@ -207,6 +215,8 @@
             cold,
             self._names,
             self._handle_departure,
+            self._crashes,
+            self._handle_crash,
         )
         owner.set_shutdown_time(self._shutdown_s)
         return owner
