Refuse requests under which three backend servers have crashed

Cause: nothing was remembered between tries of a request, and nothing shared. Budgets are for a service, or for the attempts of one call; a crash is seen by the node beside the backend server only, and the next try enters elsewhere. Retries made it worse: one try could end two backend servers or more.

Nodes now push crashes to each other as they push departures, and gossip carries a digest of what is known, for nodes that restarted or were cut off.

--- a/libs/membership/auburnjunction/membership/cluster_states.py
+++ b/libs/membership/auburnjunction/membership/cluster_states.py
@@ -11,6 +11,7 @@
 from auburnjunction.base.clocks import Clock
 from auburnjunction.base.logs import log_event
 from auburnjunction.http.clients import Address
+from auburnjunction.membership.crashes import Crash, CrashLog
 from auburnjunction.membership.departures import DepartureLog
 from auburnjunction.membership.gossip_queues import GossipQueue
 from auburnjunction.membership.handovers import DepartureHandover
@@ -52,6 +53,11 @@
         # Order of the last record of each node that was forwarded as urgent.
         self._forwarded_orders: dict[str, tuple] = {}
         self.departures = DepartureLog()
+        self.crashes = CrashLog(clock)
+        # Crashes to push to peers, and those seen by this node, which are
+        # also pushed to the other data centres.
+        self.urgent_crashes: list[Crash] = []
+        self.own_urgent_crashes: list[Crash] = []
         self.handover = DepartureHandover()
         self.reachability = ReachabilityTable(clock, cfg.unreachable_after_s)
         self.pause_detector = PauseDetector(clock, self._pause_limit_s)
@@ -159,6 +165,17 @@
         """Queue a record for an immediate push to several peers."""
         self.urgent_records[record.node] = record
 
+    def add_crashes(self, crashes: Iterable[Crash], own: bool = False) -> None:
+        """Add crashes; queue those that are new here for a push, once.
+
+        Own are those that this node has seen itself.
+        """
+        new = self.crashes.add(crashes)
+        self.stats.crash_records += len(new)
+        self.urgent_crashes += new
+        if own:
+            self.own_urgent_crashes += new
+
     def forward_urgent(self, records: Iterable[Node]) -> None:
         """Queue urgent records of other nodes for pushes, each once.
 
--- a/libs/membership/auburnjunction/membership/memberships.py
+++ b/libs/membership/auburnjunction/membership/memberships.py
@@ -14,6 +14,7 @@
 from auburnjunction.http.messages import HttpRequest, HttpResponse
 from auburnjunction.membership.announcements import Announcement
 from auburnjunction.membership.cluster_states import ClusterState, Listener
+from auburnjunction.membership.crashes import Crash, CrashLog
 from auburnjunction.membership.departures import Departure
 from auburnjunction.membership.errors import PeerUnreachableError
 from auburnjunction.membership.exchanges import make_response
@@ -130,6 +131,15 @@
         self._cluster.departures.add(Departure(instance, born_ms))
         self._locals.publish()
 
+    @property
+    def crashes(self) -> CrashLog:
+        """Crashes of backend servers that this node knows of."""
+        return self._cluster.crashes
+
+    def report_crashes(self, crashes: list[Crash]) -> None:
+        """Publish crashes that this node has seen."""
+        self._cluster.add_crashes(crashes, own=True)
+
     @property
     def are_departures_saved(self) -> bool:
         """Whether the table holds every departure."""
--- a/libs/membership/auburnjunction/membership/receivers.py
+++ b/libs/membership/auburnjunction/membership/receivers.py
@@ -1,6 +1,7 @@
 """Handling of gossip requests."""
 
 from auburnjunction.membership.cluster_states import ClusterState
+from auburnjunction.membership.crashes import decode_crashes, encode_crashes
 from auburnjunction.membership.exchanges import (
     decode_mark,
     decode_records,
@@ -43,6 +44,8 @@
         new_indexes = self._cluster.merge(records)
         if request.urgent:
             self._cluster.forward_urgent(records)
+        clock = self._cluster.clock
+        self._cluster.add_crashes(decode_crashes(request.crashes, clock))
         sender = self._cluster.view.get(request.sender)
         response = pb.GossipResponse(
             sender=self._cluster.own_record.node,
@@ -52,6 +55,9 @@
             table_generation=self._cluster.table_generation,
         )
         self._add_records(request, records, response)
+        crashes = self._cluster.crashes
+        if request.crash_digest != crashes.digest:
+            response.crashes.extend(encode_crashes(crashes.select(), clock))
         response.view_digest = self._cluster.view.digest
         if sender is not None:
             self._handle_sender(sender, request, response)
--- a/libs/membership/auburnjunction/membership/senders.py
+++ b/libs/membership/auburnjunction/membership/senders.py
@@ -4,6 +4,11 @@
 
 from auburnjunction.http.clients import Address, PoolRegistry
 from auburnjunction.membership.cluster_states import ClusterState
+from auburnjunction.membership.crashes import (
+    Crash,
+    decode_crashes,
+    encode_crashes,
+)
 from auburnjunction.membership.errors import PeerUnreachableError
 from auburnjunction.membership.exchanges import (
     decode_mark,
@@ -69,12 +74,16 @@
         records: list[Node],
         *,
         target: Node | None = None,
+        crashes: list[Crash] | None = None,
         urgent: bool = False,
         cross: bool = False,
     ) -> pb.GossipResponse:
-        """Send records and merge those of the response."""
+        """Send records and crashes; merge those of the response."""
         request = self.make_request()
         request.records.extend(encode_record(r) for r in records)
+        request.crashes.extend(
+            encode_crashes(crashes or [], self._cluster.clock)
+        )
         request.urgent = urgent
         if not cross:
             messages = self._cluster.reachability.encode_observations()
@@ -107,6 +116,7 @@
             mark=encode_mark(self.mark_source()),
             view_digest=self._cluster.view.digest,
             table_generation=self._cluster.table_generation,
+            crash_digest=self._cluster.crashes.digest,
         )
 
     async def send(
@@ -131,6 +141,7 @@
         cluster.departures.adopt(decode_departures(response.departures))
         cluster.observe_table_generation(response.table_generation)
         cluster.merge(decode_records(response.records))
+        cluster.add_crashes(decode_crashes(response.crashes, cluster.clock))
         if response.sender_unknown:
             cluster.gossip_queue.add(cluster.own_record)
         self.on_peer_mark(decode_mark(response.mark), address)
--- a/libs/membership/auburnjunction/membership/stats.py
+++ b/libs/membership/auburnjunction/membership/stats.py
@@ -26,6 +26,8 @@
     burials: int = 0
     refutations: int = 0
     pauses: int = 0
+    # Records of crashes that were new to this node, its own included.
+    crash_records: int = 0
     table_reads: int = 0
     table_writes: int = 0
 
--- a/libs/node/auburnjunction/node/components.py
+++ b/libs/node/auburnjunction/node/components.py
@@ -110,14 +110,6 @@
     )
     holder = SnapshotHolder()
     owner_metrics = OwnerMetrics(metrics)
-    owners = OwnerRegistry(
-        cfg.admission,
-        clock,
-        owner_metrics,
-        ClaimStore(cfg.admission.claims, platform.table, clock, owner_metrics),
-        make_service_finder(holder),
-        platform.names,
-    )
     pool_options = (cfg.routing, clock, cfg.translations)
     async with (
         open_pools(*pool_options) as control_pools,
@@ -144,6 +136,17 @@
             random,
         ) as distributor,
     ):
+        owners = OwnerRegistry(
+            cfg.admission,
+            clock,
+            owner_metrics,
+            ClaimStore(
+                cfg.admission.claims, platform.table, clock, owner_metrics
+            ),
+            make_service_finder(holder),
+            platform.names,
+            membership.crashes,
+        )
         membership.mark_source = lambda: holder.mark
         membership.on_mark = distributor.on_mark
         readiness_gate = ReadinessGate(membership, distributor, clock)
@@ -162,6 +165,7 @@
             platform.own_service,
             owners.find_parent,
             lambda: membership.node_count,
+            membership.crashes,
         )
         ControlPlaneMetrics(metrics, membership.stats, distributor.stats)
         commits = CommitLog(platform.table, platform.objects, clock)
--- a/libs/node/auburnjunction/node/instances.py
+++ b/libs/node/auburnjunction/node/instances.py
@@ -26,6 +26,7 @@
         self._applied_states: dict[str, InstanceState] = {}
         membership.subscribe(self.update_owners)
         owners.on_departure = self.report_departure
+        owners.on_crash = membership.report_crashes
 
     async def handle_announce(self, request: HttpRequest) -> HttpResponse:
         """Handle POST /announce from a backend server of this host."""
--- a/libs/traffic/auburnjunction/traffic/attempts.py
+++ b/libs/traffic/auburnjunction/traffic/attempts.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from auburnjunction.base.errors import ErrorCode
 from auburnjunction.model.services import Instance
 from auburnjunction.traffic.balancers import Balancer, Candidates
 from auburnjunction.traffic.calls import (
@@ -50,6 +51,8 @@
     # were not refused as busy.
     sent_count: int = 0
     ended_count: int = 0
+    # Number of backend servers that crashed while they ran the call.
+    crash_count: int = 0
     busy: list[BusyInstance] = attrs.field(factory=list)
     # Whether the call may now wait at an instance.
     is_queueing: bool = False
@@ -72,6 +75,7 @@
         """Record an attempt that ended without an answer."""
         self.ended_count += 1
         self.sent_count += was_sent
+        self.crash_count += error.code is ErrorCode.CRASHED
         if not isinstance(self.error_so_far, UnknownRunError):
             # An unknown outcome prevails over refusals.
             self.error_so_far = error
--- a/libs/traffic/auburnjunction/traffic/entries.py
+++ b/libs/traffic/auburnjunction/traffic/entries.py
@@ -10,6 +10,7 @@
 from auburnjunction.base.metrics import MetricRegistry
 from auburnjunction.http.clients import PoolRegistry
 from auburnjunction.http.messages import HttpRequest, HttpResponse
+from auburnjunction.membership.crashes import CrashLog
 from auburnjunction.traffic.balancers import Balancer, NodeLocation
 from auburnjunction.traffic.call_forwarders import InstanceSource, PeerRunner
 from auburnjunction.traffic.call_reports import CallReporter
@@ -31,6 +32,7 @@
     strip_headers,
 )
 from auburnjunction.traffic.instance_trackers import InstanceTracker
+from auburnjunction.traffic.quarantines import Quarantine
 from auburnjunction.traffic.retries import NodeCounter, count_one
 from auburnjunction.traffic.routers import (
     ParentFinder,
@@ -167,6 +169,7 @@
     own_service: ServiceSource = no_service,
     find_parent: ParentFinder = find_no_parent,
     count_nodes: NodeCounter = count_one,
+    crashes: CrashLog | None = None,
 ) -> EntryHandler:
     """Return a node's entry handler with all its components."""
     rng = rng or random.Random()
@@ -186,6 +189,7 @@
         settings,
         rng,
         count_nodes,
+        Quarantine(CrashLog(clock) if crashes is None else crashes, names),
     )
     reporter = CallReporter(metrics, outlier_tracker, settings)
     router = Router(
--- a/libs/traffic/auburnjunction/traffic/instances.py
+++ b/libs/traffic/auburnjunction/traffic/instances.py
@@ -32,6 +32,7 @@
 from auburnjunction.traffic.limits import SlotLimit
 from auburnjunction.traffic.meters import OwnerMetrics
 from auburnjunction.traffic.notices import ServerNotice
+from auburnjunction.traffic.quarantines import Quarantine
 from auburnjunction.traffic.rate_limits import RateLimiter
 from auburnjunction.traffic.slots import AdmissionController
 
@@ -87,6 +88,7 @@
         self._backend.health_target = service.health_path.encode()
         self._is_misplaced = False
         log = CrashLog(clock) if crashes is None else crashes
+        self._quarantine = Quarantine(log, names)
         self._crash_watch = CrashWatch(
             instance, self._backend, log, clock, names, on_crash
         )
@@ -142,6 +144,7 @@
         """Return the answer; raise NotRunError or UnknownRunError."""
         if self._is_misplaced:
             raise MisplacedError("another instance uses the address")
+        self._quarantine.check(call)
         if call.rate_limit_per_s is not None:
             self._rate_limiter.adopt(call.rate_limit_per_s)
         try:
@@ -278,6 +281,7 @@
         except NotRunError:
             self._metrics.count_late_start(call)
             raise
+        self._quarantine.check(call)
         self._crash_watch.start_call(call)
 
     def _apply_notice(
--- a/libs/traffic/auburnjunction/traffic/senders.py
+++ b/libs/traffic/auburnjunction/traffic/senders.py
@@ -6,6 +6,7 @@
 
 from auburnjunction.base.clocks import Clock
 from auburnjunction.base.errors import ErrorCode
+from auburnjunction.membership.crashes import CrashLog
 from auburnjunction.model.services import Instance
 from auburnjunction.traffic.attempts import (
     AttemptPlanner,
@@ -26,6 +27,7 @@
     COOLDOWN_CODES,
     InstanceTracker,
 )
+from auburnjunction.traffic.quarantines import Quarantine
 from auburnjunction.traffic.retries import (
     NodeCounter,
     RetryBudget,
@@ -35,6 +37,9 @@
 from auburnjunction.traffic.routers import RoutedCall
 from auburnjunction.traffic.routing_settings import RoutingSettings
 
+# Crashes of backend servers that ran a request after which a call with it is
+# not retried. One may be a coincidence.
+MAX_RETRIED_CRASHES = 1
 # Codes of refusals after which another instance may accept the call.
 RETRIED_REFUSAL_CODES = frozenset(
     {
@@ -84,7 +89,9 @@
         settings: RoutingSettings,
         rng: random.Random,
         count_nodes: NodeCounter = count_one,
+        quarantine: Quarantine | None = None,
     ):
+        self._quarantine = quarantine or Quarantine(CrashLog(clock))
         self._location = location
         self._planner = AttemptPlanner(balancer, settings)
         self._instance_tracker = instance_tracker
@@ -105,6 +112,7 @@
         NotRunError means that the call ran in none of its attempts.
         """
         call = routed.call
+        self._quarantine.check(call)
         budget, attempts = self._start(routed)
         while True:
             now_s = self._clock.monotonic()
@@ -223,10 +231,21 @@
             if error.code is not ErrorCode.SHED:
                 now_s = self._clock.monotonic()
                 return attempts.refusal_budget.try_spend(now_s)
-        elif not call.repeatable or error.code is ErrorCode.CONFLICT:
+        elif not self._may_repeat(call, error, attempts):
             return False
         return budget.try_spend(self._clock.monotonic())
 
+    def _may_repeat(
+        self, call: Call, error: TrafficError, attempts: AttemptState
+    ) -> bool:
+        """Return whether a call that may have run may run again."""
+        if not call.repeatable or error.code is ErrorCode.CONFLICT:
+            return False
+        if error.code is not ErrorCode.CRASHED:
+            return True
+        known = self._quarantine.count_crashes(call)
+        return max(known, attempts.crash_count) <= MAX_RETRIED_CRASHES
+
     def _may_retry_answer(
         self,
         call: Call,
