Keep the latest crashes of a request, not the first ones

Found in a last reading: a request with eight known crashes took up no further ones. Once its hold of 960 s had passed, it was sent again, and the crashes that followed were not recorded, so that nothing refused it until it was forgotten, another 960 s later.

A further crash now replaces the oldest. The number kept, and the bounds on messages, are as before.

Red before: test_crash_after_the_release_quarantines_again[8] (the crash after the release was not added). Passes after; [3] passed before.

--- a/libs/membership/auburnjunction/membership/crashes.py
+++ b/libs/membership/auburnjunction/membership/crashes.py
@@ -51,9 +51,21 @@
 
     crashes: dict[tuple[str, int], Crash] = attrs.field(factory=dict)
 
+    def add(self, crash: Crash) -> bool:
+        """Add a crash; return whether it is new and one of the latest."""
+        if crash.key in self.crashes:
+            return False
+        self.crashes[crash.key] = crash
+        if self.count > MAX_CRASHES:
+            # Of those at one moment, the earlier added stay.
+            latest_added_first = reversed(self.crashes.values())
+            oldest = min(latest_added_first, key=lambda c: c.crashed_s)
+            del self.crashes[oldest.key]
+        return crash.key in self.crashes
+
     @property
     def count(self) -> int:
-        """Number of incarnations that have crashed."""
+        """Number of incarnations that have crashed, MAX_CRASHES at most."""
         return len(self.crashes)
 
     @property
@@ -144,14 +156,8 @@
         return crashes[:MAX_SENT_RECORDS]
 
     def _add_crash(self, crash: Crash) -> bool:
-        known = self._suspects.get(crash.fingerprint)
-        if known is not None and (
-            crash.key in known.crashes or known.count >= MAX_CRASHES
-        ):
-            return False
-        suspect = known or Suspect()
-        suspect.crashes[crash.key] = crash
-        if self._is_forgotten(suspect):
+        suspect = self._suspects.get(crash.fingerprint) or Suspect()
+        if not suspect.add(crash) or self._is_forgotten(suspect):
             return False
         self._suspects[crash.fingerprint] = suspect
         if suspect.is_quarantined:
--- a/libs/membership/auburnjunction/membership/tests/test_crashes.py
+++ b/libs/membership/auburnjunction/membership/tests/test_crashes.py
@@ -91,6 +91,21 @@
     assert {c.fingerprint for c in selected[:MAX_CRASHES]} == {POISON}
 
 
+# Guards against a request that is sent without an end once its log is full.
+@pytest.mark.parametrize("crashes", [CRASH_LIMIT, MAX_CRASHES])
+def test_crash_after_the_release_quarantines_again(crashes):
+    log, clock = make_log()
+    add_crashes(log, clock, crashes)
+    clock.advance(log.find_hold(POISON))
+    assert not log.find_hold(POISON)
+    assert add_crashes(log, clock, 1, first=crashes)
+    assert log.find_hold(POISON)
+    assert log.count_crashes(POISON) <= MAX_CRASHES
+    # Peers may send the crash that has been replaced.
+    old = Crash(POISON, "i0", 1, clock.monotonic() - MAX_HOLD_S)
+    assert not log.add([old])
+
+
 def test_equal_logs_have_equal_digests():
     log, clock = make_log()
     other, other_clock = make_log()
