Ask a crash log whether it is empty by name

An empty log was false, so that each optional one had to be compared with None and "crashes or CrashLog(clock)", as it stands elsewhere, would have replaced a shared log by a private one. No behaviour is changed.

--- a/libs/membership/auburnjunction/membership/crashes.py
+++ b/libs/membership/auburnjunction/membership/crashes.py
@@ -110,8 +110,10 @@
         self._clock = clock
         self._suspects: dict[bytes, Suspect] = {}
 
-    def __bool__(self) -> bool:
-        return bool(self._suspects)
+    @property
+    def is_empty(self) -> bool:
+        """Whether no crash is known."""
+        return not self._suspects
 
     @property
     def digest(self) -> int:
--- a/libs/traffic/auburnjunction/traffic/entries.py
+++ b/libs/traffic/auburnjunction/traffic/entries.py
@@ -189,7 +189,7 @@
         settings,
         rng,
         count_nodes,
-        Quarantine(CrashLog(clock) if crashes is None else crashes, names),
+        Quarantine(crashes or CrashLog(clock), names),
     )
     reporter = CallReporter(metrics, outlier_tracker, settings)
     router = Router(
--- a/libs/traffic/auburnjunction/traffic/fingerprints.py
+++ b/libs/traffic/auburnjunction/traffic/fingerprints.py
@@ -11,7 +11,7 @@
 
 
 def compute_fingerprint(request: HttpRequest, names: HeaderNames) -> bytes:
-    """Return a digest of 16 bytes of what a request asks for, and for whom.
+    """Return a digest of method, host, target, caller and body, 16 bytes.
 
     The same caller's same request has the same digest under another id, with
     another deadline and at another node. The digest is not a cryptographic
--- a/libs/traffic/auburnjunction/traffic/instances.py
+++ b/libs/traffic/auburnjunction/traffic/instances.py
@@ -87,7 +87,7 @@
         )
         self._backend.health_target = service.health_path.encode()
         self._is_misplaced = False
-        log = CrashLog(clock) if crashes is None else crashes
+        log = crashes or CrashLog(clock)
         self._quarantine = Quarantine(log, names)
         self._crash_watch = CrashWatch(
             instance, self._backend, log, clock, names, on_crash
--- a/libs/traffic/auburnjunction/traffic/owners.py
+++ b/libs/traffic/auburnjunction/traffic/owners.py
@@ -42,7 +42,7 @@
     ):
         self.on_departure: DepartureObserver = ignore_departure
         self.on_crash: CrashObserver = ignore_crashes
-        self._crashes = CrashLog(clock) if crashes is None else crashes
+        self._crashes = crashes or CrashLog(clock)
         self._names = names
         self._cfg = cfg
         self._clock = clock
--- a/libs/traffic/auburnjunction/traffic/quarantines.py
+++ b/libs/traffic/auburnjunction/traffic/quarantines.py
@@ -18,7 +18,7 @@
 
     def check(self, call: Call) -> None:
         """Raise NotRunError if the request is quarantined."""
-        if not self._log:
+        if self._log.is_empty:
             return
         fingerprint = compute_fingerprint(call.request, self._names)
         hold_s = self._log.find_hold(fingerprint)
@@ -34,7 +34,7 @@
 
     def count_crashes(self, call: Call) -> int:
         """Return how many crashes under the request are known."""
-        if not self._log:
+        if self._log.is_empty:
             return 0
         return self._log.count_crashes(
             compute_fingerprint(call.request, self._names)
