Share one peer among tests of connections, and clean up fleets on errors

The peer of silent connections had an accept loop of its own beside that of test_strays.py; both use the one in support.py. Two comments use the field's terms. Assertions are unchanged.

--- a/libs/distribution/auburnjunction/distribution/tests/support.py
+++ b/libs/distribution/auburnjunction/distribution/tests/support.py
@@ -262,10 +262,12 @@
             Random(index),
         ) as distributor:
             self.members[name] = Member(name, holder, distributor, history)
-            async with self.open_listener(address, Router(distributor)):
-                yield self.members[name]
-            self.directory.nodes.remove(node)
-            del self.members[name]
+            try:
+                async with self.open_listener(address, Router(distributor)):
+                    yield self.members[name]
+            finally:
+                self.directory.nodes.remove(node)
+                del self.members[name]
 
     def make_pools(self, name):
         """Return the connection pools of a node."""
--- a/libs/http/auburnjunction/http/tests/support.py
+++ b/libs/http/auburnjunction/http/tests/support.py
@@ -36,29 +36,39 @@
     async def serve(self, client):
         number = self.accepted
         self.accepted += 1
-        async with client:
-            while await client.recv(65536):
-                is_slow = self.requests in self.slow_requests
-                self.requests += 1
-                if is_slow:
-                    await curio.sleep(LONG_ENOUGH_S)
-                if number >= self.severed:
-                    await client.sendall(RESPONSE)
+        while await client.recv(65536):
+            is_slow = self.requests in self.slow_requests
+            self.requests += 1
+            if is_slow:
+                await curio.sleep(LONG_ENOUGH_S)
+            if number >= self.severed:
+                await client.sendall(RESPONSE)
 
 
 @asynccontextmanager
-async def open_silent_peer(pools):
-    """Yield a SilentPeer and the pool of connections to it."""
+async def open_peer(serve_client, pools):
+    """Yield the pool of a peer that runs serve_client on each connection."""
     sock = bind_socket(LOOPBACK_HOST, 0)
-    peer = SilentPeer()
 
     async def accept(group):
         while True:
             client, _ = await sock.accept()
-            await group.spawn(peer.serve, client)
+            await group.spawn(serve, client)
+
+    async def serve(client):
+        async with client:
+            await serve_client(client)
 
     async with sock, open_task_group() as group:
         await group.spawn(accept, group)
         pool = pools.get(Address(LOOPBACK_HOST, sock.getsockname()[1]))
-        yield peer, pool
+        yield pool
         await pool.close()
+
+
+@asynccontextmanager
+async def open_silent_peer(pools):
+    """Yield a SilentPeer and the pool of connections to it."""
+    peer = SilentPeer()
+    async with open_peer(peer.serve, pools) as pool:
+        yield peer, pool
--- a/libs/http/auburnjunction/http/tests/test_strays.py
+++ b/libs/http/auburnjunction/http/tests/test_strays.py
@@ -6,13 +6,11 @@
 import pytest
 
 from auburnjunction.base.clocks import SystemClock
-from auburnjunction.base.tasks import open_task_group
-from auburnjunction.http.clients import Address, ConnectionPool
+from auburnjunction.http.clients import PoolRegistry
 from auburnjunction.http.errors import StrayResponseError
 from auburnjunction.http.messages import HttpRequest
-from auburnjunction.http.servers import bind_socket
+from auburnjunction.http.tests.support import open_peer
 
-HOST = "127.0.0.1"
 CLOCK = SystemClock()
 
 
@@ -22,28 +20,17 @@
 
 
 @asynccontextmanager
-async def open_peer(serve_client):
-    """Yield a pool to a peer that runs serve_client on each connection."""
-    sock = bind_socket(HOST, 0)
+async def open_counting_peer(serve_client):
+    """Yield a pool to a peer; its accepted lists the connections."""
     accepted = []
 
-    async def accept(group):
-        while True:
-            client, _ = await sock.accept()
-            accepted.append(client)
-            await group.spawn(serve, client)
-
     async def serve(client):
-        async with client:
-            await serve_client(client)
+        accepted.append(client)
+        await serve_client(client)
 
-    async with sock, open_task_group() as group:
-        await group.spawn(accept, group)
-        address = Address(HOST, sock.getsockname()[1])
-        pool = ConnectionPool(address, CLOCK)
+    async with open_peer(serve, PoolRegistry(CLOCK)) as pool:
         pool.accepted = accepted
         yield pool
-        await pool.close()
 
 
 async def send_request(pool, name, body=b"", timeout_s=2.0):
@@ -63,7 +50,7 @@
         await client.recv(65536)
 
     async def main():
-        async with open_peer(serve_client) as pool:
+        async with open_counting_peer(serve_client) as pool:
             assert await send_request(pool, b"a") == b"own"
             assert pool.idle_count == 0
 
@@ -79,7 +66,7 @@
         await client.sendall(format_response(b"b"))
 
     async def main():
-        async with open_peer(serve_client) as pool:
+        async with open_counting_peer(serve_client) as pool:
             assert await send_request(pool, b"a") == b"own"
             assert await send_request(pool, b"b") == b"own"
             assert len(pool.accepted) == 1
@@ -93,7 +80,7 @@
             await client.sendall(format_response(b"other"))
 
     async def main():
-        async with open_peer(serve_client) as pool:
+        async with open_counting_peer(serve_client) as pool:
             with pytest.raises(StrayResponseError):
                 await send_request(pool, b"a", timeout_s=0.2)
             assert pool.idle_count == 0
@@ -108,7 +95,7 @@
         await curio.sleep(5)
 
     async def main():
-        async with open_peer(serve_client) as pool:
+        async with open_counting_peer(serve_client) as pool:
             body = b"x" * 8_000_000
             assert await send_request(pool, b"a", body) == b"early"
             assert pool.idle_count == 0
@@ -123,7 +110,7 @@
             await client.sendall(format_response(b"a", b"own", extra))
 
     async def main():
-        async with open_peer(serve_client) as pool:
+        async with open_counting_peer(serve_client) as pool:
             await send_request(pool, b"a")
             await curio.sleep(0.01)
             await send_request(pool, b"a")
--- a/libs/membership/auburnjunction/membership/tests/test_crashes.py
+++ b/libs/membership/auburnjunction/membership/tests/test_crashes.py
@@ -147,8 +147,8 @@
     cluster.network.drop_share = 0.33
 
 
-# Guards against nodes that send on a request, because they have not heard of
-# crashes that others have seen.
+# Guards against nodes that forward a quarantined request, because the crashes
+# that others have reported have not reached them.
 @pytest.mark.parametrize("lose", [lose_nothing, lose_a_third])
 def test_crashes_seen_by_different_nodes_are_known_to_all_in_time(lose):
     async def scenario(cluster):
--- a/libs/traffic/auburnjunction/traffic/tests/test_crash_watches.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_crash_watches.py
@@ -32,7 +32,7 @@
 
 
 class EndingBackend:
-    """Backend server that ends, or breaks connections, when told to."""
+    """Backend server that a test can crash or disconnect."""
 
     def __init__(self):
         self.requests = 0
