--- a/review/standins.py
+++ b/review/standins.py
@@ -126,8 +126,10 @@
         yield
     finally:
         server.close()
-        for task in list(tasks):
+        running = list(tasks)
+        for task in running:
             task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
 
 
 class Store:
@@ -262,6 +264,8 @@
     work_s: float
     born_ms: int = field(default_factory=lambda: int(time.time() * 1000))
     runs: list[Run] = field(default_factory=list)
+    # Work of requests whose path begins so, if it is not work_s.
+    work_by_prefix: dict[str, float] = field(default_factory=dict)
     queue: int = 72
     sequence: int = 0
     waiting: int = 0
@@ -305,14 +309,21 @@
         if self.waiting >= self.queue:
             headers["X-Auburnjunction-Not-Executed"] = "1"
             return encode_response(503, headers)
-        status = await self._run(request_id, left_s)
+        work_s = self._find_work(request.words[1])
+        status = await self._run(request_id, work_s, left_s)
         if status == 503:
             headers["X-Auburnjunction-Not-Executed"] = "1"
             return encode_response(503, headers)
         headers["X-Auburnjunction-Response-Signature"] = f"s.{request_id}"
         return encode_response(status, headers, request_id.encode())
 
-    async def _run(self, request_id: str, left_s: float) -> int:
+    def _find_work(self, target: str) -> float:
+        for prefix, work_s in self.work_by_prefix.items():
+            if target.startswith(prefix):
+                return work_s
+        return self.work_s
+
+    async def _run(self, request_id: str, work_s: float, left_s: float) -> int:
         """Run a request; return 200, 504 at the deadline, 503 if not run."""
         end_s = time.monotonic() + left_s
         self.waiting += 1
@@ -331,7 +342,7 @@
             async with asyncio.timeout_at(
                 asyncio.get_running_loop().time() + end_s - time.monotonic()
             ):
-                await asyncio.sleep(self.work_s)
+                await asyncio.sleep(work_s)
             run.complete = True
             return 200
         except TimeoutError:
@@ -343,6 +354,23 @@
             self.running -= 1
             self._free.release()
 
+    @contextlib.asynccontextmanager
+    async def listen(self):
+        """Yield while the instance serves; it is gone afterwards."""
+        async with open_listener(self.serve, self.ip, self.port):
+            yield
+
+    async def live(self, address: tuple[str, int]) -> None:
+        """Serve and send heartbeats until cancelled, as one incarnation."""
+        self.born_ms = int(time.time() * 1000)
+        self.sequence = 0
+        async with self.listen():
+            self.record.add(f"start  {self.name}")
+            try:
+                await self.send_heartbeats(address)
+            finally:
+                self.record.add(f"crash  {self.name}")
+
     async def send_heartbeats(self, address: tuple[str, int]) -> None:
         """Send heartbeats to the control address until cancelled."""
         while True:
@@ -636,7 +664,7 @@
         self.nodes: list[Node] = []
         self.instances: list[Instance] = []
         self._stack = contextlib.AsyncExitStack()
-        self._tasks: list[asyncio.Task] = []
+        self._lives: dict[str, asyncio.Task] = {}
 
     async def open_store(self, configuration: bytes) -> None:
         """Start the store and write the first configuration."""
@@ -674,16 +702,24 @@
             slots,
             work_s,
         )
-        await self._stack.enter_async_context(
-            open_listener(instance.serve, ip, instance.port)
-        )
         self.nodes.append(node)
         self.instances.append(instance)
         await node.start(bootstrap=True)
-        beats = instance.send_heartbeats(node.address("control"))
-        self._tasks.append(asyncio.ensure_future(beats))
+        self.start_instance(instance)
         return node, instance
 
+    def start_instance(self, instance: Instance) -> None:
+        """Start an incarnation of an instance."""
+        node = self.nodes[self.instances.index(instance)]
+        life = instance.live(node.address("control"))
+        self._lives[instance.name] = asyncio.ensure_future(life)
+
+    async def crash_instance(self, instance: Instance) -> None:
+        """End an instance; its connections break."""
+        life = self._lives.pop(instance.name)
+        life.cancel()
+        await asyncio.gather(life, return_exceptions=True)
+
     async def wait_until_ready(self, limit_s: float = 20.0) -> None:
         """Wait until all nodes are ready; raise TimeoutError."""
         async with asyncio.timeout(limit_s):
@@ -694,8 +730,10 @@
 
     async def close(self) -> None:
         """End all processes and listeners."""
-        for task in self._tasks:
-            task.cancel()
+        lives = list(self._lives.values())
+        for life in lives:
+            life.cancel()
+        await asyncio.gather(*lives, return_exceptions=True)
         for node in self.nodes:
             await node.stop()
         await self._stack.aclose()
