--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,12 +11,12 @@
 
 from standins import (  # noqa: E402
     BOUNDS,
+    PoliteClients,
     Result,
     has_trouble,
     make_configuration,
     make_route,
     run_case,
-    send_request,
 )
 
 # Figures of katalog-noc on the grown deployment.
@@ -31,51 +31,6 @@
 LAST_SEND_S = 3.0
 
 
-class Clients:
-    """Clients that send their next request once the last is answered."""
-
-    def __init__(self, record, node):
-        self.results: list[Result] = []
-        self._record = record
-        self._node = node
-        self._misses = 0
-        self._ended = False
-
-    async def run(self, count: int, end_s: float) -> None:
-        """Send until end_s; return when all requests have ended."""
-        poll = asyncio.ensure_future(self._poll())
-        await asyncio.gather(*(self._send(n, end_s) for n in range(count)))
-        poll.cancel()
-
-    async def _poll(self) -> None:
-        """Ask the node once a second whether it is ready."""
-        while True:
-            ready = await self._node.is_ready()
-            self._misses = 0 if ready else self._misses + 1
-            await asyncio.sleep(1)
-
-    async def _send(self, number: int, end_s: float) -> None:
-        await asyncio.sleep(number * WORK_S / CLIENTS)
-        step = 0
-        while time.monotonic() < end_s:
-            if self._misses >= 2:
-                # No new work after two misses.
-                await asyncio.sleep(0.1)
-                continue
-            step += 1
-            result = await send_request(
-                self._record,
-                self._node.address("outbound"),
-                "shop.example",
-                "/catalogue/nightly",
-                f"c{number:02d}-{step:03d}",
-                TIMEOUT_MS,
-            )
-            self.results.append(result)
-            if result.status != 200:
-                await asyncio.sleep(1.0)
-
-
 def find_lost(results, runs, term_s: float) -> list[Result]:
     """Return the requests that the rule counts as lost."""
     grace_s = BOUNDS["grace_s"]
@@ -118,9 +73,9 @@
     await deployment.wait_until_ready()
     # The nodes are in touch from then on.
     await asyncio.sleep(BOUNDS["contact_ms"] / 1000)
-    clients = Clients(record, entry)
+    clients = PoliteClients(record, entry, "/catalogue/nightly", TIMEOUT_MS)
     traffic = asyncio.ensure_future(
-        clients.run(CLIENTS, time.monotonic() + LEAD_S + 8)
+        clients.run(CLIENTS, WORK_S, time.monotonic() + LEAD_S + 8)
     )
     await asyncio.sleep(LEAD_S)
     term_s = record.now_s()
--- a/review/standins.py
+++ b/review/standins.py
@@ -366,10 +366,7 @@
         self.sequence = 0
         async with self.listen():
             self.record.add(f"start  {self.name}")
-            try:
-                await self.send_heartbeats(address)
-            finally:
-                self.record.add(f"crash  {self.name}")
+            await self.send_heartbeats(address)
 
     async def send_heartbeats(self, address: tuple[str, int]) -> None:
         """Send heartbeats to the control address until cancelled."""
@@ -716,6 +713,7 @@
 
     async def crash_instance(self, instance: Instance) -> None:
         """End an instance; its connections break."""
+        self.record.add(f"crash  {instance.name}")
         life = self._lives.pop(instance.name)
         life.cancel()
         await asyncio.gather(life, return_exceptions=True)
@@ -750,6 +748,59 @@
             await deployment.close()
 
 
+class PoliteClients:
+    """Clients of one machine that send again once they are answered.
+
+    As the pages say, they get no new work once their node has missed two
+    polls of /readyz.
+    """
+
+    def __init__(self, record: Record, node: Node, path: str, timeout_ms: int):
+        self.results: list[Result] = []
+        self._record = record
+        self._node = node
+        self._path = path
+        self._timeout_ms = timeout_ms
+        self._misses = 0
+
+    async def run(self, count: int, spread_s: float, end_s: float) -> None:
+        """Send until end_s; return when all requests have ended.
+
+        The first requests are spread over spread_s.
+        """
+        poll = asyncio.ensure_future(self._poll())
+        await asyncio.gather(
+            *(self._send(n, n * spread_s / count, end_s) for n in range(count))
+        )
+        poll.cancel()
+
+    async def _poll(self) -> None:
+        while True:
+            ready = await self._node.is_ready()
+            self._misses = 0 if ready else self._misses + 1
+            await asyncio.sleep(1)
+
+    async def _send(self, number: int, delay_s: float, end_s: float) -> None:
+        await asyncio.sleep(delay_s)
+        step = 0
+        while time.monotonic() < end_s:
+            if self._misses >= 2:
+                await asyncio.sleep(0.1)
+                continue
+            step += 1
+            result = await send_request(
+                self._record,
+                self._node.address("outbound"),
+                "shop.example",
+                self._path,
+                f"c{number:02d}-{step:03d}",
+                self._timeout_ms,
+            )
+            self.results.append(result)
+            if result.status != 200:
+                await asyncio.sleep(1.0)
+
+
 def has_trouble() -> bool:
     """Return whether the script runs with its disruption."""
     return os.environ.get("TROUBLE", "1") != "0"
