--- a/review/standins.py
+++ b/review/standins.py
@@ -442,8 +442,14 @@
     request_id: str,
     timeout_ms: int,
     method: str = "GET",
+    body: bytes = b"",
+    connection=None,
 ) -> Result:
-    """Send a request on a new connection; return what the client saw."""
+    """Send a request and return what the client saw.
+
+    connection is a kept one, as asyncio.open_connection() returns it; without
+    one, a new connection is used and closed.
+    """
     result = Result(request_id, record.now_s())
     head = (
         f"{method} {path} HTTP/1.1\r\nHost: {host}\r\n"
@@ -451,14 +457,16 @@
         f"X-Auburnjunction-Timeout-Ms: {timeout_ms}\r\n"
     )
     if method != "GET":
-        head += "Content-Length: 0\r\n"
+        head += f"Content-Length: {len(body)}\r\n"
     record.add(f"sent   {request_id} to {address[0]}")
     writer = None
     try:
         async with asyncio.timeout(timeout_ms / 1000):
-            reader, writer = await asyncio.open_connection(*address)
+            reader, writer = connection or await asyncio.open_connection(
+                *address
+            )
             result.sent_s = record.now_s()
-            writer.write(head.encode() + b"\r\n")
+            writer.write(head.encode() + b"\r\n" + body)
             response = await read_message(reader)
         if response is None:
             result.detail = "the connection was closed without an answer"
@@ -472,7 +480,7 @@
     except (ConnectionError, OSError) as exc:
         result.detail = f"the connection broke: {exc}"
     finally:
-        if writer is not None:
+        if writer is not None and connection is None:
             writer.close()
     result.ended_s = record.now_s()
     record.add(f"answer {request_id} {result.status or result.detail}")
@@ -499,8 +507,7 @@
 
     async def start(self, bootstrap: bool = False) -> None:
         """Start the process."""
-        path = self.folder / f"{self.name}.json"
-        path.write_text(json.dumps(self._make_settings(bootstrap)))
+        path = self.write_settings(bootstrap)
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         command = shlex.split(deploy["roles"]["node"]["run"])
         env = {
@@ -518,6 +525,13 @@
         log.close()
         self.record.add(f"start  {self.name}")
 
+    def write_settings(self, bootstrap: bool = False) -> Path:
+        """Replace the settings file; return its path."""
+        path = self.folder / f"{self.name}.json"
+        new = path.with_suffix(".new")
+        new.write_text(json.dumps(self._make_settings(bootstrap)))
+        return new.rename(path)
+
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
         self.record.add(f"signal {number.name} to {self.name}")
@@ -551,6 +565,17 @@
             return False
         return response is not None and response.words[1] == "200"
 
+    def read_memory_mb(self) -> float:
+        """Return the resident memory of the process; 0 if it has ended."""
+        try:
+            status = Path(f"/proc/{self.process.pid}/status").read_text()
+        except OSError:
+            return 0.0
+        for line in status.splitlines():
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1]) / 1024
+        return 0.0
+
     async def stop(self) -> None:
         """End the process if it runs."""
         if self.process is not None and self.process.returncode is None:
