--- a/review/standins.py
+++ b/review/standins.py
@@ -268,6 +268,7 @@
     work_by_prefix: dict[str, float] = field(default_factory=dict)
     queue: int = 72
     sequence: int = 0
+    state: str = "ready"
     waiting: int = 0
     running: int = 0
 
@@ -364,6 +365,7 @@
         """Serve and send heartbeats until cancelled, as one incarnation."""
         self.born_ms = int(time.time() * 1000)
         self.sequence = 0
+        self.state = "ready"
         async with self.listen():
             self.record.add(f"start  {self.name}")
             await self.send_heartbeats(address)
@@ -372,10 +374,10 @@
         """Send heartbeats to the control address until cancelled."""
         while True:
             with contextlib.suppress(OSError, TimeoutError, ConnectionError):
-                await self.announce(address, "ready")
+                await self.announce(address)
             await asyncio.sleep(HEARTBEAT_MS / 1000)
 
-    async def announce(self, address: tuple[str, int], state: str) -> int:
+    async def announce(self, address: tuple[str, int]) -> int:
         """Send one heartbeat; return the status of the answer."""
         self.sequence += 1
         body = {
@@ -388,7 +390,7 @@
                 "slots": self.slots,
             },
             "status": {
-                "state": state,
+                "state": self.state,
                 "sequence": self.sequence,
                 "cold_left_ms": 0,
             },
