--- a/review/standins.py
+++ b/review/standins.py
@@ -841,12 +841,16 @@
     record = Record()
 
     async def run() -> bool:
+        # The processes are ended as well if the script is stopped.
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         async with asyncio.timeout(limit_s), open_deployment(record) as dep:
             return await case(record, dep)
 
     try:
         broken = asyncio.run(run())
-    except Exception as exc:
+    except (Exception, asyncio.CancelledError) as exc:
         record.add(f"the case could not run: {exc!r}")
         code = 2
     else:
