--- a/review/standins.py
+++ b/review/standins.py
@@ -19,7 +19,9 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
-STORE_IP = "127.0.0.2"
+# Loopback addresses of this run only, so that runs share no ports.
+NETWORK = f"127.{1 + os.getpid() % 250}.{1 + os.getpid() // 250 % 250}"
+STORE_IP = f"{NETWORK}.2"
 HEARTBEAT_MS = 870
 STATUS_TEXT = {200: "OK", 412: "Precondition Failed", 421: "Misdirected"}
 # Copied from the example of settings for a small deployment.
@@ -521,10 +523,19 @@
             "AUBURNJUNCTION_SETTINGS": str(path),
         }
         log = (self.folder / f"{self.name}.log").open("ab")
-        self.process = await asyncio.create_subprocess_exec(
-            *command, cwd=ROOT, env=env, stdout=log, stderr=log
+        start = asyncio.ensure_future(
+            asyncio.create_subprocess_exec(
+                *command, cwd=ROOT, env=env, stdout=log, stderr=log
+            )
         )
-        log.close()
+        try:
+            self.process = await asyncio.shield(start)
+        except asyncio.CancelledError:
+            # Whoever ends the case must know of the process.
+            self.process = await start
+            raise
+        finally:
+            log.close()
         self.record.add(f"start  {self.name}")
 
     def write_settings(self, bootstrap: bool = False) -> Path:
@@ -671,11 +682,13 @@
     return json.dumps(document).encode()
 
 
-def find_free_port(ip: str) -> int:
-    """Return a port that is free on a loopback address."""
-    with socket.socket() as sock:
-        sock.bind((ip, 0))
-        return sock.getsockname()[1]
+def find_free_ports(ip: str, count: int) -> list[int]:
+    """Return different ports that are free on a loopback address."""
+    with contextlib.ExitStack() as stack:
+        socks = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in socks:
+            sock.bind((ip, 0))
+        return [sock.getsockname()[1] for sock in socks]
 
 
 class Deployment:
@@ -684,7 +697,7 @@
     def __init__(self, record: Record, folder: Path):
         self.record = record
         self.folder = folder
-        self.store = Store(find_free_port(STORE_IP))
+        self.store = Store(*find_free_ports(STORE_IP, 1))
         self.nodes: list[Node] = []
         self.instances: list[Instance] = []
         self._stack = contextlib.AsyncExitStack()
@@ -702,11 +715,10 @@
     ) -> tuple[Node, Instance]:
         """Start a node and the instance beside it."""
         number = len(self.nodes) + 1
-        ip = f"127.0.0.{10 + number}"
-        ports = {
-            name: find_free_port(ip)
-            for name in ("inbound", "outbound", "ready", "control")
-        }
+        ip = f"{NETWORK}.{10 + number}"
+        names = ("inbound", "outbound", "ready", "control")
+        port, *others = find_free_ports(ip, 1 + len(names))
+        ports = dict(zip(names, others, strict=True))
         node = Node(
             self.record,
             f"sidecar-a-{number}",
@@ -722,7 +734,7 @@
             f"i-{number:08x}",
             service,
             ip,
-            find_free_port(ip),
+            port,
             slots,
             work_s,
         )
