Log the calls that a shutdown cuts off, and count those abandoned at owners

A line for each of up to 50 calls names its id, instance, attempts and age. Owners count the calls whose entry node closed the connection, and those of them that the backend server had been sent.

--- a/libs/node/auburnjunction/node/nodes.py
+++ b/libs/node/auburnjunction/node/nodes.py
@@ -5,6 +5,7 @@
 from random import Random
 
 import curio
+from absl import logging
 
 from auburnjunction.base.clocks import Clock
 from auburnjunction.base.logs import log_event
@@ -21,6 +22,8 @@
 
 OWNER_SWEEP_INTERVAL_S = 0.1
 OWNER_PROBE_INTERVAL_S = 0.2
+# Calls that are logged if they are cut off by the shutdown of the node.
+MAX_LOGGED_CALLS = 50
 
 
 class Node:
@@ -63,6 +66,7 @@
         )
         self._components.entry.start_draining()
         remaining += await self._drain_servers(deadline_s)
+        self._log_calls_in_flight()
         log_event("node drained", remaining=remaining)
         return remaining
 
@@ -74,6 +78,19 @@
                 await group.spawn(server.drain, self._remaining_s(deadline_s))
         return sum(group.results)
 
+    def _log_calls_in_flight(self) -> None:
+        now_s = self._clock.monotonic()
+        for trace in self._components.entry.in_flight[:MAX_LOGGED_CALLS]:
+            log_event(
+                "call cut off at the drain limit",
+                logging.WARNING,
+                request_id=trace.request_id,
+                service=trace.service,
+                instance=trace.instance,
+                attempts=trace.attempts,
+                age_s=round(now_s - trace.started_s, 3),
+            )
+
     def _remaining_s(self, deadline_s: float) -> float:
         return max(0.0, deadline_s - self._clock.monotonic())
 
--- a/libs/traffic/auburnjunction/traffic/entries.py
+++ b/libs/traffic/auburnjunction/traffic/entries.py
@@ -71,6 +71,12 @@
         self._clock = clock
         self._ids = RequestIdGenerator()
         self._draining = False
+        self._in_flight: dict[int, CallTrace] = {}
+
+    @property
+    def in_flight(self) -> list[CallTrace]:
+        """Records of the calls that have no answer yet."""
+        return list(self._in_flight.values())
 
     def start_draining(self) -> None:
         """Refuse new calls as not run; calls in flight continue."""
@@ -95,6 +101,7 @@
         if started_s is None:
             started_s = self._clock.monotonic()
         trace = CallTrace(request_id, started_s)
+        self._in_flight[id(trace)] = trace
         try:
             response = await self._handle(request, trace)
         except TrafficError as exc:
@@ -103,6 +110,8 @@
             logging.exception("call %s failed", trace.request_id)
             error = UnknownRunError("internal error", ErrorCode.INTERNAL)
             return self._make_failure(error, trace)
+        finally:
+            del self._in_flight[id(trace)]
         self._report(trace, Outcome.OK, response.status)
         return response
 
--- a/libs/traffic/auburnjunction/traffic/instances.py
+++ b/libs/traffic/auburnjunction/traffic/instances.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from functools import partial
 
+import curio
+
 from auburnjunction.base.clocks import Clock
 from auburnjunction.base.errors import ErrorCode
 from auburnjunction.http.clients import Address
@@ -156,6 +158,9 @@
         except TrafficError as exc:
             self._metrics.count_error(call, exc)
             raise
+        except curio.CancelledError:
+            self._metrics.count_abandoned(call)
+            raise
         self._metrics.count_answer(call)
         return Answer(
             response,
@@ -260,6 +265,9 @@
                     ErrorCode.CRASHED,
                 ) from exc
             raise
+        except curio.CancelledError:
+            self._metrics.count_abandoned_run(call)
+            raise
         finally:
             self._crash_watch.end_call(call)
         self._crash_watch.record_answer(call)
--- a/libs/traffic/auburnjunction/traffic/meters.py
+++ b/libs/traffic/auburnjunction/traffic/meters.py
@@ -22,6 +22,8 @@
         self.calls: Counter = Counter()
         self.claims: Counter = Counter()
         self.late_starts: Counter = Counter()
+        self.abandoned: Counter = Counter()
+        self.abandoned_runs: Counter = Counter()
         self._calls = registry.make_counter(
             "auburn_owner_calls_total", "Calls by outcome at this owner"
         )
@@ -32,6 +34,14 @@
             "auburn_owner_late_starts_total",
             "Calls with a slot, refused after the drain start limit",
         )
+        self._abandoned = registry.make_counter(
+            "auburn_owner_abandoned_total",
+            "Calls whose entry node closed the connection",
+        )
+        self._abandoned_runs = registry.make_counter(
+            "auburn_owner_abandoned_runs_total",
+            "Those of them that the backend server had been sent",
+        )
         self._running = registry.make_gauge(
             "auburn_owner_running", "Calls that hold a slot"
         )
@@ -64,6 +74,14 @@
         """Count a call with a slot that is refused as too late."""
         self.late_starts[call.service] += 1
 
+    def count_abandoned(self, call: Call) -> None:
+        """Count a call whose entry node closed the connection."""
+        self.abandoned[call.service] += 1
+
+    def count_abandoned_run(self, call: Call) -> None:
+        """Count an abandoned call that the backend server had been sent."""
+        self.abandoned_runs[call.service] += 1
+
     def _collect(self) -> None:
         for (service, priority, outcome, code), count in self.calls.items():
             labels = {
@@ -77,6 +95,10 @@
             self._claims.set({"outcome": outcome}, count)
         for service, count in self.late_starts.items():
             self._late_starts.set({"service": service}, count)
+        for service, count in self.abandoned.items():
+            self._abandoned.set({"service": service}, count)
+        for service, count in self.abandoned_runs.items():
+            self._abandoned_runs.set({"service": service}, count)
         for owner in self._owners:
             labels = {
                 "service": owner.service.name,
--- a/libs/traffic/auburnjunction/traffic/tests/owner_support.py
+++ b/libs/traffic/auburnjunction/traffic/tests/owner_support.py
@@ -92,7 +92,7 @@
         slots,
         options.pop("connections", 130),
         options.pop("clock", CLOCK),
-        OwnerMetrics(),
+        options.pop("metrics", None) or OwnerMetrics(),
         **options,
     )
 
--- a/libs/traffic/auburnjunction/traffic/tests/test_owners.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_owners.py
@@ -392,3 +392,28 @@
             assert not owner.draining
 
     run(main)
+
+
+# Guards against calls that vanish at an owner without a trace, as those of an
+# entry node that has shut down.
+@pytest.mark.parametrize(("index", "runs"), [(0, 1), (1, 0)])
+def test_abandoned_calls_are_counted_by_whether_they_ran(index, runs):
+    async def main():
+        metrics = OwnerMetrics()
+        async with open_backend() as backend:
+            backend.gate.clear()
+            owner = make_owner(backend.port, metrics=metrics)
+            tasks = []
+            for count in (1, 2):
+                call = make_call(f"call-{count}")
+                tasks.append(await curio.spawn(owner.run_call, call))
+                await wait_until(
+                    lambda count=count: owner.running + owner.waiting == count
+                )
+            await wait_until(lambda: backend.running)
+            await tasks[index].cancel()
+            assert metrics.abandoned == {"orders": 1}
+            assert metrics.abandoned_runs.total() == runs
+            await backend.gate.set()
+
+    run(main)
