--- a/libs/traffic/auburnjunction/traffic/tests/test_owners.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_owners.py
@@ -415,5 +415,6 @@
             assert metrics.abandoned == {"orders": 1}
             assert metrics.abandoned_runs.total() == runs
             await backend.gate.set()
+            await tasks[1 - index].join()
 
     run(main)
