--- a/libs/base/auburnjunction/base/settings.py
+++ b/libs/base/auburnjunction/base/settings.py
@@ -2,11 +2,12 @@
 
 from functools import cache
 from pathlib import Path
-from typing import TypeVar
+from typing import TypeVar, get_origin
 
 import attrs
 import cattrs
 import orjson
+from cattrs.cols import list_structure_factory
 from cattrs.errors import (
     ClassValidationError,
     ForbiddenExtraKeysError,
@@ -160,6 +161,7 @@
         float, _require_type((int, float), "a number")
     )
     converter.register_structure_hook_factory(attrs.has, _require_object)
+    converter.register_structure_hook_factory(_is_list, _require_list)
     return converter
 
 
@@ -186,6 +188,22 @@
     return check
 
 
+def _is_list(kind) -> bool:
+    return get_origin(kind) is list
+
+
+def _require_list(kind, converter: cattrs.Converter):
+    structure = list_structure_factory(kind, converter)
+
+    def check(value, _):
+        # Any iterable would be taken otherwise, a string by its characters.
+        if not isinstance(value, list):
+            raise TypeError(f"{value!r} is not a list|write [...]")
+        return structure(value, kind)
+
+    return check
+
+
 def _to_settings_error(
     exc: Exception, values: object, cls: type
 ) -> SettingsError:
--- a/libs/base/auburnjunction/base/tests/test_settings.py
+++ b/libs/base/auburnjunction/base/tests/test_settings.py
@@ -22,6 +22,7 @@
 
     wait_s: float = 1.0
     names: tuple[str, ...] = ()
+    places: list[str] = attrs.field(factory=list)
 
 
 @attrs.frozen
@@ -54,6 +55,12 @@
         ({"name": "a", "inner": {"wait": 1}}, "inner.wait", "unknown field"),
         ({"name": "a", "inner": {"wait_s": "x"}}, "inner.wait_s", "number"),
         ({"name": "a", "inner": {"names": [1]}}, "inner.names.0", "string"),
+        ({"name": "a", "inner": {"places": [1]}}, "inner.places.0", "string"),
+        (
+            {"name": "a", "inner": {"places": "b"}},
+            "inner.places",
+            "not a list",
+        ),
         ({"name": "a", "inner": 5}, "inner", "object"),
     ],
 )
