Refuse calls in time that would outlast their entry node

Cause: the entry side had no end. Forwarded calls carried their callers' deadline only, so that an owner node kept them waiting for longer than the node lived that was to pass the answer on; what was in flight at the drain limit was cut off.

NodeLifetime knows until when a node carries calls, for both of its sides. A node that shuts down sends that time with each call, and as POST /answer-limit for those at other nodes. Owners refuse a call that would end later, as not run: on arrival, when the limit arrives, at the grant of a slot and before it is sent. It is offered to other instances while it can still end, and then refused with a Retry-After that ends once its caller uses another node. Calls that can end in time are served as before. The owner answers on the call's own connection, so that "not run" is said by the one who knows.

The check on a node's own shutdown uses the same durations, which no longer fade without recent calls.

--- a/libs/base/auburnjunction/base/errors.py
+++ b/libs/base/auburnjunction/base/errors.py
@@ -22,6 +22,8 @@
     # The node that received the request owns no such instance of the service.
     MISPLACED = "misplaced"
     DRAINING = "draining"
+    # The node that took the call shuts down before the call could end.
+    SHUTDOWN = "shutdown"
     UNRESPONSIVE = "unresponsive"
     # The backend server ended while it ran the call.
     CRASHED = "crashed"
--- a/libs/node/auburnjunction/node/components.py
+++ b/libs/node/auburnjunction/node/components.py
@@ -26,11 +26,14 @@
 from auburnjunction.storage.clients import HttpObjectStore, HttpTable
 from auburnjunction.storage.objects import ObjectStore
 from auburnjunction.storage.tables import Table
+from auburnjunction.traffic.answer_limits import AnswerLimitSender
 from auburnjunction.traffic.balancers import NodeLocation
 from auburnjunction.traffic.call_forwarders import open_pools
 from auburnjunction.traffic.claims import ClaimStore
 from auburnjunction.traffic.entries import EntryHandler, make_entry_handler
+from auburnjunction.traffic.forwarded_calls import ForwardedCalls
 from auburnjunction.traffic.headers import DEFAULT_HEADER_NAMES, HeaderNames
+from auburnjunction.traffic.lifetimes import NodeLifetime
 from auburnjunction.traffic.meters import OwnerMetrics
 from auburnjunction.traffic.owners import OwnerRegistry
 from auburnjunction.traffic.routers import ServiceSource, no_service
@@ -76,6 +79,8 @@
     commits: CommitLog
     metrics: MetricRegistry
     readiness_gate: ReadinessGate
+    lifetime: NodeLifetime
+    answer_limits: AnswerLimitSender
 
 
 def connect_platform(cfg: NodeSettings, clock: Clock) -> PlatformAdapters:
@@ -136,6 +141,8 @@
             random,
         ) as distributor,
     ):
+        lifetime = NodeLifetime(clock)
+        forwarded = ForwardedCalls()
         owners = OwnerRegistry(
             cfg.admission,
             clock,
@@ -146,6 +153,7 @@
             make_service_finder(holder),
             platform.names,
             membership.crashes,
+            lifetime,
         )
         membership.mark_source = lambda: holder.mark
         membership.on_mark = distributor.on_mark
@@ -166,6 +174,8 @@
             owners.find_parent,
             lambda: membership.node_count,
             membership.crashes,
+            lifetime,
+            forwarded,
         )
         ControlPlaneMetrics(metrics, membership.stats, distributor.stats)
         commits = CommitLog(platform.table, platform.objects, clock)
@@ -178,4 +188,6 @@
             commits,
             metrics,
             readiness_gate,
+            lifetime,
+            AnswerLimitSender(forwarded, lifetime, control_pools, clock),
         )
--- a/libs/node/auburnjunction/node/listeners.py
+++ b/libs/node/auburnjunction/node/listeners.py
@@ -21,6 +21,10 @@
 from auburnjunction.node.instances import LocalInstanceRegistry
 from auburnjunction.node.meters import PipelineMetrics
 from auburnjunction.node.settings import NodeSettings
+from auburnjunction.traffic.answer_limits import (
+    ANSWER_LIMIT_TARGET,
+    AnswerLimitHandler,
+)
 from auburnjunction.traffic.call_forwarders import (
     PeerHandler,
     make_peer_limits,
@@ -68,6 +72,9 @@
         b"/push": components.distributor.handle_push,
         b"/pull": components.distributor.handle_pull,
         b"/drain": drainer.handle_drain,
+        ANSWER_LIMIT_TARGET: AnswerLimitHandler(
+            components.owners, clock
+        ).handle,
     }
     peer_handler = PeerHandler(components.owners, clock)
     return PeerDispatcher(control_handlers, peer_handler.handle)
--- a/libs/node/auburnjunction/node/nodes.py
+++ b/libs/node/auburnjunction/node/nodes.py
@@ -19,6 +19,7 @@
 )
 from auburnjunction.node.listeners import NodeServers, open_servers
 from auburnjunction.node.settings import NodeSettings
+from auburnjunction.traffic.answer_limits import SEND_INTERVAL_S
 
 OWNER_SWEEP_INTERVAL_S = 0.1
 OWNER_PROBE_INTERVAL_S = 0.2
@@ -53,19 +54,25 @@
         self._components.readiness_gate.leaving = True
         self._servers.callers.disable_keep_alive()
         notice_s = self._cfg.leaving_notice_s
-        deadline_s = (
-            self._clock.monotonic() + notice_s + self._cfg.drain_limit_s
-        )
-        self._components.owners.set_shutdown_time(deadline_s)
-        await self._clock.sleep(notice_s)
-        self._components.membership.set_leaving()
-        # The entry side stays open until the calls to this host's backend
-        # servers have ended, as those may need nested calls.
-        remaining = await self._components.owners.drain(
-            self._remaining_s(deadline_s)
-        )
-        self._components.entry.start_draining()
-        remaining += await self._drain_servers(deadline_s)
+        notice_end_s = self._clock.monotonic() + notice_s
+        deadline_s = notice_end_s + self._cfg.drain_limit_s
+        self._components.lifetime.set_end(notice_end_s, deadline_s)
+        async with open_task_group() as group:
+            await group.spawn(
+                run_forever,
+                self._components.answer_limits.send_limits,
+                self._clock,
+                SEND_INTERVAL_S,
+            )
+            await self._clock.sleep(notice_s)
+            self._components.membership.set_leaving()
+            # The entry side stays open until the calls to this host's backend
+            # servers have ended, as those may need nested calls.
+            remaining = await self._components.owners.drain(
+                self._remaining_s(deadline_s)
+            )
+            self._components.entry.start_draining()
+            remaining += await self._drain_servers(deadline_s)
         self._log_calls_in_flight()
         log_event("node drained", remaining=remaining)
         return remaining
--- /dev/null
+++ b/libs/node/auburnjunction/node/tests/test_shutdowns.py
@@ -0,0 +1,215 @@
+"""Calls of a node that shuts down while they wait or run at other nodes."""
+
+from contextlib import asynccontextmanager
+from random import Random
+
+import attrs
+import curio
+import orjson
+import pytest
+
+from auburnjunction.base.clocks import SystemClock
+from auburnjunction.distribution.commits import CommitLog
+from auburnjunction.http.errors import HttpError
+from auburnjunction.http.messages import HttpResponse
+from auburnjunction.http.servers import open_server
+from auburnjunction.model.routes import Route
+from auburnjunction.model.services import Service
+from auburnjunction.model.snapshots import Snapshot
+from auburnjunction.node.components import PlatformAdapters
+from auburnjunction.node.nodes import open_node
+from auburnjunction.node.settings import configure_node_settings
+from auburnjunction.node.tests.support import (
+    HOST,
+    SETTINGS,
+    choose_ports,
+    send,
+)
+from auburnjunction.storage.fakes import MemoryObjectStore, MemoryTable
+
+FIRST_PORT = 18_800
+CLOCK = SystemClock()
+SNAPSHOT = Snapshot(
+    (Service("box", attempt_timeout_ms=20_000),),
+    (Route("boxes", "/boxes", "box", repeatable=True, timeout_ms=20_000),),
+)
+WORK_S = 0.4
+NOTICE_S = 0.4
+DRAIN_LIMIT_S = 1.2
+# Work that can end before the entry node does, with one slot.
+SERVED = int((NOTICE_S + DRAIN_LIMIT_S) / WORK_S)
+CALLS = 3 * SERVED
+
+
+@attrs.define
+class SlowBackend:
+    """Backend server with one slot that lists the requests it has begun."""
+
+    begun: list = attrs.field(factory=list)
+
+    async def handle(self, request):
+        self.begun.append(request.target)
+        await curio.sleep(WORK_S)
+        return HttpResponse(200, [], request.target)
+
+
+@attrs.define
+class Result:
+    """What a caller got; status is 0 if the connection was closed."""
+
+    target: bytes
+    status: int
+    duration_s: float
+    retry_after_s: float = 0.0
+
+
+@attrs.define
+class Mesh:
+    """An entry node and the owner node of a backend server."""
+
+    entry: "StoppableNode"
+    entry_port: int
+    owner_port: int
+    backend: SlowBackend
+
+    async def call(self, name, port=None):
+        """Return the result of a call at the entry node."""
+        start_s = CLOCK.monotonic()
+        target = f"/boxes/{name}"
+        try:
+            response = await send(port or self.entry_port, "GET", target)
+        except HttpError:
+            duration_s = CLOCK.monotonic() - start_s
+            return Result(target.encode(), 0, duration_s)
+        return Result(
+            target.encode(),
+            response.status,
+            CLOCK.monotonic() - start_s,
+            float(response.header(b"retry-after") or 0),
+        )
+
+    async def start_calls(self, names):
+        """Start calls and wait until each of them is at the owner node."""
+        tasks = [await curio.spawn(self.call, name) for name in names]
+        async with curio.timeout_after(5):
+            while self.entry.count_calls() < len(tasks):
+                await curio.sleep(0.005)
+        await curio.sleep(0.05)
+        return tasks
+
+
+@attrs.define
+class StoppableNode:
+    """A node whose listeners close once it has drained."""
+
+    name: str
+    ports: dict
+    platform: PlatformAdapters
+    node: object = None
+    opened: curio.Event = attrs.field(factory=curio.Event)
+    stop: curio.Event = attrs.field(factory=curio.Event)
+
+    async def run(self):
+        values = {
+            "node": self.name,
+            "membership": {
+                "seeds": [f"{HOST}:{FIRST_PORT + 1}"],
+                "table_spread_s": 0.1,
+                "first_write_spread_s": 0.1,
+            },
+            "leaving_notice_s": NOTICE_S,
+            "drain_limit_s": DRAIN_LIMIT_S,
+        }
+        cfg = configure_node_settings({**SETTINGS, **self.ports, **values})
+        async with open_node(cfg, CLOCK, self.platform, Random(1)) as node:
+            self.node = node
+            await self.opened.set()
+            await self.stop.wait()
+            return await node.drain()
+
+    def count_calls(self):
+        return len(self.node._components.entry.in_flight)
+
+
+@asynccontextmanager
+async def open_stoppable_node(name, ports, platform):
+    node = StoppableNode(name, ports, platform)
+    task = await curio.spawn(node.run)
+    await node.opened.wait()
+    try:
+        yield node
+    finally:
+        await node.stop.set()
+        await task.join()
+
+
+@asynccontextmanager
+async def open_mesh():
+    platform = PlatformAdapters(MemoryTable(), MemoryObjectStore())
+    log = CommitLog(platform.table, platform.objects, CLOCK)
+    await log.apply("op-1", 0, SNAPSHOT, "tester", "", 5.0)
+    backend = SlowBackend()
+    entry_ports = choose_ports(FIRST_PORT)
+    owner_ports = choose_ports(FIRST_PORT + 10)
+    async with (
+        open_server(HOST, 0, backend.handle, CLOCK) as server,
+        open_stoppable_node("entry", entry_ports, platform) as entry,
+        open_stoppable_node("owner", owner_ports, platform),
+    ):
+        values = {
+            "instance": "box-1",
+            "service": "box",
+            "address": f"{HOST}:{server.port}",
+            "lease_s": 60.0,
+            "slots": 1,
+        }
+        mesh = Mesh(
+            entry,
+            entry_ports["caller_port"],
+            owner_ports["caller_port"],
+            backend,
+        )
+        await send(
+            owner_ports["admin_port"],
+            "POST",
+            "/announce",
+            orjson.dumps(values),
+        )
+        async with curio.timeout_after(20):
+            for port in (mesh.owner_port, mesh.entry_port):
+                while (await mesh.call("warm-up", port)).status != 200:
+                    await curio.sleep(0.05)
+        yield mesh
+
+
+async def join_all(tasks):
+    return [await task.join() for task in tasks]
+
+
+# Guards against calls that wait in the queue of another node and are cut off,
+# without an answer, when the node that took them shuts down.
+@pytest.mark.parametrize("sent", ["before the signal", "after the signal"])
+def test_calls_that_wait_elsewhere_are_answered_before_the_shutdown(sent):
+    async def main():
+        async with open_mesh() as mesh:
+            names = [f"call-{n}" for n in range(CALLS)]
+            if sent == "before the signal":
+                tasks = await mesh.start_calls(names)
+                await mesh.entry.stop.set()
+            else:
+                await mesh.entry.stop.set()
+                await curio.sleep(0.05)
+                tasks = [await curio.spawn(mesh.call, n) for n in names]
+            results = await join_all(tasks)
+            served = [r for r in results if r.status == 200]
+            refused = [r for r in results if r.status == 503]
+            assert len(served) + len(refused) == CALLS
+            # What can end in time is served.
+            assert len(served) >= SERVED - 2
+            # The rest is refused at once, as not run, and its callers return
+            # when they have moved to another node.
+            assert max(r.duration_s for r in refused) < NOTICE_S
+            assert all(r.retry_after_s > 0 for r in refused)
+            assert {r.target for r in refused}.isdisjoint(mesh.backend.begun)
+
+    curio.run(main)
--- /dev/null
+++ b/libs/traffic/auburnjunction/traffic/answer_limits.py
@@ -0,0 +1,129 @@
+"""Answer limits of calls that were forwarded before their node shut down.
+
+A node that shuts down tells the owner nodes of its calls by when it needs the
+answers. They refuse the calls that would not end by then, as not run, on the
+connections of these calls. Those that run are not affected.
+"""
+
+import attrs
+import curio
+import orjson
+from absl import logging
+
+from auburnjunction.base.clocks import Clock
+from auburnjunction.base.logs import log_event
+from auburnjunction.base.settings import (
+    SettingsError,
+    check_range,
+    configure_settings,
+    drop_unknown_fields,
+    parse_values,
+)
+from auburnjunction.http.clients import Address, PoolRegistry
+from auburnjunction.http.errors import HttpError
+from auburnjunction.http.messages import HttpRequest, HttpResponse
+from auburnjunction.traffic.forwarded_calls import (
+    ForwardedCall,
+    ForwardedCalls,
+)
+from auburnjunction.traffic.lifetimes import NodeLifetime
+from auburnjunction.traffic.owners import OwnerRegistry
+
+ANSWER_LIMIT_TARGET = b"/answer-limit"
+# Calls that are on their way are not known at their owner node yet, so that
+# the limit is sent again until it knows them.
+SEND_INTERVAL_S = 0.1
+SEND_TIMEOUT_S = 0.5
+MAX_WITHIN_MS = 3_600_000
+
+
+@attrs.frozen
+class AnswerLimit:
+    """Body of POST /answer-limit."""
+
+    within_ms: int = attrs.field(validator=check_range(0, MAX_WITHIN_MS))
+    request_ids: list[str]
+
+
+class AnswerLimitSender:
+    """Tells owner nodes by when this node needs the answers to its calls."""
+
+    def __init__(
+        self,
+        forwarded: ForwardedCalls,
+        lifetime: NodeLifetime,
+        pools: PoolRegistry,
+        clock: Clock,
+    ):
+        self._forwarded = forwarded
+        self._lifetime = lifetime
+        self._pools = pools
+        self._clock = clock
+
+    async def send_limits(self) -> None:
+        """Send the limit to each owner node of a call that has none."""
+        async with curio.TaskGroup() as group:
+            for address, calls in self._forwarded.list_unlimited().items():
+                await group.spawn(self._send_limit, address, calls)
+
+    async def _send_limit(
+        self, address: Address, calls: list[ForwardedCall]
+    ) -> None:
+        left_s = self._lifetime.end_s - self._clock.monotonic()
+        limit = AnswerLimit(
+            max(0, int(left_s * 1000)), [c.call.request_id for c in calls]
+        )
+        request = HttpRequest(
+            b"POST",
+            ANSWER_LIMIT_TARGET,
+            [(b"host", b"node")],
+            orjson.dumps(attrs.asdict(limit)),
+        )
+        pool = self._pools.get(address)
+        try:
+            response = await pool.exchange(request, SEND_TIMEOUT_S)
+            unknown = set(_read_unknown(response))
+        except (HttpError, ValueError) as exc:
+            log_event(
+                "answer limit not sent",
+                logging.WARNING,
+                address=str(address),
+                calls=len(calls),
+                reason=str(exc),
+            )
+            return
+        for forwarded in calls:
+            forwarded.is_limited = forwarded.call.request_id not in unknown
+
+
+def _read_unknown(response: HttpResponse) -> list[str]:
+    """Return the request ids that the owner node does not know.
+
+    Raise ValueError if the response is not one to an answer limit.
+    """
+    if response.status != 200:
+        raise ValueError(f"response status {response.status}")
+    return list(orjson.loads(response.body)["unknown_ids"])
+
+
+class AnswerLimitHandler:
+    """Handles the answer limits that other nodes send."""
+
+    def __init__(self, owners: OwnerRegistry, clock: Clock):
+        self._owners = owners
+        self._clock = clock
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Handle POST /answer-limit; respond with the unknown ids as JSON."""
+        try:
+            values = drop_unknown_fields(
+                parse_values(request.body), AnswerLimit
+            )
+            limit = configure_settings(values, AnswerLimit)
+        except SettingsError as exc:
+            return HttpResponse(400, [], f"{exc.message}\n".encode())
+        limit_s = self._clock.monotonic() + limit.within_ms / 1000
+        unknown = await self._owners.limit_answers(limit.request_ids, limit_s)
+        headers = [(b"content-type", b"application/json")]
+        body = orjson.dumps({"unknown_ids": unknown})
+        return HttpResponse(200, headers, body)
--- a/libs/traffic/auburnjunction/traffic/call_forwarders.py
+++ b/libs/traffic/auburnjunction/traffic/call_forwarders.py
@@ -1,5 +1,6 @@
 """Forwarding of calls between entry nodes and owner nodes."""
 
+import math
 from collections.abc import Sequence
 from contextlib import asynccontextmanager
 from typing import Protocol
@@ -37,7 +38,9 @@
     TrafficError,
     UnknownRunError,
 )
+from auburnjunction.traffic.forwarded_calls import ForwardedCalls
 from auburnjunction.traffic.headers import (
+    ANSWER_LIMIT_HEADER,
     CALL_HEADER,
     ERROR_HEADER,
     LEAVING_HEADER,
@@ -47,6 +50,7 @@
     RATE_LIMIT_HEADER,
     REQUEST_ID_HEADER,
     RETRY_AFTER_HEADER,
+    format_answer_limit,
     format_call,
     format_rate,
     make_error_response,
@@ -104,7 +108,9 @@
         pools: PoolRegistry,
         clock: Clock,
         settings: RoutingSettings,
+        forwarded: ForwardedCalls | None = None,
     ):
+        self._forwarded = forwarded or ForwardedCalls()
         self._instances = instances
         self._pools = pools
         self._clock = clock
@@ -124,10 +130,14 @@
         timeout_s = call.deadline_s - now_s
         if timeout_s <= 0:
             raise NotRunError("the deadline has passed", ErrorCode.TIMEOUT)
-        pool = self._pools.get(Address(instance.host, instance.peer_port))
+        address = Address(instance.host, instance.peer_port)
+        pool = self._pools.get(address)
         max_idle_s = None if call.repeatable else self._non_repeatable_idle_s
         try:
-            async with pool.lease(max_idle_s, timeout_s) as conn:
+            async with (
+                self._forwarded.track(call, address),
+                pool.lease(max_idle_s, timeout_s) as conn,
+            ):
                 now_s = self._clock.monotonic()
                 remaining_s = call.deadline_s - now_s
                 if remaining_s <= 0:
@@ -160,6 +170,9 @@
         if call.rate_limit_per_s is not None:
             rate = format_rate(call.rate_limit_per_s)
             own_headers = [*own_headers, (RATE_LIMIT_HEADER, rate)]
+        if call.answer_limit_s < math.inf:
+            limit = format_answer_limit(call, now_s)
+            own_headers = [*own_headers, (ANSWER_LIMIT_HEADER, limit)]
         packed = pack_headers(own_headers)
         headers = [(CALL_HEADER, value), *packed]
         if packed is not own_headers:
--- a/libs/traffic/auburnjunction/traffic/calls.py
+++ b/libs/traffic/auburnjunction/traffic/calls.py
@@ -63,7 +63,9 @@
     fail-fast call is refused with BUSY instead of being queued for a slot.
     A repeated call was sent to a backend server before, or is made for a
     request that was. The rate limit is the one that the backend server has
-    named, in calls per second, as far as the entry node knows.
+    named, in calls per second, as far as the entry node knows. The answer
+    limit, by the same clock, is when the entry node shuts down; a call that
+    would end later is not started.
     """
 
     request_id: str
@@ -81,6 +83,7 @@
     fail_fast: bool = False
     repeated: bool = False
     rate_limit_per_s: float | None = None
+    answer_limit_s: float = math.inf
 
 
 @attrs.define(slots=True)
--- a/libs/traffic/auburnjunction/traffic/entries.py
+++ b/libs/traffic/auburnjunction/traffic/entries.py
@@ -23,6 +23,7 @@
     UnknownRunError,
 )
 from auburnjunction.traffic.ejections import OutlierTracker
+from auburnjunction.traffic.forwarded_calls import ForwardedCalls
 from auburnjunction.traffic.headers import (
     DEFAULT_HEADER_NAMES,
     OUTCOME_HEADER,
@@ -32,6 +33,7 @@
     strip_headers,
 )
 from auburnjunction.traffic.instance_trackers import InstanceTracker
+from auburnjunction.traffic.lifetimes import NodeLifetime
 from auburnjunction.traffic.quarantines import Quarantine
 from auburnjunction.traffic.retries import NodeCounter, count_one
 from auburnjunction.traffic.routers import (
@@ -63,7 +65,9 @@
         reporter: CallReporter,
         clock: Clock,
         names: HeaderNames = DEFAULT_HEADER_NAMES,
+        lifetime: NodeLifetime | None = None,
     ):
+        self._lifetime = lifetime or NodeLifetime(clock)
         self._names = names
         self._router = router
         self._sender = sender
@@ -151,8 +155,11 @@
     def _make_failure(
         self, error: TrafficError, trace: CallTrace
     ) -> HttpResponse:
-        if error.outcome is Outcome.NOT_RUN and not error.retry_after_s:
-            error.retry_after_s = DEFAULT_RETRY_AFTER_S * random.uniform(1, 2)
+        if error.code is ErrorCode.SHUTDOWN:
+            error.retry_after_s = self._lifetime.find_return_delay()
+            error.retry_after_s += draw_retry_after()
+        elif error.outcome is Outcome.NOT_RUN and not error.retry_after_s:
+            error.retry_after_s = draw_retry_after()
         trace.reason = error.message
         trace.retry_after_s = error.retry_after_s
         self._report(trace, error.outcome, error.code)
@@ -163,6 +170,11 @@
         self._reporter.report_call(trace, outcome, code, duration_s)
 
 
+def draw_retry_after() -> float:
+    """Return a Retry-After in seconds for a refusal that gives none."""
+    return DEFAULT_RETRY_AFTER_S * random.uniform(1, 2)
+
+
 def make_entry_handler(
     location: NodeLocation,
     settings: RoutingSettings,
@@ -179,6 +191,8 @@
     find_parent: ParentFinder = find_no_parent,
     count_nodes: NodeCounter = count_one,
     crashes: CrashLog | None = None,
+    lifetime: NodeLifetime | None = None,
+    forwarded: ForwardedCalls | None = None,
 ) -> EntryHandler:
     """Return a node's entry handler with all its components."""
     rng = rng or random.Random()
@@ -187,7 +201,7 @@
     balancer = Balancer(
         location, instances, outlier_tracker, instance_tracker, settings, rng
     )
-    peer_runner = PeerRunner(instances, pools, clock, settings)
+    peer_runner = PeerRunner(instances, pools, clock, settings, forwarded)
     sender = CallSender(
         location,
         balancer,
@@ -199,6 +213,7 @@
         rng,
         count_nodes,
         Quarantine(crashes or CrashLog(clock), names),
+        lifetime,
     )
     reporter = CallReporter(metrics, outlier_tracker, settings)
     router = Router(
@@ -209,4 +224,4 @@
         find_parent,
         settings.uniform_timeouts,
     )
-    return EntryHandler(router, sender, reporter, clock, names)
+    return EntryHandler(router, sender, reporter, clock, names, lifetime)
--- a/libs/traffic/auburnjunction/traffic/headers.py
+++ b/libs/traffic/auburnjunction/traffic/headers.py
@@ -45,6 +45,8 @@
 # long as its responses say so; between nodes, in calls and answers, the last
 # limit known.
 RATE_LIMIT_HEADER = b"auburn-rate-limit"
+# Milliseconds within which an entry node that shuts down needs the answer.
+ANSWER_LIMIT_HEADER = b"auburn-answer-within-ms"
 
 RATE_PATTERN = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?\Z")
 
@@ -205,12 +207,23 @@
             repeated=bool(int(fields[10]) & REPEATED_FLAG),
             fail_fast=fields[11] == "1",
             rate_limit_per_s=parse_rate(request.header(RATE_LIMIT_HEADER)),
+            answer_limit_s=_parse_answer_limit(request, now_s),
         )
     except (ValueError, OverflowError) as exc:
         raise BadMessageError(f"invalid call header: {exc}") from exc
     return call, unquote(fields[3])
 
 
+def format_answer_limit(call: Call, now_s: float) -> bytes:
+    """Return the value of the header for the call's answer limit."""
+    return b"%d" % max(0, int((call.answer_limit_s - now_s) * 1000))
+
+
+def _parse_answer_limit(request: HttpRequest, now_s: float) -> float:
+    value = request.header(ANSWER_LIMIT_HEADER)
+    return math.inf if value is None else now_s + int(value) / 1000
+
+
 STATUS_BY_CODE = {
     ErrorCode.NOT_FOUND: 404,
     ErrorCode.INVALID: 400,
@@ -222,6 +235,7 @@
     ErrorCode.UNREACHABLE: 503,
     ErrorCode.MISPLACED: 503,
     ErrorCode.DRAINING: 503,
+    ErrorCode.SHUTDOWN: 503,
     ErrorCode.UNRESPONSIVE: 503,
     ErrorCode.UNAVAILABLE: 503,
     ErrorCode.QUARANTINED: 503,
--- a/libs/traffic/auburnjunction/traffic/instance_trackers.py
+++ b/libs/traffic/auburnjunction/traffic/instance_trackers.py
@@ -28,7 +28,12 @@
 MAX_RECORDS = 8192
 # Codes that depend on the call and not on the health of the instance.
 NEUTRAL_CODES = frozenset(
-    {ErrorCode.CONFLICT, ErrorCode.INVALID, ErrorCode.TOO_LARGE}
+    {
+        ErrorCode.CONFLICT,
+        ErrorCode.INVALID,
+        ErrorCode.SHUTDOWN,
+        ErrorCode.TOO_LARGE,
+    }
 )
 # Codes of refusals that put the instance in cooldown, since it would refuse
 # other calls as well.
@@ -49,6 +54,7 @@
         ErrorCode.MISPLACED,
         ErrorCode.OVERLOADED,
         ErrorCode.SHED,
+        ErrorCode.SHUTDOWN,
         ErrorCode.UNRESPONSIVE,
     }
 )
--- a/libs/traffic/auburnjunction/traffic/instances.py
+++ b/libs/traffic/auburnjunction/traffic/instances.py
@@ -31,6 +31,7 @@
     ignore_crashes,
 )
 from auburnjunction.traffic.headers import DEFAULT_HEADER_NAMES, HeaderNames
+from auburnjunction.traffic.lifetimes import NodeLifetime
 from auburnjunction.traffic.limits import SlotLimit
 from auburnjunction.traffic.meters import OwnerMetrics
 from auburnjunction.traffic.notices import ServerNotice
@@ -68,6 +69,7 @@
         on_departure: DepartureObserver = ignore_departure,
         crashes: CrashLog | None = None,
         on_crash: CrashObserver = ignore_crashes,
+        lifetime: NodeLifetime | None = None,
     ):
         self.instance = instance
         # Incarnation that announced itself last; 0 if it is not known.
@@ -82,7 +84,12 @@
         self._rate_limiter = RateLimiter(instance, cfg.rate_burst_s)
         self._limit = SlotLimit(cfg, slots, connections, clock, cold)
         self._admission = AdmissionController(
-            cfg, self._limit, service.queue_limit, clock, self._rate_limiter
+            cfg,
+            self._limit,
+            service.queue_limit,
+            clock,
+            self._rate_limiter,
+            lifetime,
         )
         self._backend = BackendClient(
             cfg, address, connections, clock, instance, names
@@ -189,10 +196,6 @@
         """Restart the slow start; the backend server has just started."""
         self._limit.ramp.restart()
 
-    def set_shutdown_time(self, shutdown_s: float) -> None:
-        """Refuse calls that may still run at this monotonic time."""
-        self._admission.set_shutdown_time(shutdown_s)
-
     def start_draining(self) -> None:
         """Refuse new calls as not run; calls in flight continue."""
         self._admission.start_draining()
@@ -285,7 +288,7 @@
     def _check_start(self, call: Call) -> None:
         """Raise NotRunError if the call may not be sent any more."""
         try:
-            self._admission.check_start()
+            self._admission.check_start(call)
         except NotRunError:
             self._metrics.count_late_start(call)
             raise
@@ -312,6 +315,10 @@
         duration_s = self._clock.monotonic() - start_s
         self._limit.add_sample(call.route, duration_s, self.running)
 
+    async def refuse_waiting(self) -> None:
+        """Refuse the waiting calls that cannot be served any more."""
+        await self._admission.refuse_waiting()
+
     async def probe(self) -> None:
         """Probe the backend server if it is suspect."""
         await self._backend.probe()
--- a/libs/traffic/auburnjunction/traffic/limits.py
+++ b/libs/traffic/auburnjunction/traffic/limits.py
@@ -93,6 +93,16 @@
         decay = 0.5 ** (age_s / ESTIMATE_HALF_LIFE_S)
         return decay * (times.mean_s + deviations * times.deviation_s)
 
+    def find_duration(self, route: str, deviations: float) -> float:
+        """Return the mean duration plus deviations, however old it is.
+
+        For a route without samples, return the mean of all routes.
+        """
+        times = self._times.get(route)
+        if times is None:
+            return self.mean_s
+        return times.mean_s + deviations * times.deviation_s
+
     def find_slowdown(self, route: str) -> float:
         """Return the ratio of the recent mean to the baseline."""
         times = self._get_or_create(route)
--- a/libs/traffic/auburnjunction/traffic/owners.py
+++ b/libs/traffic/auburnjunction/traffic/owners.py
@@ -1,7 +1,6 @@
 """Registry of the owners of this node's backend servers."""
 
-import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from auburnjunction.base.clocks import Clock
 from auburnjunction.base.errors import ErrorCode
@@ -20,6 +19,7 @@
     InstanceOwner,
     ignore_departure,
 )
+from auburnjunction.traffic.lifetimes import NodeLifetime
 from auburnjunction.traffic.meters import OwnerMetrics
 
 REFUSED_STATES = ("starting", "leaving", "gone")
@@ -39,6 +39,7 @@
         find_service: ServiceFinder = lambda name: None,
         names: HeaderNames = DEFAULT_HEADER_NAMES,
         crashes: CrashLog | None = None,
+        lifetime: NodeLifetime | None = None,
     ):
         self.on_departure: DepartureObserver = ignore_departure
         self.on_crash: CrashObserver = ignore_crashes
@@ -55,7 +56,7 @@
         self._calls: dict[str, Call] = {}
         self._retired: list[InstanceOwner] = []
         self._draining = False
-        self._shutdown_s = math.inf
+        self._lifetime = lifetime or NodeLifetime(clock)
         metrics.set_owners(self)
 
     def __iter__(self):
@@ -116,15 +117,24 @@
             return None
         return self._calls.get(request_id.rpartition(separator)[0])
 
-    def set_shutdown_time(self, shutdown_s: float) -> None:
-        """Refuse calls that may still run at this monotonic time.
+    async def limit_answers(
+        self, request_ids: Iterable[str], limit_s: float
+    ) -> list[str]:
+        """Set the answer limit of calls; return the ids not known here.
 
-        The node shuts down then. Until it drains, its backend servers
-        still serve calls that will most likely end before it.
+        limit_s is a time of the monotonic clock. Waiting calls that would end
+        later are refused.
         """
-        self._shutdown_s = shutdown_s
-        for owner in self._owners.values():
-            owner.set_shutdown_time(shutdown_s)
+        unknown = []
+        for request_id in request_ids:
+            call = self._calls.get(request_id)
+            if call is None:
+                unknown.append(request_id)
+            else:
+                call.answer_limit_s = min(call.answer_limit_s, limit_s)
+        for owner in [*self._owners.values(), *self._retired]:
+            await owner.refuse_waiting()
+        return unknown
 
     async def drain(self, limit_s: float) -> int:
         """Refuse new calls and wait; return how many are still in flight."""
@@ -202,7 +212,7 @@
         self, announcement: Announcement, address: Address, cold: bool
     ) -> InstanceOwner:
         name = announcement.service
-        owner = InstanceOwner(
+        return InstanceOwner(
             self._cfg,
             announcement.instance,
             self._find_service(name) or Service(name),
@@ -217,9 +227,8 @@
             self._handle_departure,
             self._crashes,
             self._handle_crash,
+            self._lifetime,
         )
-        owner.set_shutdown_time(self._shutdown_s)
-        return owner
 
 
 def _is_owner_of(
--- a/libs/traffic/auburnjunction/traffic/queues.py
+++ b/libs/traffic/auburnjunction/traffic/queues.py
@@ -1,7 +1,9 @@
 """Bounded queues of calls waiting for a slot."""
 
 from collections import OrderedDict
+from collections.abc import Iterator
 from enum import Enum, auto
+from itertools import chain
 from typing import Protocol
 
 import attrs
@@ -14,7 +16,7 @@
     Discipline,
     PriorityShares,
 )
-from auburnjunction.traffic.calls import NotRunError
+from auburnjunction.traffic.calls import Call, NotRunError
 
 # Upper bound of a priority's credit, which it also accumulates while none of
 # its tickets wait.
@@ -51,6 +53,7 @@
     # When the call was queued, and the wait estimated from the queue then.
     queued_s: float = 0.0
     expected_wait_s: float = 0.0
+    call: Call | None = None
     state: TicketState = TicketState.WAITING
     error: NotRunError | None = None
     event: curio.Event = attrs.field(factory=curio.Event)
@@ -62,6 +65,9 @@
     def __len__(self) -> int:
         """Return the number of waiting tickets."""
 
+    def __iter__(self) -> Iterator[Ticket]:
+        """Iterate over the waiting tickets, in any order."""
+
     def set_limit(self, limit: int) -> None:
         """Change the queue limit; tickets already waiting are kept."""
 
@@ -94,6 +100,9 @@
     def __len__(self) -> int:
         return len(self._tickets)
 
+    def __iter__(self) -> Iterator[Ticket]:
+        return iter(self._tickets)
+
     def set_limit(self, limit: int) -> None:
         """Change the queue limit; tickets already waiting are kept."""
         self._limit = limit
@@ -137,6 +146,9 @@
     def __len__(self) -> int:
         return len(self._nested) + len(self._top_level) + len(self._late)
 
+    def __iter__(self) -> Iterator[Ticket]:
+        return chain(self._nested, self._top_level, self._late)
+
     @property
     def has_top_level(self) -> bool:
         """Whether any top-level call waits."""
@@ -196,6 +208,9 @@
     def __len__(self) -> int:
         return self._size
 
+    def __iter__(self) -> Iterator[Ticket]:
+        return chain.from_iterable(self._lanes.values())
+
     def set_limit(self, limit: int) -> None:
         """Change the queue limit; tickets already waiting are kept."""
         self._limit = limit
--- a/libs/traffic/auburnjunction/traffic/senders.py
+++ b/libs/traffic/auburnjunction/traffic/senders.py
@@ -27,6 +27,7 @@
     COOLDOWN_CODES,
     InstanceTracker,
 )
+from auburnjunction.traffic.lifetimes import NodeLifetime
 from auburnjunction.traffic.quarantines import Quarantine
 from auburnjunction.traffic.retries import (
     NodeCounter,
@@ -49,6 +50,7 @@
         ErrorCode.UNREACHABLE,
         ErrorCode.UNAVAILABLE,
         ErrorCode.SHED,
+        ErrorCode.SHUTDOWN,
         ErrorCode.MISPLACED,
         ErrorCode.TIMEOUT,
     }
@@ -90,7 +92,9 @@
         rng: random.Random,
         count_nodes: NodeCounter = count_one,
         quarantine: Quarantine | None = None,
+        lifetime: NodeLifetime | None = None,
     ):
+        self._lifetime = lifetime or NodeLifetime(clock)
         self._quarantine = quarantine or Quarantine(CrashLog(clock))
         self._location = location
         self._planner = AttemptPlanner(balancer, settings)
@@ -160,6 +164,10 @@
             error = NotRunError("the deadline has passed", ErrorCode.TIMEOUT)
             attempts.add_error(error, False)
             return None
+        if now_s >= self._lifetime.end_s:
+            error = NotRunError("this node shuts down", ErrorCode.SHUTDOWN)
+            attempts.add_error(error, False)
+            return None
         return self._planner.plan(routed, attempts, now_s)
 
     def _record_attempt(self, instance: Instance, trace: CallTrace) -> None:
@@ -183,12 +191,14 @@
             planned.fail_fast
             or attempts.sent_count
             or rate_limit_per_s is not None
+            or self._lifetime.is_ending
         ):
             call = attrs.evolve(
                 call,
                 fail_fast=planned.fail_fast,
                 repeated=call.repeated or attempts.sent_count > 0,
                 rate_limit_per_s=rate_limit_per_s,
+                answer_limit_s=self._lifetime.end_s,
             )
         instance_tracker.start_call(instance)
         try:
--- a/libs/traffic/auburnjunction/traffic/slots.py
+++ b/libs/traffic/auburnjunction/traffic/slots.py
@@ -10,6 +10,7 @@
 from auburnjunction.base.errors import ErrorCode
 from auburnjunction.traffic.admissions import AdmissionSettings
 from auburnjunction.traffic.calls import Call, NotRunError, UnknownRunError
+from auburnjunction.traffic.lifetimes import NodeLifetime
 from auburnjunction.traffic.limits import SlotLimit
 from auburnjunction.traffic.queues import (
     QueueFullError,
@@ -22,7 +23,7 @@
 from auburnjunction.traffic.waits import WaitEstimator
 
 # Number of mean deviations added to the mean duration of a call when checking
-# that it will end before the node shuts down.
+# that it will end before this node or its entry node shuts down.
 SHUTDOWN_DEVIATIONS = 4.0
 
 
@@ -36,6 +37,7 @@
         queue_limit: int,
         clock: Clock,
         rate_limiter: RateLimiter | None = None,
+        lifetime: NodeLifetime | None = None,
     ):
         self.running = 0
         self._rate_limiter = rate_limiter or RateLimiter("")
@@ -45,7 +47,7 @@
         self._clock = clock
         self._queue: WaitQueue = make_queue(cfg, queue_limit)
         self._draining_since_s: float | None = None
-        self._shutdown_s = math.inf
+        self._lifetime = lifetime or NodeLifetime(clock)
         self._random = random.Random()
         self._wait_estimator = WaitEstimator()
 
@@ -59,22 +61,19 @@
         """Whether new calls are refused."""
         return self._draining_since_s is not None
 
-    def check_start(self) -> None:
+    def check_start(self, call: Call) -> None:
         """Raise NotRunError if a call with a slot may not be sent any more.
 
         Once draining has begun, it may within the drain start limit.
         """
         if self._is_past_drain_start_limit():
             raise NotRunError(*_DRAINING)
+        self._check_end(call, self._clock.monotonic())
 
     def set_queue_limit(self, queue_limit: int) -> None:
         """Change the queue limit; calls already waiting are kept."""
         self._queue.set_limit(queue_limit)
 
-    def set_shutdown_time(self, shutdown_s: float) -> None:
-        """Refuse calls that may still run at this monotonic time."""
-        self._shutdown_s = shutdown_s
-
     def start_draining(self) -> None:
         """Refuse new calls."""
         if self._draining_since_s is None:
@@ -102,19 +101,33 @@
         await self._release()
 
     async def refuse_waiting(self) -> None:
-        """Refuse all waiting calls if the drain start limit has passed."""
+        """Refuse the waiting calls that cannot be served any more.
+
+        These are all if the drain start limit has passed, and those that
+        would end after their answer limit.
+        """
         while self._queue and self._is_past_drain_start_limit():
             await self._refuse(self._queue.pop(), *_DRAINING)
+        now_s = self._clock.monotonic()
+        for ticket in list(self._queue):
+            wait_s = self._find_remaining_wait(ticket, now_s)
+            error = self._find_end_error(ticket.call, now_s, wait_s)
+            # Others may have been granted a slot or refused meanwhile.
+            if error and ticket.state is TicketState.WAITING:
+                self._queue.remove(ticket)
+                await self._refuse_with(ticket, error)
 
     async def _acquire(self, call: Call) -> None:
         now_s = self._clock.monotonic()
         if self.draining or self._may_outlast_node(call, now_s):
             raise NotRunError(*_DRAINING)
+        self._check_end(call, now_s)
         duration_s = self._estimate_duration(call, now_s)
         ticket = Ticket(
             call.priority,
             self._find_latest_start(call, duration_s),
             call.nested,
+            call=call,
         )
         if now_s > ticket.latest_start_s:
             raise NotRunError(
@@ -139,12 +152,37 @@
         await self._wait_for_slot(ticket, ticket.latest_start_s - now_s)
 
     def _may_outlast_node(self, call: Call, now_s: float) -> bool:
-        if self._shutdown_s == math.inf:
+        if not self._lifetime.is_ending:
             return False
-        duration_s = self._limit.times.estimate(
-            call.route, SHUTDOWN_DEVIATIONS, now_s
+        return now_s + self._find_duration(call) > self._lifetime.end_s
+
+    def _find_duration(self, call: Call) -> float:
+        """Return a duration that the call will most likely not exceed."""
+        return self._limit.times.find_duration(call.route, SHUTDOWN_DEVIATIONS)
+
+    def _check_end(
+        self, call: Call, now_s: float, wait_s: float = 0.0
+    ) -> None:
+        """Raise NotRunError if the call would end after its answer limit."""
+        error = self._find_end_error(call, now_s, wait_s)
+        if error is not None:
+            raise error
+
+    def _find_end_error(
+        self, call: Call, now_s: float, wait_s: float
+    ) -> NotRunError | None:
+        """Return an error if the call would end after its answer limit."""
+        if call.answer_limit_s == math.inf:
+            return None
+        left_s = call.answer_limit_s - now_s
+        duration_s = self._find_duration(call)
+        if wait_s + duration_s <= left_s:
+            return None
+        return NotRunError(
+            f"expected wait {wait_s:.3f} s and duration {duration_s:.3f} s "
+            f"exceed the {left_s:.3f} s until the entry node shuts down",
+            ErrorCode.SHUTDOWN,
         )
-        return now_s + duration_s > self._shutdown_s
 
     def _estimate_duration(self, call: Call, now_s: float) -> float:
         if not self.running:
@@ -172,6 +210,7 @@
         if not self._cfg.late_waits and not call.nested:
             latest_s = self._apply_objective(call, ticket, now_s)
         wait_s = self._estimate_wait(ticket, now_s)
+        self._check_end(call, now_s, wait_s)
         excess_s = now_s + wait_s - latest_s
         if excess_s > 0:
             raise NotRunError(
@@ -221,6 +260,12 @@
         # No call can start sooner than the rate limit lets it.
         return max(ticket.expected_wait_s * correction, rate_wait_s)
 
+    def _find_remaining_wait(self, ticket: Ticket, now_s: float) -> float:
+        """Return the expected rest of a ticket's wait; 0 if it is overdue."""
+        wait_s = ticket.expected_wait_s
+        wait_s *= self._wait_estimator.correction(now_s)
+        return max(0.0, ticket.queued_s + wait_s - now_s)
+
     def _find_retry_after(self, excess_s: float) -> float:
         """Return a delay after which the queue should have room.
 
@@ -286,6 +331,10 @@
             if now_s > ticket.latest_start_s:
                 await self._refuse(ticket, *_TOO_LATE)
                 continue
+            error = self._find_end_error(ticket.call, now_s, 0.0)
+            if error is not None:
+                await self._refuse_with(ticket, error)
+                continue
             self._start_call(now_s)
             ticket.state = TicketState.GRANTED
             await ticket.event.set()
@@ -316,8 +365,11 @@
     async def _refuse(
         self, ticket: Ticket, message: str, code: ErrorCode
     ) -> None:
+        await self._refuse_with(ticket, NotRunError(message, code))
+
+    async def _refuse_with(self, ticket: Ticket, error: NotRunError) -> None:
         ticket.state = TicketState.REFUSED
-        ticket.error = NotRunError(message, code)
+        ticket.error = error
         await ticket.event.set()
 
     def _is_past_drain_start_limit(self) -> bool:
--- a/libs/traffic/auburnjunction/traffic/tests/test_load_patterns.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_load_patterns.py
@@ -13,6 +13,7 @@
 from auburnjunction.model.routes import Route, SplitPart
 from auburnjunction.traffic.admissions import AdmissionSettings
 from auburnjunction.traffic.calls import NotRunError
+from auburnjunction.traffic.lifetimes import ANSWER_MARGIN_S, NodeLifetime
 from auburnjunction.traffic.limits import SlotLimit
 from auburnjunction.traffic.queues import Ticket, make_queue
 from auburnjunction.traffic.slots import AdmissionController
@@ -277,9 +278,15 @@
     """Backend servers serve until shutdown, as nodes restart in turn."""
 
     async def main():
-        controller, limit, clock = make_controller()
+        clock = ManualClock()
+        lifetime = NodeLifetime(clock)
+        limit = SlotLimit(NO_MARGINS, 1, 100, clock)
+        controller = AdmissionController(
+            NO_MARGINS, limit, 40, clock, lifetime=lifetime
+        )
         limit.add_sample("route", 0.2, 1)
-        controller.set_shutdown_time(clock.monotonic() + left_s)
+        now_s = clock.monotonic()
+        lifetime.set_end(now_s, now_s + left_s + ANSWER_MARGIN_S)
         return await try_hold(controller, make_timed_call(clock, 50.0))
 
     outcome = curio.run(main)
