Overestimate durations near a shutdown where few are known

A call may be cut off by the shutdown of its entry node although its owner had checked that it would end before.

Cause: on a route without samples at this backend server, as after a release, the mean of all routes took its place, here that of nested calls of 84 ms; and the deviation of a single sample is nothing.

Without samples, a call is now expected to take until its latency objective; with fewer than eight, the deviation is at least a quarter of the mean. test_duration_is_overestimated_with_few_samples failed before in two rows.

--- a/libs/traffic/auburnjunction/traffic/limits.py
+++ b/libs/traffic/auburnjunction/traffic/limits.py
@@ -12,6 +12,10 @@
 # Routes with moving averages; the oldest entries are evicted first.
 MAX_ROUTES = 1024
 SLOW_MEAN_WEIGHT = 0.01
+# Samples from which the deviation of a route is known; with fewer, it is at
+# least the assumed share of the mean where calls must not take longer.
+MIN_DEVIATION_SAMPLES = 8
+ASSUMED_DEVIATION = 0.25
 # Half-life of an estimate without new samples; within it, even the least
 # frequent kind of call comes several times.
 ESTIMATE_HALF_LIFE_S = 1.0
@@ -93,15 +97,18 @@
         decay = 0.5 ** (age_s / ESTIMATE_HALF_LIFE_S)
         return decay * (times.mean_s + deviations * times.deviation_s)
 
-    def find_duration(self, route: str, deviations: float) -> float:
+    def find_duration(self, route: str, deviations: float) -> float | None:
         """Return the mean duration plus deviations, however old it is.
 
-        For a route without samples, return the mean of all routes.
+        Return None for a route without samples.
         """
         times = self._times.get(route)
         if times is None:
-            return self.mean_s
-        return times.mean_s + deviations * times.deviation_s
+            return None
+        deviation_s = times.deviation_s
+        if times.count < MIN_DEVIATION_SAMPLES:
+            deviation_s = max(deviation_s, times.mean_s * ASSUMED_DEVIATION)
+        return times.mean_s + deviations * deviation_s
 
     def find_slowdown(self, route: str) -> float:
         """Return the ratio of the recent mean to the baseline."""
--- a/libs/traffic/auburnjunction/traffic/slots.py
+++ b/libs/traffic/auburnjunction/traffic/slots.py
@@ -154,11 +154,20 @@
     def _may_outlast_node(self, call: Call, now_s: float) -> bool:
         if not self._lifetime.is_ending:
             return False
-        return now_s + self._find_duration(call) > self._lifetime.end_s
+        duration_s = self._find_duration(call, now_s)
+        return now_s + duration_s > self._lifetime.end_s
 
-    def _find_duration(self, call: Call) -> float:
-        """Return a duration that the call will most likely not exceed."""
-        return self._limit.times.find_duration(call.route, SHUTDOWN_DEVIATIONS)
+    def _find_duration(self, call: Call, now_s: float) -> float:
+        """Return a duration that the call will most likely not exceed.
+
+        A backend server that has just started may have answered no call of
+        the route; the latency objective is an upper bound then.
+        """
+        times = self._limit.times
+        duration_s = times.find_duration(call.route, SHUTDOWN_DEVIATIONS)
+        if duration_s is None:
+            return max(0.0, min(call.target_s, call.deadline_s) - now_s)
+        return duration_s
 
     def _check_end(
         self, call: Call, now_s: float, wait_s: float = 0.0
@@ -175,7 +184,7 @@
         if call.answer_limit_s == math.inf:
             return None
         left_s = call.answer_limit_s - now_s
-        duration_s = self._find_duration(call)
+        duration_s = self._find_duration(call, now_s)
         if wait_s + duration_s <= left_s:
             return None
         return NotRunError(
--- a/libs/traffic/auburnjunction/traffic/tests/test_answer_limits.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_answer_limits.py
@@ -28,14 +28,22 @@
     parse_call,
 )
 from auburnjunction.traffic.lifetimes import ANSWER_MARGIN_S, NodeLifetime
-from auburnjunction.traffic.limits import SlotLimit
+from auburnjunction.traffic.limits import (
+    ASSUMED_DEVIATION,
+    MIN_DEVIATION_SAMPLES,
+    SlotLimit,
+)
 from auburnjunction.traffic.meters import OwnerMetrics
 from auburnjunction.traffic.owners import OwnerRegistry
-from auburnjunction.traffic.slots import AdmissionController
+from auburnjunction.traffic.slots import (
+    SHUTDOWN_DEVIATIONS,
+    AdmissionController,
+)
 from auburnjunction.traffic.tests.owner_support import CLOCK, HOST, make_call
 
 CFG = AdmissionSettings(adaptive_limit=False)
 WORK_S = 0.2
+TARGET_S = 1.0
 
 
 @attrs.define
@@ -50,7 +58,8 @@
 
     def __attrs_post_init__(self):
         self.limit = SlotLimit(CFG, 1, 100, self.clock)
-        self.limit.add_sample("route", WORK_S, 1)
+        for _ in range(MIN_DEVIATION_SAMPLES):
+            self.limit.add_sample("route", WORK_S, 1)
         self.controller = AdmissionController(CFG, self.limit, 40, self.clock)
 
     def make_call(self, name, limit_s=math.inf):
@@ -150,6 +159,35 @@
     curio.run(main)
 
 
+# Guards against calls that are cut off by a shutdown as they take longer than
+# the few calls, or those of other routes, that their backend server has
+# answered.
+@pytest.mark.parametrize(
+    ("samples", "limit_s", "outcome"),
+    [
+        (MIN_DEVIATION_SAMPLES, WORK_S + 0.1, "held"),
+        (1, WORK_S + 0.1, ErrorCode.SHUTDOWN),
+        (1, (1 + SHUTDOWN_DEVIATIONS * ASSUMED_DEVIATION) * WORK_S, "held"),
+        (0, TARGET_S - 0.1, ErrorCode.SHUTDOWN),
+        (0, TARGET_S, "held"),
+    ],
+)
+def test_duration_is_overestimated_with_few_samples(samples, limit_s, outcome):
+    async def main():
+        calls = HeldCalls()
+        for _ in range(samples):
+            calls.limit.add_sample("new", WORK_S, 1)
+        call = calls.make_call("new", limit_s + 0.001)
+        target_s = calls.clock.monotonic() + TARGET_S
+        call = attrs.evolve(call, route="new", target_s=target_s)
+        task = await calls.start(call)
+        await calls.end_one()
+        await task.join()
+        assert calls.results == {"new": outcome}
+
+    curio.run(main)
+
+
 @pytest.mark.parametrize(
     ("limit_s", "value"),
     [(math.inf, None), (2.5, b"2500"), (-1.0, b"0")],
