Refuse calls that have waited and would outlast their owner node

Cause: an owner compared the duration of a call with its own shutdown when the call arrived, without its wait, and not when its slot was granted.

The check of the answer limit of entry nodes now takes the earlier end of the two nodes: on arrival, with the expected wait, at the grant of a slot and before the call is sent. Such a call is refused as not run and offered elsewhere.

--- a/libs/node/auburnjunction/node/tests/test_shutdowns.py
+++ b/libs/node/auburnjunction/node/tests/test_shutdowns.py
@@ -68,6 +68,7 @@
     """An entry node and the owner node of a backend server."""
 
     entry: "StoppableNode"
+    owner: "StoppableNode"
     entry_port: int
     owner_port: int
     backend: SlowBackend
@@ -154,7 +155,7 @@
     async with (
         open_server(HOST, 0, backend.handle, CLOCK) as server,
         open_stoppable_node("entry", entry_ports, platform) as entry,
-        open_stoppable_node("owner", owner_ports, platform),
+        open_stoppable_node("owner", owner_ports, platform) as owner,
     ):
         values = {
             "instance": "box-1",
@@ -165,6 +166,7 @@
         }
         mesh = Mesh(
             entry,
+            owner,
             entry_ports["caller_port"],
             owner_ports["caller_port"],
             backend,
@@ -213,3 +215,21 @@
             assert {r.target for r in refused}.isdisjoint(mesh.backend.begun)
 
     curio.run(main)
+
+
+# Guards against calls that have waited and are sent to their backend server
+# shortly before their owner node shuts down, which breaks them off.
+def test_calls_that_wait_at_a_node_are_not_started_at_its_shutdown():
+    async def main():
+        async with open_mesh() as mesh:
+            tasks = await mesh.start_calls(f"call-{n}" for n in range(CALLS))
+            await mesh.owner.stop.set()
+            results = await join_all(tasks)
+            # 502 stands for a call that was broken off.
+            assert {r.status for r in results} == {200, 503}
+            refused = {r.target for r in results if r.status == 503}
+            assert refused.isdisjoint(mesh.backend.begun)
+            # What can end in time is served.
+            assert len(refused) <= CALLS - SERVED + 2
+
+    curio.run(main)
--- a/libs/traffic/auburnjunction/traffic/slots.py
+++ b/libs/traffic/auburnjunction/traffic/slots.py
@@ -104,7 +104,7 @@
         """Refuse the waiting calls that cannot be served any more.
 
         These are all if the drain start limit has passed, and those that
-        would end after their answer limit.
+        would outlast this node or their entry node.
         """
         while self._queue and self._is_past_drain_start_limit():
             await self._refuse(self._queue.pop(), *_DRAINING)
@@ -119,7 +119,7 @@
 
     async def _acquire(self, call: Call) -> None:
         now_s = self._clock.monotonic()
-        if self.draining or self._may_outlast_node(call, now_s):
+        if self.draining:
             raise NotRunError(*_DRAINING)
         self._check_end(call, now_s)
         duration_s = self._estimate_duration(call, now_s)
@@ -151,12 +151,6 @@
         await self._dispatch()
         await self._wait_for_slot(ticket, ticket.latest_start_s - now_s)
 
-    def _may_outlast_node(self, call: Call, now_s: float) -> bool:
-        if not self._lifetime.is_ending:
-            return False
-        duration_s = self._find_duration(call, now_s)
-        return now_s + duration_s > self._lifetime.end_s
-
     def _find_duration(self, call: Call, now_s: float) -> float:
         """Return a duration that the call will most likely not exceed.
 
@@ -172,25 +166,32 @@
     def _check_end(
         self, call: Call, now_s: float, wait_s: float = 0.0
     ) -> None:
-        """Raise NotRunError if the call would end after its answer limit."""
+        """Raise NotRunError if the call would outlast one of its nodes."""
         error = self._find_end_error(call, now_s, wait_s)
         if error is not None:
             raise error
 
     def _find_end_error(
-        self, call: Call, now_s: float, wait_s: float
+        self, call: Call, now_s: float, wait_s: float = 0.0
     ) -> NotRunError | None:
-        """Return an error if the call would end after its answer limit."""
-        if call.answer_limit_s == math.inf:
+        """Return an error if the call would outlast one of its nodes.
+
+        These are this node and, by the answer limit, its entry node.
+        """
+        own_end_s = self._lifetime.end_s
+        end_s = min(own_end_s, call.answer_limit_s)
+        if end_s == math.inf:
             return None
-        left_s = call.answer_limit_s - now_s
+        left_s = end_s - now_s
         duration_s = self._find_duration(call, now_s)
         if wait_s + duration_s <= left_s:
             return None
+        is_own = own_end_s <= call.answer_limit_s
         return NotRunError(
             f"expected wait {wait_s:.3f} s and duration {duration_s:.3f} s "
-            f"exceed the {left_s:.3f} s until the entry node shuts down",
-            ErrorCode.SHUTDOWN,
+            f"exceed the {left_s:.3f} s until "
+            f"{'this node' if is_own else 'the entry node'} shuts down",
+            ErrorCode.DRAINING if is_own else ErrorCode.SHUTDOWN,
         )
 
     def _estimate_duration(self, call: Call, now_s: float) -> float:
@@ -340,7 +341,7 @@
             if now_s > ticket.latest_start_s:
                 await self._refuse(ticket, *_TOO_LATE)
                 continue
-            error = self._find_end_error(ticket.call, now_s, 0.0)
+            error = self._find_end_error(ticket.call, now_s)
             if error is not None:
                 await self._refuse_with(ticket, error)
                 continue
--- a/libs/traffic/auburnjunction/traffic/tests/test_answer_limits.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_answer_limits.py
@@ -53,14 +53,18 @@
     clock: ManualClock = attrs.field(factory=ManualClock)
     results: dict = attrs.field(factory=dict)
     running: list = attrs.field(factory=list)
+    lifetime: NodeLifetime = attrs.field(init=False)
     limit: SlotLimit = attrs.field(init=False)
     controller: AdmissionController = attrs.field(init=False)
 
     def __attrs_post_init__(self):
+        self.lifetime = NodeLifetime(self.clock)
         self.limit = SlotLimit(CFG, 1, 100, self.clock)
         for _ in range(MIN_DEVIATION_SAMPLES):
             self.limit.add_sample("route", WORK_S, 1)
-        self.controller = AdmissionController(CFG, self.limit, 40, self.clock)
+        self.controller = AdmissionController(
+            CFG, self.limit, 40, self.clock, lifetime=self.lifetime
+        )
 
     def make_call(self, name, limit_s=math.inf):
         now_s = self.clock.monotonic()
@@ -98,8 +102,10 @@
 
 
 # Guards against a call that is started, or kept waiting, though its entry node
-# shuts down before it could end.
-@pytest.mark.parametrize("known", ["at arrival", "while it waits"])
+# or this node shuts down before it could end.
+@pytest.mark.parametrize(
+    "known", ["at arrival", "while it waits", "own shutdown"]
+)
 @pytest.mark.parametrize(
     ("limit_s", "held"), [(0.1, 0), (0.5, 1), (0.7, 2), (math.inf, 4)]
 )
@@ -111,7 +117,15 @@
         tasks = [await calls.start(calls.make_call("runs already"))]
         names = [f"call-{n}" for n in range(4)]
         start_s = calls.clock.monotonic()
-        if known == "at arrival":
+        code = ErrorCode.SHUTDOWN
+        if known == "own shutdown":
+            tasks += [await calls.start(calls.make_call(n)) for n in names]
+            end_s = start_s + limit_s + ANSWER_MARGIN_S
+            calls.lifetime.set_end(start_s, end_s)
+            await calls.controller.refuse_waiting()
+            await calls.settle()
+            code = ErrorCode.DRAINING
+        elif known == "at arrival":
             for name in names:
                 tasks.append(await calls.start(calls.make_call(name, limit_s)))
         else:
@@ -129,7 +143,7 @@
         for task in tasks:
             await task.join()
         assert calls.results.pop("runs already") == "held"
-        expected = ["held"] * held + [ErrorCode.SHUTDOWN] * (4 - held)
+        expected = ["held"] * held + [code] * (4 - held)
         assert [calls.results[name] for name in names] == expected
 
     curio.run(main)
