Clear quarantined requests that a backend server has answered

Cause: crashes under a request are kept and spread, answers to it were neither. A node left out only what the crashed backend server itself had answered, and nothing but time lifted a quarantine.

A node now remembers what its backend servers have answered with a success. When such a request is quarantined, or a quarantined one is answered, the node clears it: the crashes until 120 s after the answer don't count. Clearances reach the other nodes as crashes do, by urgent pushes and by gossip. A request that crashes whatever runs it never has a success, so that its hold stands; errors, the claim cache and other callers prove nothing.

--- a/libs/membership/auburnjunction/membership/cluster_states.py
+++ b/libs/membership/auburnjunction/membership/cluster_states.py
@@ -11,6 +11,8 @@
 from auburnjunction.base.clocks import Clock
 from auburnjunction.base.logs import log_event
 from auburnjunction.http.clients import Address
+from auburnjunction.membership.clearances import Clearance
+from auburnjunction.membership.crash_news import CrashNews
 from auburnjunction.membership.crashes import Crash, CrashLog
 from auburnjunction.membership.departures import DepartureLog
 from auburnjunction.membership.gossip_queues import GossipQueue
@@ -53,11 +55,11 @@
         # Order of the last record of each node that was forwarded as urgent.
         self._forwarded_orders: dict[str, tuple] = {}
         self.departures = DepartureLog()
-        self.crashes = CrashLog(clock)
-        # Crashes to push to peers, and those seen by this node, which are
+        self.crashes = CrashLog(clock, self._queue_own_clearances)
+        # News of crashes to push to peers, and those of this node, which are
         # also pushed to the other data centres.
-        self.urgent_crashes: list[Crash] = []
-        self.own_urgent_crashes: list[Crash] = []
+        self.urgent_news = CrashNews()
+        self.own_urgent_news = CrashNews()
         self.handover = DepartureHandover()
         self.reachability = ReachabilityTable(clock, cfg.unreachable_after_s)
         self.pause_detector = PauseDetector(clock, self._pause_limit_s)
@@ -172,9 +174,17 @@
         """
         new = self.crashes.add(crashes)
         self.stats.crash_records += len(new)
-        self.urgent_crashes += new
+        self.urgent_news.crashes += new
         if own:
-            self.own_urgent_crashes += new
+            self.own_urgent_news.crashes += new
+
+    def add_clearances(self, clearances: Iterable[Clearance]) -> None:
+        """Add clearances; queue those that are new here for a push, once."""
+        self.urgent_news.clearances += self.crashes.clear(clearances)
+
+    def _queue_own_clearances(self, clearances: list[Clearance]) -> None:
+        self.urgent_news.clearances += clearances
+        self.own_urgent_news.clearances += clearances
 
     def forward_urgent(self, records: Iterable[Node]) -> None:
         """Queue urgent records of other nodes for pushes, each once.
--- a/libs/membership/auburnjunction/membership/crashes.py
+++ b/libs/membership/auburnjunction/membership/crashes.py
@@ -1,5 +1,6 @@
 """Log of calls that were running when a backend server crashed."""
 
+import math
 from collections.abc import Callable, Iterable
 
 import attrs
@@ -7,6 +8,14 @@
 
 from auburnjunction.base.clocks import Clock
 from auburnjunction.base.logs import log_event
+from auburnjunction.membership.clearances import (
+    CLEARANCE_S,
+    AnsweredRequests,
+    Clearance,
+    ClearanceLog,
+    ClearanceObserver,
+    ignore_clearances,
+)
 from auburnjunction.schema import control_pb2 as pb
 
 MILLISECONDS_PER_SECOND = 1000
@@ -50,6 +59,8 @@
     """The crashes under one request, by incarnation."""
 
     crashes: dict[tuple[str, int], Crash] = attrs.field(factory=dict)
+    # When a backend server of this node answered it last.
+    answered_s: float = -math.inf
 
     def add(self, crash: Crash) -> bool:
         """Add a crash; return whether it is new and one of the latest."""
@@ -63,6 +74,17 @@
             del self.crashes[oldest.key]
         return crash.key in self.crashes
 
+    def drop_crashes_until(self, time_s: float) -> int:
+        """Drop the crashes until a time; return how many."""
+        dropped = [
+            crash.key
+            for crash in self.crashes.values()
+            if crash.crashed_s <= time_s
+        ]
+        for key in dropped:
+            del self.crashes[key]
+        return len(dropped)
+
     @property
     def count(self) -> int:
         """Number of incarnations that have crashed, MAX_CRASHES at most."""
@@ -103,10 +125,18 @@
 
     A request that ends each backend server that runs it is only known by the
     crashes of several, which different nodes see. Others may run on the same
-    backend server by chance, so that one crash proves nothing.
+    backend server by chance, so that one crash proves nothing, and neither do
+    several if a backend server has answered the request: it is cleared then.
     """
 
-    def __init__(self, clock: Clock):
+    def __init__(
+        self,
+        clock: Clock,
+        on_clearance: ClearanceObserver = ignore_clearances,
+    ):
+        self.clearances = ClearanceLog(clock)
+        self._answered = AnsweredRequests()
+        self._on_clearance = on_clearance
         self._clock = clock
         self._suspects: dict[bytes, Suspect] = {}
 
@@ -117,8 +147,10 @@
 
     @property
     def digest(self) -> int:
-        """Digest of what select() returns; 0 if there is nothing."""
+        """Digest of what messages carry; 0 if there is nothing."""
         digest = 0
+        for clearance in self.clearances.select():
+            digest ^= xxhash.xxh64_intdigest(clearance.fingerprint)
         for crash in self.select():
             name = f"{crash.instance}/{crash.born_ms}".encode()
             digest ^= xxhash.xxh64_intdigest(crash.fingerprint + name)
@@ -141,7 +173,35 @@
     def add(self, crashes: Iterable[Crash]) -> list[Crash]:
         """Add crashes; return those that were not known."""
         self._forget()
-        return [crash for crash in crashes if self._add_crash(crash)]
+        new = [crash for crash in crashes if self._add_crash(crash)]
+        for fingerprint in {crash.fingerprint for crash in new}:
+            self._clear_if_answered(fingerprint)
+        return new
+
+    def was_answered(self, fingerprint: bytes) -> bool:
+        """Return whether an answer of this node proves a request harmless.
+
+        Answers of other nodes are known once they matter, as clearances.
+        """
+        now_s = self._clock.monotonic()
+        answered_s = self._answered.find_time(fingerprint)
+        return now_s <= answered_s + CLEARANCE_S
+
+    def record_answer(self, fingerprint: bytes) -> None:
+        """Record that a backend server of this node has run a request.
+
+        It must have ended the run with an answer of its own.
+        """
+        now_s = self._clock.monotonic()
+        self._answered.add(fingerprint, now_s)
+        suspect = self._suspects.get(fingerprint)
+        if suspect is not None:
+            suspect.answered_s = now_s
+            self._clear_if_answered(fingerprint)
+
+    def clear(self, clearances: Iterable[Clearance]) -> list[Clearance]:
+        """Clear requests; return the clearances that were not known."""
+        return [c for c in clearances if self._add_clearance(c)]
 
     def select(self) -> list[Crash]:
         """Return the crashes that a message carries.
@@ -157,8 +217,40 @@
         crashes = [crash for s in suspects for crash in s.crashes.values()]
         return crashes[:MAX_SENT_RECORDS]
 
+    def _clear_if_answered(self, fingerprint: bytes) -> None:
+        """Clear a quarantined request that this node has seen answered."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or not suspect.is_quarantined:
+            return
+        if suspect.last_crash_s <= suspect.answered_s + CLEARANCE_S:
+            clearance = Clearance(fingerprint, suspect.answered_s)
+            if self._add_clearance(clearance):
+                self._on_clearance([clearance])
+
+    def _add_clearance(self, clearance: Clearance) -> bool:
+        is_new = self.clearances.add(clearance)
+        suspect = self._suspects.get(clearance.fingerprint)
+        if suspect is None:
+            return is_new
+        covered = suspect.drop_crashes_until(clearance.expires_s)
+        if not suspect.crashes:
+            del self._suspects[clearance.fingerprint]
+        if covered:
+            log_event(
+                "request cleared",
+                fingerprint=clearance.fingerprint.hex(),
+                crashes=covered,
+                left=suspect.count,
+            )
+        return is_new or covered > 0
+
     def _add_crash(self, crash: Crash) -> bool:
-        suspect = self._suspects.get(crash.fingerprint) or Suspect()
+        if self.clearances.covers(crash.fingerprint, crash.crashed_s):
+            return False
+        suspect = self._suspects.get(crash.fingerprint)
+        if suspect is None:
+            answered_s = self._answered.find_time(crash.fingerprint)
+            suspect = Suspect(answered_s=answered_s)
         if not suspect.add(crash) or self._is_forgotten(suspect):
             return False
         self._suspects[crash.fingerprint] = suspect
--- a/libs/membership/auburnjunction/membership/receivers.py
+++ b/libs/membership/auburnjunction/membership/receivers.py
@@ -1,7 +1,9 @@
 """Handling of gossip requests."""
 
+from auburnjunction.membership.clearances import decode_clearances
 from auburnjunction.membership.cluster_states import ClusterState
-from auburnjunction.membership.crashes import decode_crashes, encode_crashes
+from auburnjunction.membership.crash_news import select_news
+from auburnjunction.membership.crashes import decode_crashes
 from auburnjunction.membership.exchanges import (
     decode_mark,
     decode_records,
@@ -45,6 +47,8 @@
         if request.urgent:
             self._cluster.forward_urgent(records)
         clock = self._cluster.clock
+        clearances = decode_clearances(request.clearances, clock)
+        self._cluster.add_clearances(clearances)
         self._cluster.add_crashes(decode_crashes(request.crashes, clock))
         sender = self._cluster.view.get(request.sender)
         response = pb.GossipResponse(
@@ -57,7 +61,7 @@
         self._add_records(request, records, response)
         crashes = self._cluster.crashes
         if request.crash_digest != crashes.digest:
-            response.crashes.extend(encode_crashes(crashes.select(), clock))
+            select_news(crashes).write_to(response, clock)
         response.view_digest = self._cluster.view.digest
         if sender is not None:
             self._handle_sender(sender, request, response)
--- a/libs/membership/auburnjunction/membership/senders.py
+++ b/libs/membership/auburnjunction/membership/senders.py
@@ -3,12 +3,10 @@
 from collections.abc import Awaitable, Callable
 
 from auburnjunction.http.clients import Address, PoolRegistry
+from auburnjunction.membership.clearances import decode_clearances
 from auburnjunction.membership.cluster_states import ClusterState
-from auburnjunction.membership.crashes import (
-    Crash,
-    decode_crashes,
-    encode_crashes,
-)
+from auburnjunction.membership.crash_news import CrashNews
+from auburnjunction.membership.crashes import decode_crashes
 from auburnjunction.membership.errors import PeerUnreachableError
 from auburnjunction.membership.exchanges import (
     decode_mark,
@@ -74,16 +72,15 @@
         records: list[Node],
         *,
         target: Node | None = None,
-        crashes: list[Crash] | None = None,
+        news: CrashNews | None = None,
         urgent: bool = False,
         cross: bool = False,
     ) -> pb.GossipResponse:
-        """Send records and crashes; merge those of the response."""
+        """Send records and news of crashes; merge those of the response."""
         request = self.make_request()
         request.records.extend(encode_record(r) for r in records)
-        request.crashes.extend(
-            encode_crashes(crashes or [], self._cluster.clock)
-        )
+        if news is not None:
+            news.write_to(request, self._cluster.clock)
         request.urgent = urgent
         if not cross:
             messages = self._cluster.reachability.encode_observations()
@@ -141,6 +138,9 @@
         cluster.departures.adopt(decode_departures(response.departures))
         cluster.observe_table_generation(response.table_generation)
         cluster.merge(decode_records(response.records))
+        cluster.add_clearances(
+            decode_clearances(response.clearances, cluster.clock)
+        )
         cluster.add_crashes(decode_crashes(response.crashes, cluster.clock))
         if response.sender_unknown:
             cluster.gossip_queue.add(cluster.own_record)
--- a/libs/membership/auburnjunction/membership/urgent_pushers.py
+++ b/libs/membership/auburnjunction/membership/urgent_pushers.py
@@ -4,7 +4,7 @@
 from functools import partial
 
 from auburnjunction.membership.cluster_states import ClusterState
-from auburnjunction.membership.crashes import MAX_SENT_RECORDS, Crash
+from auburnjunction.membership.crash_news import CrashNews
 from auburnjunction.membership.errors import PeerUnreachableError
 from auburnjunction.membership.records import Node, NodeState
 from auburnjunction.membership.senders import GossipSender
@@ -18,7 +18,7 @@
 
 
 class UrgentPusher:
-    """Pushes urgent records and crashes to peers without waiting for a round.
+    """Pushes urgent records and news of crashes to peers at once.
 
     A record is urgent if the ready backend servers of a node change or
     the node is leaving. Each node that receives one forwards it once
@@ -35,19 +35,19 @@
         cluster = self._cluster
         urgent = list(cluster.urgent_records.values())
         cluster.urgent_records.clear()
-        crashes = _take(cluster.urgent_crashes)
-        own_crashes = _take(cluster.own_urgent_crashes)
+        news = cluster.urgent_news.take()
+        own_news = cluster.own_urgent_news.take()
         pushes = []
-        if urgent or crashes:
+        if urgent or news:
             pushes += [
-                partial(self._push, nodes, urgent, crashes, False)
+                partial(self._push, nodes, urgent, news, False)
                 for nodes in self._draw_peers()
             ]
         own_node = cluster.own_record.node
         own_records = [r for r in urgent if r.node == own_node]
-        if own_records or own_crashes:
+        if own_records or own_news:
             pushes += [
-                partial(self._push, nodes, own_records, own_crashes, True)
+                partial(self._push, nodes, own_records, own_news, True)
                 for nodes in self._list_remote_nodes()
             ]
         return pushes
@@ -58,7 +58,10 @@
         self._cluster.random.shuffle(peers)
         remote = [n for nodes in self._list_remote_nodes() for n in nodes]
         await self._push(
-            peers or remote, [self._cluster.own_record], [], not peers
+            peers or remote,
+            [self._cluster.own_record],
+            CrashNews(),
+            not peers,
         )
 
     def _draw_peers(self) -> list[list[Node]]:
@@ -87,10 +90,10 @@
         self,
         targets: list[Node],
         records: list[Node],
-        crashes: list[Crash],
+        news: CrashNews,
         cross: bool,
     ) -> None:
-        """Push records and crashes until a target responds.
+        """Push records and news of crashes until a target responds.
 
         Gossip rounds do not replace a lost push: a record that most nodes
         have already is soon gossiped no more, and repairs are rare.
@@ -103,17 +106,10 @@
                     target.address,
                     records,
                     target=target,
-                    crashes=crashes,
+                    news=news,
                     urgent=True,
                     cross=cross,
                 )
                 return
             except PeerUnreachableError:
                 await self._cluster.clock.sleep(RETRY_DELAY_S * 2**attempt)
-
-
-def _take(crashes: list[Crash]) -> list[Crash]:
-    """Remove and return as many crashes as a message carries."""
-    taken = crashes[:MAX_SENT_RECORDS]
-    del crashes[:MAX_SENT_RECORDS]
-    return taken
--- a/libs/node/auburnjunction/node/tests/test_crashing_requests.py
+++ b/libs/node/auburnjunction/node/tests/test_crashing_requests.py
@@ -1,5 +1,6 @@
 """Requests that crash each backend server that runs them, on several nodes."""
 
+import socket
 from contextlib import AsyncExitStack, asynccontextmanager
 from random import Random
 
@@ -13,13 +14,15 @@
 from auburnjunction.http.errors import HttpError
 from auburnjunction.http.messages import HttpResponse
 from auburnjunction.http.servers import open_server
+from auburnjunction.model.routes import Route
+from auburnjunction.model.services import Service
+from auburnjunction.model.snapshots import Snapshot
 from auburnjunction.node.components import PlatformAdapters
 from auburnjunction.node.nodes import open_node
 from auburnjunction.node.settings import configure_node_settings
 from auburnjunction.node.tests.support import (
     HOST,
     SETTINGS,
-    SNAPSHOT,
     choose_ports,
     send,
 )
@@ -28,7 +31,17 @@
 FIRST_PORT = 18_700
 PORTS_PER_NODE = 10
 CLOCK = SystemClock()
+SNAPSHOT = Snapshot(
+    (Service("box"),),
+    (
+        Route("boxes", "/boxes", "box", repeatable=True),
+        # Without retries, so that a test knows which backend servers run it.
+        Route("once", "/once", "box", repeatable=True, max_attempts=1),
+    ),
+)
 POISON = b"poison"
+SLOW = b"slow"
+SLOW_S = 0.5
 RESTART_S = 0.3
 SEND_INTERVAL_S = 0.1
 # The users' limits: nodes know of the third crash within this time, and from
@@ -50,11 +63,16 @@
     port: int
     crashes: list
     ended: curio.Event = attrs.field(factory=curio.Event)
+    # The listening socket.
+    sock: socket.socket | None = None
 
     async def run(self):
         while True:
             self.ended.clear()
-            async with open_server(HOST, self.port, self.handle, CLOCK):
+            async with open_server(
+                HOST, self.port, self.handle, CLOCK
+            ) as server:
+                self.sock = server._sock._socket
                 await self.announce()
                 await self.ended.wait()
             await curio.sleep(RESTART_S)
@@ -70,12 +88,17 @@
         }
         await send(self.admin_port, "POST", "/announce", orjson.dumps(values))
 
+    async def end(self):
+        """Refuse connections from now on and close those that are open."""
+        self.sock.shutdown(socket.SHUT_RDWR)
+        await self.ended.set()
+
     async def handle(self, request):
         if request.body != POISON:
-            await curio.sleep(0.01)
+            await curio.sleep(SLOW_S if request.body == SLOW else 0.01)
             return HttpResponse(200, [], b"done")
         self.crashes.append(CLOCK.monotonic())
-        await self.ended.set()
+        await self.end()
         await curio.sleep(60)
         return HttpResponse(500)
 
@@ -86,11 +109,22 @@
 
     caller_ports: list
     crashes: list = attrs.field(factory=list)
+    backends: list = attrs.field(factory=list)
+
+    async def run_with_crashes(self, indexes, ended):
+        """Run a slow request at nodes; end backend servers meanwhile."""
+        async with curio.TaskGroup() as group:
+            for index in indexes:
+                await group.spawn(self.call, index, SLOW)
+            await curio.sleep(SLOW_S / 2)
+            for index in ended:
+                await self.backends[index].end()
 
     async def call(self, index, body):
         """Return the response to a call at one of the nodes."""
         port = self.caller_ports[index % len(self.caller_ports)]
-        return await send(port, "POST", "/boxes/2", body)
+        target = "/once/2" if body == SLOW else "/boxes/2"
+        return await send(port, "POST", target, body)
 
     async def call_until(self, condition, body, limit_s=10.0):
         """Call one node after the other until a condition holds."""
@@ -127,6 +161,7 @@
                 FIRST_PORT + PORTS_PER_NODE * index + 8,
                 fleet.crashes,
             )
+            fleet.backends.append(backend)
             task = await curio.spawn(backend.run, daemon=True)
             stack.push_async_callback(task.cancel)
         await wait_until_serving(fleet)
@@ -185,3 +220,45 @@
                 assert (await fleet.call(index, b"other")).status == 200
 
     curio.run(main)
+
+
+# Guards against a harmless request, and with it a new route, that is refused
+# by all nodes because backend servers ended for another reason while they ran
+# it, though others have answered it.
+@pytest.mark.parametrize("crash", ["crash at once", "crash in turn"])
+def test_request_that_other_servers_answer_is_not_quarantined(crash):
+    async def main():
+        async with open_fleet(("one", "one", "two", "two", "two")) as fleet:
+            if crash == "crash at once":
+                await fleet.run_with_crashes(range(5), range(CRASH_LIMIT))
+            else:
+                # Those that go on have answered before.
+                await fleet.run_with_crashes([3, 4], [])
+                for index in range(CRASH_LIMIT):
+                    await fleet.run_with_crashes([index], [index])
+            # The others answer, and the backend servers are back.
+            await curio.sleep(max(SLOW_S, RESTART_S) + CONTACT_S)
+            for index in range(len(fleet.caller_ports)):
+                assert (await fleet.call(index, SLOW)).status == 200
+
+    curio.run(main)
+
+
+# Guards against evidence for a harmless request that clears another one, which
+# does crash whatever runs it.
+def test_answers_to_others_do_not_release_a_crashing_request():
+    async def main():
+        async with open_fleet(("one", "one", "two", "two")) as fleet:
+            await fleet.call_until(
+                lambda: len(fleet.crashes) >= CRASH_LIMIT, POISON
+            )
+            end_s = CLOCK.monotonic() + CONTACT_S + 2.0
+            while CLOCK.monotonic() < end_s:
+                for index in range(len(fleet.caller_ports)):
+                    await fleet.call(index, b"other")
+                    await fleet.call(index, POISON)
+            assert fleet.count_repeats() <= MAX_REPEATS
+            assert (await fleet.call(0, POISON)).status == 503
+            assert (await fleet.call(0, b"other")).status == 200
+
+    curio.run(main)
--- a/libs/traffic/auburnjunction/traffic/crash_watches.py
+++ b/libs/traffic/auburnjunction/traffic/crash_watches.py
@@ -11,13 +11,11 @@
 from auburnjunction.membership.crashes import Crash, CrashLog
 from auburnjunction.traffic.backends import BackendClient
 from auburnjunction.traffic.calls import Call
-from auburnjunction.traffic.fingerprints import (
-    AnsweredRequests,
-    compute_fingerprint,
-)
+from auburnjunction.traffic.fingerprints import compute_fingerprint
 from auburnjunction.traffic.headers import HeaderNames
 
 MILLISECONDS_PER_SECOND = 1000
+FIRST_CLIENT_ERROR = 400
 
 CrashObserver = Callable[[list[Crash]], None]
 
@@ -38,8 +36,8 @@
     """Watches one backend server for crashes, and the calls that it runs.
 
     Which of the calls that were running has ended it, one crash cannot tell.
-    Requests that the backend server has answered before are left out, and if
-    some of the others were running at earlier crashes, only those with the
+    Requests that a backend server of this node has answered are left out, and
+    if some of the others were running at earlier crashes, only those with the
     most of them are reported: a request that crashes whatever runs it has
     been at all of them.
     """
@@ -60,7 +58,6 @@
         self._names = names
         self._on_crash = on_crash
         self._running: dict[int, RunningCall] = {}
-        self._answered = AnsweredRequests()
         self._check = curio.Lock()
         # Time at which the last crash was found.
         self._crashed_s = -math.inf
@@ -73,9 +70,15 @@
         """Record the end of a call with any outcome."""
         self._running.pop(id(call), None)
 
-    def record_answer(self, call: Call) -> None:
-        """Record that the backend server has survived a call."""
-        self._answered.add(compute_fingerprint(call.request, self._names))
+    def record_answer(self, call: Call, status: int) -> None:
+        """Record the answer of the backend server to a call.
+
+        An error does not prove that it has survived the call: it may have
+        rejected the call, or given up before the end.
+        """
+        if status < FIRST_CLIENT_ERROR:
+            fingerprint = compute_fingerprint(call.request, self._names)
+            self._log.record_answer(fingerprint)
 
     async def has_crashed(self, call: Call, born_ms: int) -> bool:
         """Return whether a call ended with a crash of the backend server.
@@ -120,7 +123,7 @@
         return int(self._clock.now().timestamp() * MILLISECONDS_PER_SECOND)
 
     def _select_blamed(self, fingerprints: set[bytes]) -> list[bytes]:
-        suspects = [f for f in fingerprints if f not in self._answered]
+        suspects = [f for f in fingerprints if not self._log.was_answered(f)]
         counts = [self._log.count_crashes(f) for f in suspects]
         most = max(counts, default=0)
         return sorted(
--- a/libs/traffic/auburnjunction/traffic/instances.py
+++ b/libs/traffic/auburnjunction/traffic/instances.py
@@ -273,7 +273,7 @@
             raise
         finally:
             self._crash_watch.end_call(call)
-        self._crash_watch.record_answer(call)
+        self._crash_watch.record_answer(call, response.status)
         self._record_duration(call, start_s)
         return response
 
--- a/libs/traffic/auburnjunction/traffic/tests/test_crash_watches.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_crash_watches.py
@@ -11,11 +11,7 @@
 from auburnjunction.http.servers import bind_socket
 from auburnjunction.membership.crashes import Crash, CrashLog
 from auburnjunction.model.services import Service
-from auburnjunction.traffic.fingerprints import (
-    MAX_ANSWERED,
-    AnsweredRequests,
-    compute_fingerprint,
-)
+from auburnjunction.traffic.fingerprints import compute_fingerprint
 from auburnjunction.traffic.headers import DEFAULT_HEADER_NAMES, HeaderNames
 from auburnjunction.traffic.tests.owner_support import (
     CLOCK,
@@ -26,7 +22,7 @@
     wait_until,
 )
 
-RESPONSE = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+RESPONSE = b"HTTP/1.1 %d OK\r\ncontent-length: 2\r\n\r\nok"
 SERVICE = Service("orders", attempt_timeout_ms=200)
 NAMES = HeaderNames(caller_service=b"caller")
 
@@ -38,6 +34,7 @@
         self.requests = 0
         # Requests with this in their body are answered.
         self.answered = b"quick"
+        self.status = 200
         self.tasks = []
 
     async def accept(self, sock):
@@ -51,7 +48,7 @@
             while data := await client.recv(65536):
                 self.requests += 1
                 if self.answered in data:
-                    await client.sendall(RESPONSE)
+                    await client.sendall(RESPONSE % self.status)
 
     async def close_connections(self):
         for task in self.tasks[1:]:
@@ -240,11 +237,29 @@
     assert values[0] == values[1]
 
 
-def test_answered_requests_are_bounded():
-    answered = AnsweredRequests()
-    for number in range(MAX_ANSWERED + 10):
-        answered.add(b"%d" % number)
-        answered.add(b"popular")
-    assert b"popular" in answered
-    assert b"%d" % (MAX_ANSWERED + 9) in answered
-    assert b"0" not in answered
+# Guards against answers that release a request although the backend server may
+# not have run it to its end.
+@pytest.mark.parametrize(
+    ("status", "is_evidence"),
+    [
+        (200, True),
+        (304, True),
+        (400, False),
+        (413, False),
+        (429, False),
+        (500, False),
+        (503, False),
+        (504, False),
+    ],
+)
+def test_only_a_success_is_evidence_for_a_request(status, is_evidence):
+    async def main():
+        log = CrashLog(CLOCK)
+        async with open_ending_backend() as (backend, port):
+            backend.status = status
+            owner = make_owner(port, service=SERVICE, crashes=log)
+            await try_call(owner, make_call(body=b"quick"))
+            assert log.was_answered(fingerprint(b"quick")) is is_evidence
+            assert not log.was_answered(fingerprint(b"other"))
+
+    curio.run(main)
