Let calls run until their deadline at owners without a configuration

Cause: a node that has started announces its backend server, and gets calls from others, before a configuration is in force there. Until then the owner used a service with default values, among them an attempt time-out of 2 s.

Such a service now has the longest attempt time-out. Entry nodes, which know the real one, have cut the deadlines of their calls to it.

Evidence: test_owner_of_an_unknown_service_lets_calls_run_until_their_deadline failed before, "no complete response within 2.000 s".

--- a/libs/traffic/auburnjunction/traffic/owners.py
+++ b/libs/traffic/auburnjunction/traffic/owners.py
@@ -8,6 +8,7 @@
 from auburnjunction.membership.announcements import Announcement
 from auburnjunction.membership.crashes import Crash, CrashLog
 from auburnjunction.model.services import Service
+from auburnjunction.model.validators import MAX_TIMEOUT_MS
 from auburnjunction.traffic.admissions import AdmissionSettings
 from auburnjunction.traffic.calls import Answer, Call, NotRunError
 from auburnjunction.traffic.claims import ClaimStore
@@ -215,7 +216,7 @@
         return InstanceOwner(
             self._cfg,
             announcement.instance,
-            self._find_service(name) or Service(name),
+            self._find_service(name) or _make_unknown_service(name),
             address,
             announcement.slots,
             announcement.connections,
@@ -231,6 +232,14 @@
         )
 
 
+def _make_unknown_service(name: str) -> Service:
+    """Return a service for use until a configuration is in force.
+
+    Entry nodes know its time-out and have cut the deadlines of their calls.
+    """
+    return Service(name, attempt_timeout_ms=MAX_TIMEOUT_MS)
+
+
 def _is_owner_of(
     owner: InstanceOwner, announcement: Announcement, address: Address
 ) -> bool:
--- a/libs/traffic/auburnjunction/traffic/tests/test_owners.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_owners.py
@@ -334,6 +334,26 @@
     curio.run(main)
 
 
+# Guards against calls that are broken off after the default time-out of a
+# service, by a node that has started and has no configuration yet.
+def test_owner_of_an_unknown_service_lets_calls_run_until_their_deadline():
+    async def main():
+        default_s = Service("orders").attempt_timeout_ms / 1000
+        async with open_backend(service_time_s=default_s + 0.2) as backend:
+            registry = OwnerRegistry(
+                AdmissionSettings(), CLOCK, OwnerMetrics()
+            )
+            registry.update(make_announcement(backend.port))
+            answer = await registry.run_call(make_call("long"), "orders-1")
+            assert answer.response.status == 200
+            error = await try_call(
+                registry.get("orders-1"), make_call("cut", remaining_s=0.1)
+            )
+            assert error.code is ErrorCode.TIMEOUT
+
+    curio.run(main)
+
+
 def make_announcement(port):
     return Announcement("orders-1", "orders", f"{HOST}:{port}")
 
