Hold a request for a short time if its runs crashed side by side

A harmless request is refused for two minutes if everything that ran it was ended by one cause from outside and nobody else has answered it.

Cause: three crashes count as three proofs, whether the request was sent from one backend server to the next or was running at all of them when they ended.

A crash record now has the time from the start of the run to the crash. If all runs were under way at the first crash, by 0.25 s or more, the hold is 10 s; one further crash after it is proof as before. For shorter runs nothing changes, as the times of other nodes' crashes are late by the way of the messages.

Evidence: test_crashes_of_runs_side_by_side_are_held_for_a_short_time, whose first two rows fail with the rule switched off (120 s).

--- a/libs/membership/auburnjunction/membership/crashes.py
+++ b/libs/membership/auburnjunction/membership/crashes.py
@@ -25,6 +25,12 @@
 # it, up to the maximum.
 FIRST_HOLD_S = 120.0
 MAX_HOLD_S = 960.0
+# The same if all of its runs were under way at the first crash, so that one
+# further run shows whether the request has caused them.
+JOINT_HOLD_S = 10.0
+# Times of crashes that other nodes have seen are late by up to this, the time
+# that messages take.
+JOINT_MARGIN_S = 0.25
 # Time after its last crash for which a request below the limit is suspect.
 SUSPICION_S = 120.0
 # Bounds of the log. A record takes about 60 bytes in a message.
@@ -44,6 +50,13 @@
     born_ms: int
     # Time of the crash by the local monotonic clock.
     crashed_s: float
+    # Time from the start of the run to the crash; 0 if it is not known.
+    ran_s: float = 0.0
+
+    @property
+    def started_s(self) -> float:
+        """Time at which the backend server was sent the request."""
+        return self.crashed_s - self.ran_s
 
     @property
     def key(self) -> tuple[str, int]:
@@ -100,11 +113,23 @@
         """Whether the request has reached the limit of crashes."""
         return self.count >= CRASH_LIMIT
 
+    @property
+    def is_joint(self) -> bool:
+        """Whether all runs were under way at the first crash.
+
+        One cause from outside may have ended them all.
+        """
+        crashes = self.crashes.values()
+        limit_s = min(c.crashed_s for c in crashes) - JOINT_MARGIN_S
+        return all(crash.started_s <= limit_s for crash in crashes)
+
     @property
     def expires_s(self) -> float:
         """Time at which its quarantine or the suspicion ends."""
         if not self.is_quarantined:
             return self.last_crash_s + SUSPICION_S
+        if self.is_joint:
+            return self.last_crash_s + JOINT_HOLD_S
         hold_s = FIRST_HOLD_S * 2 ** (self.count - CRASH_LIMIT)
         return self.last_crash_s + min(MAX_HOLD_S, hold_s)
 
@@ -302,6 +327,7 @@
             age_ms=max(
                 0, int((now_s - crash.crashed_s) * MILLISECONDS_PER_SECOND)
             ),
+            ran_ms=int(crash.ran_s * MILLISECONDS_PER_SECOND),
         )
         for crash in crashes
     ]
@@ -318,6 +344,7 @@
             message.instance,
             message.born_ms,
             now_s - message.age_ms / MILLISECONDS_PER_SECOND,
+            message.ran_ms / MILLISECONDS_PER_SECOND,
         )
         for message in list(messages)[:MAX_SENT_RECORDS]
         if message.fingerprint and message.instance
--- a/libs/membership/auburnjunction/membership/tests/test_crashes.py
+++ b/libs/membership/auburnjunction/membership/tests/test_crashes.py
@@ -7,6 +7,7 @@
 from auburnjunction.membership.crashes import (
     CRASH_LIMIT,
     FIRST_HOLD_S,
+    JOINT_HOLD_S,
     MAX_CRASHES,
     MAX_FINGERPRINTS,
     MAX_HOLD_S,
@@ -191,3 +192,41 @@
         )
 
     run_cluster(scenario, 5, MembershipSettings())
+
+
+# Guards against a harmless request that is refused for minutes because one
+# cause from outside ended all backend servers that ran it, and against the
+# release of one that was sent from one backend server to the next.
+@pytest.mark.parametrize(
+    ("runs", "hold_s"),
+    [
+        # Start and crash of each run, in seconds.
+        ([(0.0, 1.0), (0.2, 1.1), (0.4, 1.2)], JOINT_HOLD_S),
+        ([(0.0, 1.0), (0.0, 1.0), (0.0, 1.0)], JOINT_HOLD_S),
+        # The third run begins after the first crash.
+        ([(0.0, 1.0), (0.2, 1.1), (1.05, 1.3)], FIRST_HOLD_S),
+        ([(0.0, 0.05), (0.06, 0.1), (0.11, 0.2)], FIRST_HOLD_S),
+        # Messages take longer than these runs, so that their order is unknown.
+        ([(0.0, 0.1), (0.01, 0.1), (0.02, 0.1)], FIRST_HOLD_S),
+        # A further run after the hold shows that the request is the cause.
+        (
+            [(0.0, 1.0), (0.0, 1.0), (0.0, 1.0), (12.0, 13.0)],
+            2 * FIRST_HOLD_S,
+        ),
+    ],
+)
+def test_crashes_of_runs_side_by_side_are_held_for_a_short_time(runs, hold_s):
+    log, clock = make_log()
+    start_s = clock.monotonic()
+    crashes = [
+        Crash(POISON, f"i{n}", 1, start_s + crashed_s, crashed_s - started_s)
+        for n, (started_s, crashed_s) in enumerate(runs)
+    ]
+    last_s = max(crashed_s for _, crashed_s in runs)
+    clock.advance(last_s)
+    other = CrashLog(clock)
+    assert len(other.add(crashes)) == len(runs)
+    # A node that is told of the crashes comes to the same result.
+    log.add(decode_crashes(encode_crashes(crashes, clock), clock))
+    for known in (log, other):
+        assert known.find_hold(POISON) == pytest.approx(hold_s, abs=0.01)
--- a/libs/traffic/auburnjunction/traffic/crash_watches.py
+++ b/libs/traffic/auburnjunction/traffic/crash_watches.py
@@ -97,16 +97,18 @@
             if not await self._backend.has_ended():
                 return False
             self._crashed_s = self._clock.monotonic()
-            self._report([r.call for r in running], born_ms)
+            self._report(running, born_ms)
             return True
 
-    def _report(self, calls: Iterable[Call], born_ms: int) -> None:
+    def _report(self, running: list[RunningCall], born_ms: int) -> None:
         # A crash of an unknown incarnation counts as one of its own.
         born_ms = born_ms or self._read_time_ms()
-        running = {
-            compute_fingerprint(call.request, self._names) for call in calls
+        # In the order of their starts, so that the latest one remains.
+        started = {
+            compute_fingerprint(r.call.request, self._names): r.started_s
+            for r in running
         }
-        blamed = self._select_blamed(running)
+        blamed = self._select_blamed(started)
         log_event(
             "backend server crashed",
             instance=self._instance,
@@ -116,13 +118,16 @@
         )
         now_s = self._clock.monotonic()
         self._on_crash(
-            [Crash(f, self._instance, born_ms, now_s) for f in blamed]
+            [
+                Crash(f, self._instance, born_ms, now_s, now_s - started[f])
+                for f in blamed
+            ]
         )
 
     def _read_time_ms(self) -> int:
         return int(self._clock.now().timestamp() * MILLISECONDS_PER_SECOND)
 
-    def _select_blamed(self, fingerprints: set[bytes]) -> list[bytes]:
+    def _select_blamed(self, fingerprints: Iterable[bytes]) -> list[bytes]:
         suspects = [f for f in fingerprints if not self._log.was_answered(f)]
         counts = [self._log.count_crashes(f) for f in suspects]
         most = max(counts, default=0)
--- a/libs/traffic/auburnjunction/traffic/tests/test_crash_watches.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_crash_watches.py
@@ -139,6 +139,7 @@
             assert {error.code for error in errors} == {code}
             assert len(recorder.reports) == reports
             for crashes in recorder.reports:
+                assert all(0 < c.ran_s < 5 for c in crashes)
                 found = {(c.instance, c.born_ms) for c in crashes}
                 assert found == {("orders-1", 17)}
                 bodies = {fingerprint(b"one"), fingerprint(b"two")}
