Apply a departure whatever its sequence

Cause: the order of sequences was applied to a fact that is final. Of an older announcement, only a late "ready" must not count.

A departure now counts for its incarnation also with a lower sequence, for the lease and in the log of departures. Without born_ms nothing changes: it may be that of an earlier incarnation.

--- a/libs/membership/auburnjunction/membership/leases.py
+++ b/libs/membership/auburnjunction/membership/leases.py
@@ -49,8 +49,9 @@
         """Renew the lease of the announced backend server.
 
         A late "ready" does not bring back a backend server that is
-        leaving or gone; only "starting" or a later incarnation does. An
-        announcement older than the last one is ignored.
+        leaving or gone; only "starting" or a later incarnation does. Of an
+        announcement older than the last one, only a departure counts: it is
+        final for its incarnation, whatever its sequence.
         """
         state = InstanceState[announcement.state.upper()]
         lease = self._leases.get(announcement.instance)
@@ -59,6 +60,7 @@
             lease = Lease(announcement, state, 0.0)
             self._leases[announcement.instance] = lease
         elif announcement.order < lease.announcement.order:
+            self._apply_late_departure(lease, announcement, state)
             return lease
         elif announcement.born_ms == lease.announcement.born_ms:
             state = _resolve_state(lease, state)
@@ -70,6 +72,20 @@
             lease.expires_s = now_s + GONE_RETENTION_S
         return lease
 
+    def _apply_late_departure(
+        self, lease: Lease, announcement: Announcement, state: InstanceState
+    ) -> None:
+        is_departure = state in (InstanceState.LEAVING, InstanceState.GONE)
+        # Without born_ms it may be that of an earlier incarnation.
+        if not is_departure or not announcement.born_ms:
+            return
+        self._departures.add(announcement.departure)
+        is_same = announcement.born_ms == lease.announcement.born_ms
+        if is_same and lease.state < state:
+            lease.state = state
+            if state is InstanceState.GONE:
+                lease.expires_s = self._clock.monotonic() + GONE_RETENTION_S
+
     def apply_restored_departures(self) -> bool:
         """Apply departures read from the table to ready backend servers.
 
--- a/libs/membership/auburnjunction/membership/tests/test_leases.py
+++ b/libs/membership/auburnjunction/membership/tests/test_leases.py
@@ -37,6 +37,32 @@
     assert lease.published_state.name.lower() == shown
 
 
+# Guards against a departure that is ignored, and acknowledged, because another
+# announcement of the incarnation has a higher sequence; and against one of an
+# earlier incarnation that retires the next.
+@pytest.mark.parametrize(
+    ("born_ms", "state", "shown"),
+    [
+        (20, "leaving", "leaving"),
+        (20, "gone", "gone"),
+        (20, "ready", "ready"),
+        (10, "leaving", "ready"),
+        (10, "gone", "ready"),
+    ],
+)
+def test_departure_with_a_lower_sequence_is_applied(born_ms, state, shown):
+    leases = LeaseTable(ManualClock())
+    leases.renew(make_announcement(born_ms=20, sequence=1000))
+    late = make_announcement(state=state, born_ms=born_ms, sequence=5)
+    lease = leases.renew(late)
+    assert lease.state.name.lower() == shown
+    # It is final for its incarnation.
+    later = make_announcement(born_ms=20, sequence=1001)
+    assert leases.renew(later).state.name.lower() == shown
+    newer = make_announcement(born_ms=30, sequence=1)
+    assert leases.renew(newer).state.name.lower() == "ready"
+
+
 def test_lease_expires_unless_it_is_renewed():
     clock = ManualClock()
     leases = LeaseTable(clock)
