Deregister only the incarnation that says so

Cause: the start in the body, born, was not read, so that a deregistration was applied to whatever incarnation was known.

It now ends the incarnations up to its own; one that has no born, or none that can be read, ends the one known, as before.

--- a/libs/node/auburnjunction/node/instances.py
+++ b/libs/node/auburnjunction/node/instances.py
@@ -72,13 +72,18 @@
         else:
             self._membership.log_departure(instance, born_ms)
 
-    def deregister(self, instance: str) -> None:
-        """Mark a backend server as gone.
+    def deregister(self, instance: str, born_ms: int = 0) -> None:
+        """Mark an incarnation of a backend server as gone.
 
-        One that has not announced itself to this process is gone as well:
-        an announcement from before may arrive later.
+        With born_ms 0 it is the one that has announced itself last. One that
+        has not announced itself to this process is gone as well: an
+        announcement from before may arrive later.
         """
         previous = self._announced.get(instance)
+        if born_ms:
+            self._membership.log_departure(instance, born_ms)
+            if previous is None or previous.born_ms > born_ms:
+                return
         if previous is None:
             log_event(
                 "departure of a backend server without an announcement",
--- a/libs/node/auburnjunction/node/tests/test_instances.py
+++ b/libs/node/auburnjunction/node/tests/test_instances.py
@@ -74,6 +74,31 @@
     assert registry.announce(make_ready(next_ms, 2)) is state
 
 
+# Guards against a late deregistration of an earlier incarnation that retires
+# the one which has started since under the same id.
+@pytest.mark.parametrize(
+    ("announced_ms", "gone_ms", "next_ms", "state"),
+    [
+        (BORN_MS, BORN_MS, BORN_MS, InstanceState.GONE),
+        (BORN_MS, 0, BORN_MS, InstanceState.GONE),
+        (BORN_MS, BORN_MS - 1, BORN_MS, READY),
+        # A heartbeat of the next incarnation was lost.
+        (BORN_MS - 1, BORN_MS, BORN_MS, LEAVING),
+        # Before any heartbeat.
+        (None, BORN_MS, BORN_MS, LEAVING),
+        (None, BORN_MS, BORN_MS + 1, READY),
+    ],
+)
+def test_deregistration_retires_its_incarnation_only(
+    announced_ms, gone_ms, next_ms, state
+):
+    registry = make_registry()
+    if announced_ms is not None:
+        registry.announce(make_ready(announced_ms, 1))
+    registry.deregister("a-1", gone_ms)
+    assert registry.announce(make_ready(next_ms, 2)) is state
+
+
 # Guards against calls at the address of an earlier incarnation.
 @pytest.mark.parametrize(
     ("born_ms", "sequence", "port"),
