--- a/libs/traffic/auburnjunction/traffic/slots.py
+++ b/libs/traffic/auburnjunction/traffic/slots.py
@@ -106,10 +106,10 @@
         These are all if the drain start limit has passed, and those that
         would outlast this node or their entry node.
         """
-        while self._queue and self._is_past_drain_start_limit():
-            await self._refuse(self._queue.pop(), *_DRAINING)
+        await self._refuse_if_drained()
+        limited = [t for t in self._queue if self._find_end(t.call) < math.inf]
         now_s = self._clock.monotonic()
-        for ticket in list(self._queue):
+        for ticket in limited:
             wait_s = self._find_remaining_wait(ticket, now_s)
             error = self._find_end_error(ticket.call, now_s, wait_s)
             # Others may have been granted a slot or refused meanwhile.
@@ -117,6 +117,11 @@
                 self._queue.remove(ticket)
                 await self._refuse_with(ticket, error)
 
+    async def _refuse_if_drained(self) -> None:
+        """Refuse all waiting calls if the drain start limit has passed."""
+        while self._queue and self._is_past_drain_start_limit():
+            await self._refuse(self._queue.pop(), *_DRAINING)
+
     async def _acquire(self, call: Call) -> None:
         now_s = self._clock.monotonic()
         if self.draining:
@@ -171,6 +176,10 @@
         if error is not None:
             raise error
 
+    def _find_end(self, call: Call) -> float:
+        """Return when the first of the call's nodes shuts down."""
+        return min(self._lifetime.end_s, call.answer_limit_s)
+
     def _find_end_error(
         self, call: Call, now_s: float, wait_s: float = 0.0
     ) -> NotRunError | None:
@@ -178,15 +187,14 @@
 
         These are this node and, by the answer limit, its entry node.
         """
-        own_end_s = self._lifetime.end_s
-        end_s = min(own_end_s, call.answer_limit_s)
+        end_s = self._find_end(call)
         if end_s == math.inf:
             return None
         left_s = end_s - now_s
         duration_s = self._find_duration(call, now_s)
         if wait_s + duration_s <= left_s:
             return None
-        is_own = own_end_s <= call.answer_limit_s
+        is_own = self._lifetime.end_s <= call.answer_limit_s
         return NotRunError(
             f"expected wait {wait_s:.3f} s and duration {duration_s:.3f} s "
             f"exceed the {left_s:.3f} s until "
@@ -329,7 +337,7 @@
         await self._release()
 
     async def _dispatch(self) -> None:
-        await self.refuse_waiting()
+        await self._refuse_if_drained()
         now_s = self._clock.monotonic()
         while self._queue and self._may_start(now_s):
             ticket = self._queue.pop()
