--- a/libs/base/auburnjunction/base/settings.py
+++ b/libs/base/auburnjunction/base/settings.py
@@ -86,6 +86,12 @@
     return configure_settings(parse_values(content), settings_class)
 
 
+def parse_known_fields(content: bytes, settings_class: type[T]) -> T:
+    """Parse JSON text of another program, ignoring fields unknown here."""
+    values = drop_unknown_fields(parse_values(content), settings_class)
+    return configure_settings(values, settings_class)
+
+
 def configure_settings(values: dict, settings_class: type[T]) -> T:
     """Validate plain values and build the settings class from them."""
     converter = _make_converter()
--- a/libs/traffic/auburnjunction/traffic/answer_limits.py
+++ b/libs/traffic/auburnjunction/traffic/answer_limits.py
@@ -15,9 +15,7 @@
 from auburnjunction.base.settings import (
     SettingsError,
     check_range,
-    configure_settings,
-    drop_unknown_fields,
-    parse_values,
+    parse_known_fields,
 )
 from auburnjunction.http.clients import Address, PoolRegistry
 from auburnjunction.http.errors import HttpError
@@ -116,10 +114,7 @@
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Handle POST /answer-limit; respond with the unknown ids as JSON."""
         try:
-            values = drop_unknown_fields(
-                parse_values(request.body), AnswerLimit
-            )
-            limit = configure_settings(values, AnswerLimit)
+            limit = parse_known_fields(request.body, AnswerLimit)
         except SettingsError as exc:
             return HttpResponse(400, [], f"{exc.message}\n".encode())
         limit_s = self._clock.monotonic() + limit.within_ms / 1000
