Log responses to an answer limit that are no receipt

A response of status 200 without the list of unknown ids raised a KeyError or a TypeError in the task that had sent the limit; the task ended there, and no line of ours said why.

The receipt is read into a class like the limit itself, and whatever is none is an AnswerLimitError, logged with its reason. The limit is sent again as before.

test_limit_is_sent_until_the_owner_node_knows_the_calls, which also looks at the log now, failed before: one line of three.

--- a/libs/traffic/auburnjunction/traffic/answer_limits.py
+++ b/libs/traffic/auburnjunction/traffic/answer_limits.py
@@ -11,6 +11,7 @@
 from absl import logging
 
 from auburnjunction.base.clocks import Clock
+from auburnjunction.base.errors import AuburnError, ErrorCode
 from auburnjunction.base.logs import log_event
 from auburnjunction.base.settings import (
     SettingsError,
@@ -43,8 +44,22 @@
     request_ids: list[str]
 
 
+@attrs.frozen
+class AnswerLimitReceipt:
+    """Body of the response."""
+
+    # Those of the request ids that the owner node does not know.
+    unknown_ids: list[str]
+
+
+class AnswerLimitError(AuburnError):
+    """An owner node's response is not a receipt."""
+
+    code = ErrorCode.PROTOCOL
+
+
 class AnswerLimitSender:
-    """Tells owner nodes by when this node needs the answers to its calls."""
+    """Sends the answer limit of this node's calls to their owner nodes."""
 
     def __init__(
         self,
@@ -80,28 +95,27 @@
         pool = self._pools.get(address)
         try:
             response = await pool.exchange(request, SEND_TIMEOUT_S)
-            unknown = set(_read_unknown(response))
-        except (HttpError, ValueError) as exc:
+            unknown = set(_read_receipt(response).unknown_ids)
+        except (HttpError, AnswerLimitError) as exc:
             log_event(
                 "answer limit not sent",
                 logging.WARNING,
                 address=str(address),
                 calls=len(calls),
-                reason=str(exc),
+                reason=exc.message,
             )
             return
         for forwarded in calls:
             forwarded.is_limited = forwarded.call.request_id not in unknown
 
 
-def _read_unknown(response: HttpResponse) -> list[str]:
-    """Return the request ids that the owner node does not know.
-
-    Raise ValueError if the response is not one to an answer limit.
-    """
+def _read_receipt(response: HttpResponse) -> AnswerLimitReceipt:
     if response.status != 200:
-        raise ValueError(f"response status {response.status}")
-    return list(orjson.loads(response.body)["unknown_ids"])
+        raise AnswerLimitError(f"response status {response.status}, not 200")
+    try:
+        return parse_known_fields(response.body, AnswerLimitReceipt)
+    except SettingsError as exc:
+        raise AnswerLimitError(exc.message) from exc
 
 
 class AnswerLimitHandler:
@@ -120,5 +134,5 @@
         limit_s = self._clock.monotonic() + limit.within_ms / 1000
         unknown = await self._owners.limit_answers(limit.request_ids, limit_s)
         headers = [(b"content-type", b"application/json")]
-        body = orjson.dumps({"unknown_ids": unknown})
-        return HttpResponse(200, headers, body)
+        receipt = AnswerLimitReceipt(unknown)
+        return HttpResponse(200, headers, orjson.dumps(attrs.asdict(receipt)))
--- a/libs/traffic/auburnjunction/traffic/tests/test_answer_limits.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_answer_limits.py
@@ -13,6 +13,7 @@
 from auburnjunction.http.errors import BadMessageError
 from auburnjunction.http.messages import HttpRequest, HttpResponse
 from auburnjunction.http.servers import open_server
+from auburnjunction.traffic import answer_limits
 from auburnjunction.traffic.admissions import AdmissionSettings
 from auburnjunction.traffic.answer_limits import (
     AnswerLimitHandler,
@@ -258,13 +259,19 @@
     curio.run(main)
 
 
-# Guards against calls that were on their way to their owner node when it was
-# told the limit, and against a message that is lost.
-def test_limit_is_sent_until_the_owner_node_knows_the_calls():
+# Guards against calls that were on their way to their owner node when it
+# received the limit, against a message that is lost, and against a response
+# that is ignored without a line in the log.
+def test_limit_is_sent_until_the_owner_node_knows_the_calls(monkeypatch):
     received = []
+    logged = []
+    monkeypatch.setattr(
+        answer_limits, "log_event", lambda *_, **fields: logged.append(fields)
+    )
     responses = [
         HttpResponse(503),
         HttpResponse(200, [], b"{}"),
+        HttpResponse(200, [], b"[]"),
         HttpResponse(200, [], b'{"unknown_ids": ["late"]}'),
         HttpResponse(200, [], b'{"unknown_ids": []}'),
     ]
@@ -296,8 +303,13 @@
             await pools.close()
         ids = [message["request_ids"] for message in received]
         both = ["early", "late"]
-        assert ids == [both, both, both, ["late"]]
+        assert ids == [both, both, both, both, ["late"]]
         longest_ms = (5.0 - ANSWER_MARGIN_S) * 1000
         assert all(0 < m["within_ms"] <= longest_ms for m in received)
+        assert len(logged) == 3
+        assert [fields["calls"] for fields in logged] == [2, 2, 2]
+        assert "503" in logged[0]["reason"]
+        assert "unknown_ids" in logged[1]["reason"]
+        assert "not an object" in logged[2]["reason"]
 
     curio.run(main)
