Forwarded calls: derive what is limited, and track without a coroutine

Each forwarded call had a flag that repeated whether its answer limit is set, and was tracked by an asynchronous context manager that awaits nothing, on the path of every forwarded call. The limit itself now says whether the owner node knows it, the tracking is a plain context manager, and the exchange has a method of its own instead of a deeper block. Behaviour is the same.

--- a/libs/traffic/auburnjunction/traffic/answer_limits.py
+++ b/libs/traffic/auburnjunction/traffic/answer_limits.py
@@ -21,10 +21,8 @@
 from auburnjunction.http.clients import Address, PoolRegistry
 from auburnjunction.http.errors import HttpError
 from auburnjunction.http.messages import HttpRequest, HttpResponse
-from auburnjunction.traffic.forwarded_calls import (
-    ForwardedCall,
-    ForwardedCalls,
-)
+from auburnjunction.traffic.calls import Call
+from auburnjunction.traffic.forwarded_calls import ForwardedCalls
 from auburnjunction.traffic.lifetimes import NodeLifetime
 from auburnjunction.traffic.owners import OwnerRegistry
 
@@ -79,12 +77,11 @@
             for address, calls in self._forwarded.list_unlimited().items():
                 await group.spawn(self._send_limit, address, calls)
 
-    async def _send_limit(
-        self, address: Address, calls: list[ForwardedCall]
-    ) -> None:
-        left_s = self._lifetime.end_s - self._clock.monotonic()
+    async def _send_limit(self, address: Address, calls: list[Call]) -> None:
+        end_s = self._lifetime.end_s
+        left_s = end_s - self._clock.monotonic()
         limit = AnswerLimit(
-            max(0, int(left_s * 1000)), [c.call.request_id for c in calls]
+            max(0, int(left_s * 1000)), [call.request_id for call in calls]
         )
         request = HttpRequest(
             b"POST",
@@ -105,8 +102,9 @@
                 reason=exc.message,
             )
             return
-        for forwarded in calls:
-            forwarded.is_limited = forwarded.call.request_id not in unknown
+        for call in calls:
+            if call.request_id not in unknown:
+                call.answer_limit_s = end_s
 
 
 def _read_receipt(response: HttpResponse) -> AnswerLimitReceipt:
--- a/libs/traffic/auburnjunction/traffic/call_forwarders.py
+++ b/libs/traffic/auburnjunction/traffic/call_forwarders.py
@@ -14,6 +14,7 @@
 from auburnjunction.http.clients import (
     Address,
     ClientConnection,
+    ConnectionPool,
     PoolRegistry,
 )
 from auburnjunction.http.errors import (
@@ -132,33 +133,39 @@
             raise NotRunError("the deadline has passed", ErrorCode.TIMEOUT)
         address = Address(instance.host, instance.peer_port)
         pool = self._pools.get(address)
-        max_idle_s = None if call.repeatable else self._non_repeatable_idle_s
         try:
-            async with (
-                self._forwarded.track(call, address),
-                pool.lease(max_idle_s, timeout_s) as conn,
-            ):
-                now_s = self._clock.monotonic()
-                remaining_s = call.deadline_s - now_s
-                if remaining_s <= 0:
-                    raise NotRunError(
-                        "the deadline passed before there was a connection",
-                        ErrorCode.TIMEOUT,
-                    )
-                request = self._make_request(call, instance.instance, now_s)
-                response = await _exchange(conn, request, remaining_s)
-                response.headers = unpack_headers(response.headers)
-                if not _is_answer_to(response, call):
-                    conn.mark_not_reusable()
-                    raise UnknownRunError(
-                        "the answer belongs to another request"
-                    )
+            with self._forwarded.track(call, address):
+                response = await self._send(pool, call, instance, timeout_s)
         except ConnectTimeoutError as exc:
             raise NodeConnectTimeoutError(exc.message) from exc
         except NotSentError as exc:
             raise NotRunError(exc.message, ErrorCode.UNREACHABLE) from exc
         return _read_answer(response)
 
+    async def _send(
+        self,
+        pool: ConnectionPool,
+        call: Call,
+        instance: Instance,
+        timeout_s: float,
+    ) -> HttpResponse:
+        max_idle_s = None if call.repeatable else self._non_repeatable_idle_s
+        async with pool.lease(max_idle_s, timeout_s) as conn:
+            now_s = self._clock.monotonic()
+            remaining_s = call.deadline_s - now_s
+            if remaining_s <= 0:
+                raise NotRunError(
+                    "the deadline passed before there was a connection",
+                    ErrorCode.TIMEOUT,
+                )
+            request = self._make_request(call, instance.instance, now_s)
+            response = await _exchange(conn, request, remaining_s)
+            response.headers = unpack_headers(response.headers)
+            if not _is_answer_to(response, call):
+                conn.mark_not_reusable()
+                raise UnknownRunError("the answer belongs to another request")
+            return response
+
     def _make_request(
         self, call: Call, instance: str, now_s: float
     ) -> HttpRequest:
--- a/libs/traffic/auburnjunction/traffic/tests/test_answer_limits.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_answer_limits.py
@@ -292,7 +292,7 @@
             limited = attrs.evolve(
                 make_call("limited"), answer_limit_s=now_s + 1
             )
-            async with (
+            with (
                 forwarded.track(make_call("early"), address),
                 forwarded.track(make_call("late"), address),
                 forwarded.track(limited, address),
