--- a/libs/traffic/auburnjunction/traffic/instances.py
+++ b/libs/traffic/auburnjunction/traffic/instances.py
@@ -315,16 +315,12 @@
         duration_s = self._clock.monotonic() - start_s
         self._limit.add_sample(call.route, duration_s, self.running)
 
-    async def refuse_waiting(self) -> None:
-        """Refuse the waiting calls that cannot be served any more."""
-        await self._admission.refuse_waiting()
-
     async def probe(self) -> None:
         """Probe the backend server if it is suspect."""
         await self._backend.probe()
 
     async def sweep(self) -> None:
-        """Refuse overdue waiting calls; close unused connections."""
+        """Refuse calls that wait in vain; close unused connections."""
         await self._admission.refuse_waiting()
         if self.draining and not self.running:
             await self._backend.close_idle()
--- a/libs/traffic/auburnjunction/traffic/owners.py
+++ b/libs/traffic/auburnjunction/traffic/owners.py
@@ -133,15 +133,14 @@
                 unknown.append(request_id)
             else:
                 call.answer_limit_s = min(call.answer_limit_s, limit_s)
-        for owner in [*self._owners.values(), *self._retired]:
-            await owner.refuse_waiting()
+        for owner in self._list_owners():
+            await owner.sweep()
         return unknown
 
     async def drain(self, limit_s: float) -> int:
         """Refuse new calls and wait; return how many are still in flight."""
         self._draining = True
-        owners = [*self._owners.values(), *self._retired]
-        for owner in owners:
+        for owner in self._list_owners():
             owner.start_draining()
         end_s = self._clock.monotonic() + limit_s
         while self.in_flight and self._clock.monotonic() < end_s:
@@ -153,9 +152,10 @@
     @property
     def in_flight(self) -> int:
         """Number of running and waiting calls and pending claim writes."""
-        owners = [*self._owners.values(), *self._retired]
         pending_writes = self._claims.pending_writes if self._claims else 0
-        return pending_writes + sum(o.running + o.waiting for o in owners)
+        return pending_writes + sum(
+            o.running + o.waiting for o in self._list_owners()
+        )
 
     async def probe(self) -> None:
         """Probe suspect backend servers.
@@ -171,7 +171,7 @@
         Also close unused connections and drop retired owners without calls.
         Must be called a few times per second.
         """
-        for owner in [*self._owners.values(), *self._retired]:
+        for owner in self._list_owners():
             await owner.sweep()
         if self._claims is not None:
             await self._claims.retry_unrecorded()
@@ -179,6 +179,10 @@
             owner for owner in self._retired if owner.running + owner.waiting
         ]
 
+    def _list_owners(self) -> list[InstanceOwner]:
+        """Return all owners, also retired ones that still have calls."""
+        return [*self._owners.values(), *self._retired]
+
     def _find_owner(self, announcement: Announcement) -> InstanceOwner:
         address = parse_address(announcement.address)
         name = announcement.instance
--- a/libs/traffic/auburnjunction/traffic/slots.py
+++ b/libs/traffic/auburnjunction/traffic/slots.py
@@ -20,12 +20,9 @@
     make_queue,
 )
 from auburnjunction.traffic.rate_limits import RateLimiter
+from auburnjunction.traffic.shutdown_checks import ShutdownChecker
 from auburnjunction.traffic.waits import WaitEstimator
 
-# Number of mean deviations added to the mean duration of a call when checking
-# that it will end before this node or its entry node shuts down.
-SHUTDOWN_DEVIATIONS = 4.0
-
 
 class AdmissionController:
     """Admits calls to one backend server; each holds a slot while it runs."""
@@ -47,7 +44,9 @@
         self._clock = clock
         self._queue: WaitQueue = make_queue(cfg, queue_limit)
         self._draining_since_s: float | None = None
-        self._lifetime = lifetime or NodeLifetime(clock)
+        self._shutdown = ShutdownChecker(
+            lifetime or NodeLifetime(clock), limit.times
+        )
         self._random = random.Random()
         self._wait_estimator = WaitEstimator()
 
@@ -68,7 +67,7 @@
         """
         if self._is_past_drain_start_limit():
             raise NotRunError(*_DRAINING)
-        self._check_end(call, self._clock.monotonic())
+        self._shutdown.check(call, self._clock.monotonic())
 
     def set_queue_limit(self, queue_limit: int) -> None:
         """Change the queue limit; calls already waiting are kept."""
@@ -107,26 +106,30 @@
         would outlast this node or their entry node.
         """
         await self._refuse_if_drained()
-        limited = [t for t in self._queue if self._find_end(t.call) < math.inf]
+        limited = [
+            t
+            for t in self._queue
+            if self._shutdown.find_end(t.call) < math.inf
+        ]
         now_s = self._clock.monotonic()
         for ticket in limited:
             wait_s = self._find_remaining_wait(ticket, now_s)
-            error = self._find_end_error(ticket.call, now_s, wait_s)
+            error = self._shutdown.find_error(ticket.call, now_s, wait_s)
             # Others may have been granted a slot or refused meanwhile.
             if error and ticket.state is TicketState.WAITING:
                 self._queue.remove(ticket)
-                await self._refuse_with(ticket, error)
+                await self._refuse(ticket, error)
 
     async def _refuse_if_drained(self) -> None:
         """Refuse all waiting calls if the drain start limit has passed."""
         while self._queue and self._is_past_drain_start_limit():
-            await self._refuse(self._queue.pop(), *_DRAINING)
+            await self._refuse(self._queue.pop(), NotRunError(*_DRAINING))
 
     async def _acquire(self, call: Call) -> None:
         now_s = self._clock.monotonic()
         if self.draining:
             raise NotRunError(*_DRAINING)
-        self._check_end(call, now_s)
+        self._shutdown.check(call, now_s)
         duration_s = self._estimate_duration(call, now_s)
         ticket = Ticket(
             call.priority,
@@ -152,56 +155,10 @@
             exc.retry_after_s = self._find_retry_after(0.0)
             raise
         if evicted is not None:
-            await self._refuse(evicted, *_EVICTED)
+            await self._refuse(evicted, NotRunError(*_EVICTED))
         await self._dispatch()
         await self._wait_for_slot(ticket, ticket.latest_start_s - now_s)
 
-    def _find_duration(self, call: Call, now_s: float) -> float:
-        """Return a duration that the call will most likely not exceed.
-
-        A backend server that has just started may have answered no call of
-        the route; the latency objective is an upper bound then.
-        """
-        times = self._limit.times
-        duration_s = times.find_duration(call.route, SHUTDOWN_DEVIATIONS)
-        if duration_s is None:
-            return max(0.0, min(call.target_s, call.deadline_s) - now_s)
-        return duration_s
-
-    def _check_end(
-        self, call: Call, now_s: float, wait_s: float = 0.0
-    ) -> None:
-        """Raise NotRunError if the call would outlast one of its nodes."""
-        error = self._find_end_error(call, now_s, wait_s)
-        if error is not None:
-            raise error
-
-    def _find_end(self, call: Call) -> float:
-        """Return when the first of the call's nodes shuts down."""
-        return min(self._lifetime.end_s, call.answer_limit_s)
-
-    def _find_end_error(
-        self, call: Call, now_s: float, wait_s: float = 0.0
-    ) -> NotRunError | None:
-        """Return an error if the call would outlast one of its nodes.
-
-        These are this node and, by the answer limit, its entry node.
-        """
-        end_s = self._find_end(call)
-        if end_s == math.inf:
-            return None
-        left_s = end_s - now_s
-        duration_s = self._find_duration(call, now_s)
-        if wait_s + duration_s <= left_s:
-            return None
-        is_own = self._lifetime.end_s <= call.answer_limit_s
-        return NotRunError(
-            f"expected wait {wait_s:.3f} s and duration {duration_s:.3f} s "
-            f"exceed the {left_s:.3f} s until "
-            f"{'this node' if is_own else 'the entry node'} shuts down",
-            ErrorCode.DRAINING if is_own else ErrorCode.SHUTDOWN,
-        )
-
     def _estimate_duration(self, call: Call, now_s: float) -> float:
         if not self.running:
             # While the backend server is idle, admit the call, so that its
@@ -228,7 +185,7 @@
         if not self._cfg.late_waits and not call.nested:
             latest_s = self._apply_objective(call, ticket, now_s)
         wait_s = self._estimate_wait(ticket, now_s)
-        self._check_end(call, now_s, wait_s)
+        self._shutdown.check(call, now_s, wait_s)
         excess_s = now_s + wait_s - latest_s
         if excess_s > 0:
             raise NotRunError(
@@ -347,11 +304,11 @@
                     ticket.expected_wait_s, waited_s, now_s
                 )
             if now_s > ticket.latest_start_s:
-                await self._refuse(ticket, *_TOO_LATE)
+                await self._refuse(ticket, NotRunError(*_TOO_LATE))
                 continue
-            error = self._find_end_error(ticket.call, now_s)
+            error = self._shutdown.find_error(ticket.call, now_s)
             if error is not None:
-                await self._refuse_with(ticket, error)
+                await self._refuse(ticket, error)
                 continue
             self._start_call(now_s)
             ticket.state = TicketState.GRANTED
@@ -380,12 +337,7 @@
         self._is_dispatch_scheduled = False
         await self._dispatch()
 
-    async def _refuse(
-        self, ticket: Ticket, message: str, code: ErrorCode
-    ) -> None:
-        await self._refuse_with(ticket, NotRunError(message, code))
-
-    async def _refuse_with(self, ticket: Ticket, error: NotRunError) -> None:
+    async def _refuse(self, ticket: Ticket, error: NotRunError) -> None:
         ticket.state = TicketState.REFUSED
         ticket.error = error
         await ticket.event.set()
--- a/libs/traffic/auburnjunction/traffic/tests/test_answer_limits.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_answer_limits.py
@@ -36,10 +36,8 @@
 )
 from auburnjunction.traffic.meters import OwnerMetrics
 from auburnjunction.traffic.owners import OwnerRegistry
-from auburnjunction.traffic.slots import (
-    SHUTDOWN_DEVIATIONS,
-    AdmissionController,
-)
+from auburnjunction.traffic.shutdown_checks import SHUTDOWN_DEVIATIONS
+from auburnjunction.traffic.slots import AdmissionController
 from auburnjunction.traffic.tests.owner_support import CLOCK, HOST, make_call
 
 CFG = AdmissionSettings(adaptive_limit=False)
