Crash updates: one function reads them, and a usual name

Both sides of gossip decoded clearances and crashes and added them in an order that matters, each on its own; only writing them was shared. read_update and merge_update do so in one place, ages are computed by one function, and the class that carries the records is an update, not news. Behaviour is the same.

--- a/libs/membership/auburnjunction/membership/clearances.py
+++ b/libs/membership/auburnjunction/membership/clearances.py
@@ -97,6 +97,11 @@
         return list(self._clearances.values())[-MAX_SENT_CLEARANCES:]
 
 
+def compute_age_ms(now_s: float, time_s: float) -> int:
+    """Return the time since then in milliseconds, for a message."""
+    return max(0, int((now_s - time_s) * MILLISECONDS_PER_SECOND))
+
+
 def encode_clearances(
     clearances: Iterable[Clearance], clock: Clock
 ) -> list[pb.ClearanceRecord]:
@@ -105,10 +110,7 @@
     return [
         pb.ClearanceRecord(
             fingerprint=clearance.fingerprint,
-            age_ms=max(
-                0,
-                int((now_s - clearance.answered_s) * MILLISECONDS_PER_SECOND),
-            ),
+            age_ms=compute_age_ms(now_s, clearance.answered_s),
         )
         for clearance in clearances
     ]
--- a/libs/membership/auburnjunction/membership/cluster_states.py
+++ b/libs/membership/auburnjunction/membership/cluster_states.py
@@ -12,7 +12,7 @@
 from auburnjunction.base.logs import log_event
 from auburnjunction.http.clients import Address
 from auburnjunction.membership.clearances import Clearance
-from auburnjunction.membership.crash_news import CrashNews
+from auburnjunction.membership.crash_updates import CrashUpdate
 from auburnjunction.membership.crashes import Crash, CrashLog
 from auburnjunction.membership.departures import DepartureLog
 from auburnjunction.membership.gossip_queues import GossipQueue
@@ -56,10 +56,10 @@
         self._forwarded_orders: dict[str, tuple] = {}
         self.departures = DepartureLog()
         self.crashes = CrashLog(clock, self._queue_own_clearances)
-        # News of crashes to push to peers, and those of this node, which are
-        # also pushed to the other data centres.
-        self.urgent_news = CrashNews()
-        self.own_urgent_news = CrashNews()
+        # Crashes and clearances to push to peers, and those of this node,
+        # which are also pushed to the other data centres.
+        self.urgent_update = CrashUpdate()
+        self.own_urgent_update = CrashUpdate()
         self.handover = DepartureHandover()
         self.reachability = ReachabilityTable(clock, cfg.unreachable_after_s)
         self.pause_detector = PauseDetector(clock, self._pause_limit_s)
@@ -174,17 +174,20 @@
         """
         new = self.crashes.add(crashes)
         self.stats.crash_records += len(new)
-        self.urgent_news.crashes += new
+        self.urgent_update.crashes += new
         if own:
-            self.own_urgent_news.crashes += new
+            self.own_urgent_update.crashes += new
 
-    def add_clearances(self, clearances: Iterable[Clearance]) -> None:
-        """Add clearances; queue those that are new here for a push, once."""
-        self.urgent_news.clearances += self.crashes.clear(clearances)
+    def merge_update(self, update: CrashUpdate) -> None:
+        """Add crashes and clearances; queue new ones for a push, once."""
+        # Crashes that a clearance covers need not be added.
+        new = self.crashes.clear(update.clearances)
+        self.urgent_update.clearances += new
+        self.add_crashes(update.crashes)
 
     def _queue_own_clearances(self, clearances: list[Clearance]) -> None:
-        self.urgent_news.clearances += clearances
-        self.own_urgent_news.clearances += clearances
+        self.urgent_update.clearances += clearances
+        self.own_urgent_update.clearances += clearances
 
     def forward_urgent(self, records: Iterable[Node]) -> None:
         """Queue urgent records of other nodes for pushes, each once.
--- a/libs/membership/auburnjunction/membership/crashes.py
+++ b/libs/membership/auburnjunction/membership/crashes.py
@@ -14,6 +14,7 @@
     Clearance,
     ClearanceLog,
     ClearanceObserver,
+    compute_age_ms,
     ignore_clearances,
 )
 from auburnjunction.schema import control_pb2 as pb
@@ -324,9 +325,7 @@
             fingerprint=crash.fingerprint,
             instance=crash.instance,
             born_ms=crash.born_ms,
-            age_ms=max(
-                0, int((now_s - crash.crashed_s) * MILLISECONDS_PER_SECOND)
-            ),
+            age_ms=compute_age_ms(now_s, crash.crashed_s),
             ran_ms=int(crash.ran_s * MILLISECONDS_PER_SECOND),
         )
         for crash in crashes
--- a/libs/membership/auburnjunction/membership/receivers.py
+++ b/libs/membership/auburnjunction/membership/receivers.py
@@ -1,9 +1,10 @@
 """Handling of gossip requests."""
 
-from auburnjunction.membership.clearances import decode_clearances
 from auburnjunction.membership.cluster_states import ClusterState
-from auburnjunction.membership.crash_news import select_news
-from auburnjunction.membership.crashes import decode_crashes
+from auburnjunction.membership.crash_updates import (
+    read_update,
+    select_update,
+)
 from auburnjunction.membership.exchanges import (
     decode_mark,
     decode_records,
@@ -47,9 +48,7 @@
         if request.urgent:
             self._cluster.forward_urgent(records)
         clock = self._cluster.clock
-        clearances = decode_clearances(request.clearances, clock)
-        self._cluster.add_clearances(clearances)
-        self._cluster.add_crashes(decode_crashes(request.crashes, clock))
+        self._cluster.merge_update(read_update(request, clock))
         sender = self._cluster.view.get(request.sender)
         response = pb.GossipResponse(
             sender=self._cluster.own_record.node,
@@ -61,7 +60,7 @@
         self._add_records(request, records, response)
         crashes = self._cluster.crashes
         if request.crash_digest != crashes.digest:
-            select_news(crashes).write_to(response, clock)
+            select_update(crashes).write_to(response, clock)
         response.view_digest = self._cluster.view.digest
         if sender is not None:
             self._handle_sender(sender, request, response)
--- a/libs/membership/auburnjunction/membership/senders.py
+++ b/libs/membership/auburnjunction/membership/senders.py
@@ -3,10 +3,8 @@
 from collections.abc import Awaitable, Callable
 
 from auburnjunction.http.clients import Address, PoolRegistry
-from auburnjunction.membership.clearances import decode_clearances
 from auburnjunction.membership.cluster_states import ClusterState
-from auburnjunction.membership.crash_news import CrashNews
-from auburnjunction.membership.crashes import decode_crashes
+from auburnjunction.membership.crash_updates import CrashUpdate, read_update
 from auburnjunction.membership.errors import PeerUnreachableError
 from auburnjunction.membership.exchanges import (
     decode_mark,
@@ -72,15 +70,15 @@
         records: list[Node],
         *,
         target: Node | None = None,
-        news: CrashNews | None = None,
+        update: CrashUpdate | None = None,
         urgent: bool = False,
         cross: bool = False,
     ) -> pb.GossipResponse:
-        """Send records and news of crashes; merge those of the response."""
+        """Send records and an update of crashes; merge those received."""
         request = self.make_request()
         request.records.extend(encode_record(r) for r in records)
-        if news is not None:
-            news.write_to(request, self._cluster.clock)
+        if update is not None:
+            update.write_to(request, self._cluster.clock)
         request.urgent = urgent
         if not cross:
             messages = self._cluster.reachability.encode_observations()
@@ -138,10 +136,7 @@
         cluster.departures.adopt(decode_departures(response.departures))
         cluster.observe_table_generation(response.table_generation)
         cluster.merge(decode_records(response.records))
-        cluster.add_clearances(
-            decode_clearances(response.clearances, cluster.clock)
-        )
-        cluster.add_crashes(decode_crashes(response.crashes, cluster.clock))
+        cluster.merge_update(read_update(response, cluster.clock))
         if response.sender_unknown:
             cluster.gossip_queue.add(cluster.own_record)
         self.on_peer_mark(decode_mark(response.mark), address)
--- a/libs/membership/auburnjunction/membership/tests/test_clearances.py
+++ b/libs/membership/auburnjunction/membership/tests/test_clearances.py
@@ -14,7 +14,7 @@
     decode_clearances,
     encode_clearances,
 )
-from auburnjunction.membership.crash_news import CrashNews, select_news
+from auburnjunction.membership.crash_updates import CrashUpdate, select_update
 from auburnjunction.membership.crashes import CRASH_LIMIT, Crash, CrashLog
 from auburnjunction.membership.settings import MembershipSettings
 from auburnjunction.membership.tests.support import run_cluster, wait_until
@@ -150,17 +150,17 @@
     logs = [CrashLog(clock) for _ in range(2)]
     logs[0].clear([Clearance(HARMLESS, clock.monotonic())])
     assert logs[0].digest != logs[1].digest == 0
-    logs[1].clear(select_news(logs[0]).clearances)
+    logs[1].clear(select_update(logs[0]).clearances)
     assert logs[0].digest == logs[1].digest
 
 
-def test_news_are_taken_in_parts_that_a_message_carries():
-    news = CrashNews(
+def test_update_is_taken_in_parts_that_a_message_carries():
+    update = CrashUpdate(
         clearances=[Clearance(b"%d" % n, 0.0) for n in range(100)]
     )
-    assert len(news.take().clearances) == MAX_SENT_CLEARANCES
-    assert len(news.take().clearances) == 100 - MAX_SENT_CLEARANCES
-    assert not news
+    assert len(update.take().clearances) == MAX_SENT_CLEARANCES
+    assert len(update.take().clearances) == 100 - MAX_SENT_CLEARANCES
+    assert not update
 
 
 def report(cluster, index, fingerprint):
--- a/libs/membership/auburnjunction/membership/tests/test_crashes.py
+++ b/libs/membership/auburnjunction/membership/tests/test_crashes.py
@@ -226,7 +226,7 @@
     clock.advance(last_s)
     other = CrashLog(clock)
     assert len(other.add(crashes)) == len(runs)
-    # A node that is told of the crashes comes to the same result.
+    # The result is the same at a node that receives the records.
     log.add(decode_crashes(encode_crashes(crashes, clock), clock))
     for known in (log, other):
         assert known.find_hold(POISON) == pytest.approx(hold_s, abs=0.01)
--- a/libs/membership/auburnjunction/membership/urgent_pushers.py
+++ b/libs/membership/auburnjunction/membership/urgent_pushers.py
@@ -4,7 +4,7 @@
 from functools import partial
 
 from auburnjunction.membership.cluster_states import ClusterState
-from auburnjunction.membership.crash_news import CrashNews
+from auburnjunction.membership.crash_updates import CrashUpdate
 from auburnjunction.membership.errors import PeerUnreachableError
 from auburnjunction.membership.records import Node, NodeState
 from auburnjunction.membership.senders import GossipSender
@@ -18,7 +18,7 @@
 
 
 class UrgentPusher:
-    """Pushes urgent records and news of crashes to peers at once.
+    """Pushes urgent records and crash updates to peers at once.
 
     A record is urgent if the ready backend servers of a node change or
     the node is leaving. Each node that receives one forwards it once
@@ -35,19 +35,19 @@
         cluster = self._cluster
         urgent = list(cluster.urgent_records.values())
         cluster.urgent_records.clear()
-        news = cluster.urgent_news.take()
-        own_news = cluster.own_urgent_news.take()
+        update = cluster.urgent_update.take()
+        own_update = cluster.own_urgent_update.take()
         pushes = []
-        if urgent or news:
+        if urgent or update:
             pushes += [
-                partial(self._push, nodes, urgent, news, False)
+                partial(self._push, nodes, urgent, update, False)
                 for nodes in self._draw_peers()
             ]
         own_node = cluster.own_record.node
         own_records = [r for r in urgent if r.node == own_node]
-        if own_records or own_news:
+        if own_records or own_update:
             pushes += [
-                partial(self._push, nodes, own_records, own_news, True)
+                partial(self._push, nodes, own_records, own_update, True)
                 for nodes in self._list_remote_nodes()
             ]
         return pushes
@@ -60,7 +60,7 @@
         await self._push(
             peers or remote,
             [self._cluster.own_record],
-            CrashNews(),
+            CrashUpdate(),
             not peers,
         )
 
@@ -90,10 +90,10 @@
         self,
         targets: list[Node],
         records: list[Node],
-        news: CrashNews,
+        update: CrashUpdate,
         cross: bool,
     ) -> None:
-        """Push records and news of crashes until a target responds.
+        """Push records and a crash update until a target responds.
 
         Gossip rounds do not replace a lost push: a record that most nodes
         have already is soon gossiped no more, and repairs are rare.
@@ -106,7 +106,7 @@
                     target.address,
                     records,
                     target=target,
-                    news=news,
+                    update=update,
                     urgent=True,
                     cross=cross,
                 )
