--- a/libs/membership/auburnjunction/membership/announcements.py
+++ b/libs/membership/auburnjunction/membership/announcements.py
@@ -6,6 +6,7 @@
 from auburnjunction.membership.departures import Departure
 
 MAX_LEASE_S = 300.0
+MAX_COLD_S = 600
 
 
 @attrs.frozen
@@ -38,7 +39,9 @@
     born_ms: int = attrs.field(default=0, validator=check_range(0, 2**63))
     sequence: int = attrs.field(default=0, validator=check_range(0, 2**63))
     # Warm-up time after its start, during which it is slower.
-    cold_s: float = attrs.field(default=0.0, validator=check_range(0, 600))
+    cold_s: float = attrs.field(
+        default=0.0, validator=check_range(0, MAX_COLD_S)
+    )
     lease_s: float = attrs.field(
         default=10.0, validator=check_range(0.5, MAX_LEASE_S)
     )
