Tests of nodes: share the set-up of a fleet; metrics: one loop by service

Committing a configuration, the settings of a node that finds others at once and the announcement of a backend server stood in two or three test files; they are in support.py now. Three loops that copied a counter by service are one. No assertion has changed.

--- a/libs/node/auburnjunction/node/tests/support.py
+++ b/libs/node/auburnjunction/node/tests/support.py
@@ -7,6 +7,7 @@
 import orjson
 
 from auburnjunction.base.clocks import SystemClock
+from auburnjunction.distribution.commits import CommitLog
 from auburnjunction.http.clients import Address, connect
 from auburnjunction.http.messages import HttpRequest, HttpResponse
 from auburnjunction.http.servers import open_server
@@ -18,7 +19,7 @@
 from auburnjunction.model.snapshots import Snapshot
 from auburnjunction.node.components import PlatformAdapters
 from auburnjunction.node.nodes import open_node
-from auburnjunction.node.settings import configure_node_settings
+from auburnjunction.node.settings import NodeSettings, configure_node_settings
 from auburnjunction.storage.fakes import MemoryObjectStore, MemoryTable
 from auburnjunction.traffic.calls import Call
 from auburnjunction.traffic.headers import CALL_HEADER, format_call
@@ -69,6 +70,43 @@
         await conn.close()
 
 
+async def commit(
+    platform: PlatformAdapters, snapshot: Snapshot = SNAPSHOT
+) -> None:
+    """Commit the first configuration."""
+    log = CommitLog(platform.table, platform.objects, SystemClock())
+    await log.apply("op-1", 0, snapshot, "tester", "", 5.0)
+
+
+def configure_fleet_node(
+    ports: dict[str, int], seed_port: int, **values
+) -> NodeSettings:
+    """Return settings of a node that finds others at once."""
+    membership = {
+        "seeds": [f"{HOST}:{seed_port}"],
+        "table_spread_s": 0.1,
+        "first_write_spread_s": 0.1,
+    }
+    return configure_node_settings(
+        {**SETTINGS, **ports, "membership": membership, **values}
+    )
+
+
+async def announce_slots(
+    admin_port: int, instance: str, port: int, slots: int, **values
+) -> HttpResponse:
+    """Announce a backend server with a long lease."""
+    content = {
+        "instance": instance,
+        "service": "box",
+        "address": f"{HOST}:{port}",
+        "lease_s": 60.0,
+        "slots": slots,
+        **values,
+    }
+    return await send(admin_port, "POST", "/announce", orjson.dumps(content))
+
+
 async def send_raw(port: int, content: bytes) -> None:
     """Send bytes on a new connection and close it."""
     sock = await curio.open_connection(HOST, port)
--- a/libs/node/auburnjunction/node/tests/test_crashing_requests.py
+++ b/libs/node/auburnjunction/node/tests/test_crashing_requests.py
@@ -6,11 +6,9 @@
 
 import attrs
 import curio
-import orjson
 import pytest
 
 from auburnjunction.base.clocks import SystemClock
-from auburnjunction.distribution.commits import CommitLog
 from auburnjunction.http.errors import HttpError
 from auburnjunction.http.messages import HttpResponse
 from auburnjunction.http.servers import open_server
@@ -19,11 +17,12 @@
 from auburnjunction.model.snapshots import Snapshot
 from auburnjunction.node.components import PlatformAdapters
 from auburnjunction.node.nodes import open_node
-from auburnjunction.node.settings import configure_node_settings
 from auburnjunction.node.tests.support import (
     HOST,
-    SETTINGS,
+    announce_slots,
     choose_ports,
+    commit,
+    configure_fleet_node,
     send,
 )
 from auburnjunction.storage.fakes import MemoryObjectStore, MemoryTable
@@ -78,15 +77,10 @@
             await curio.sleep(RESTART_S)
 
     async def announce(self):
-        values = {
-            "instance": self.name,
-            "service": "box",
-            "address": f"{HOST}:{self.port}",
-            "lease_s": 60.0,
-            "slots": 8,
-            "born_ms": int(CLOCK.now().timestamp() * 1000),
-        }
-        await send(self.admin_port, "POST", "/announce", orjson.dumps(values))
+        born_ms = int(CLOCK.now().timestamp() * 1000)
+        await announce_slots(
+            self.admin_port, self.name, self.port, 8, born_ms=born_ms
+        )
 
     async def end(self):
         """Refuse connections from now on and close those that are open."""
@@ -145,8 +139,7 @@
 async def open_fleet(data_centres):
     """Yield a fleet of nodes that serve a configuration."""
     platform = PlatformAdapters(MemoryTable(), MemoryObjectStore())
-    log = CommitLog(platform.table, platform.objects, CLOCK)
-    await log.apply("op-1", 0, SNAPSHOT, "tester", "", 5.0)
+    await commit(platform, SNAPSHOT)
     fleet = Fleet([])
     async with AsyncExitStack() as stack:
         for index, data_centre in enumerate(data_centres):
@@ -170,16 +163,9 @@
 
 @asynccontextmanager
 async def open_fleet_node(index, data_centre, ports, platform):
-    values = {
-        "node": f"n{index}",
-        "data_centre": data_centre,
-        "membership": {
-            "seeds": [f"{HOST}:{FIRST_PORT + 1}"],
-            "table_spread_s": 0.1,
-            "first_write_spread_s": 0.1,
-        },
-    }
-    cfg = configure_node_settings({**SETTINGS, **ports, **values})
+    cfg = configure_fleet_node(
+        ports, FIRST_PORT + 1, node=f"n{index}", data_centre=data_centre
+    )
     async with open_node(cfg, CLOCK, platform, Random(index)) as node:
         yield node
 
--- a/libs/node/auburnjunction/node/tests/test_nodes.py
+++ b/libs/node/auburnjunction/node/tests/test_nodes.py
@@ -5,7 +5,6 @@
 import pytest
 
 from auburnjunction.base.clocks import SystemClock
-from auburnjunction.distribution.commits import CommitLog
 from auburnjunction.http.errors import AddressInUseError
 from auburnjunction.http.messages import HttpResponse
 from auburnjunction.http.servers import bind_socket
@@ -18,9 +17,9 @@
 from auburnjunction.node.tests.support import (
     HOST,
     SETTINGS,
-    SNAPSHOT,
     announce,
     choose_ports,
+    commit,
     forward,
     open_backend,
     open_test_node,
@@ -43,11 +42,6 @@
     return await send(cfg.admin_port, "GET", "/ready")
 
 
-async def commit(platform):
-    log = CommitLog(platform.table, platform.objects, SystemClock())
-    await log.apply("op-1", 0, SNAPSHOT, "tester", "", 5.0)
-
-
 async def is_ready(cfg):
     return (await read_ready(cfg)).status == 200
 
--- a/libs/node/auburnjunction/node/tests/test_shutdowns.py
+++ b/libs/node/auburnjunction/node/tests/test_shutdowns.py
@@ -5,11 +5,9 @@
 
 import attrs
 import curio
-import orjson
 import pytest
 
 from auburnjunction.base.clocks import SystemClock
-from auburnjunction.distribution.commits import CommitLog
 from auburnjunction.http.errors import HttpError
 from auburnjunction.http.messages import HttpResponse
 from auburnjunction.http.servers import open_server
@@ -18,11 +16,12 @@
 from auburnjunction.model.snapshots import Snapshot
 from auburnjunction.node.components import PlatformAdapters
 from auburnjunction.node.nodes import open_node
-from auburnjunction.node.settings import configure_node_settings
 from auburnjunction.node.tests.support import (
     HOST,
-    SETTINGS,
+    announce_slots,
     choose_ports,
+    commit,
+    configure_fleet_node,
     send,
 )
 from auburnjunction.storage.fakes import MemoryObjectStore, MemoryTable
@@ -111,17 +110,13 @@
     stop: curio.Event = attrs.field(factory=curio.Event)
 
     async def run(self):
-        values = {
-            "node": self.name,
-            "membership": {
-                "seeds": [f"{HOST}:{FIRST_PORT + 1}"],
-                "table_spread_s": 0.1,
-                "first_write_spread_s": 0.1,
-            },
-            "leaving_notice_s": NOTICE_S,
-            "drain_limit_s": DRAIN_LIMIT_S,
-        }
-        cfg = configure_node_settings({**SETTINGS, **self.ports, **values})
+        cfg = configure_fleet_node(
+            self.ports,
+            FIRST_PORT + 1,
+            node=self.name,
+            leaving_notice_s=NOTICE_S,
+            drain_limit_s=DRAIN_LIMIT_S,
+        )
         async with open_node(cfg, CLOCK, self.platform, Random(1)) as node:
             self.node = node
             await self.opened.set()
@@ -147,8 +142,7 @@
 @asynccontextmanager
 async def open_mesh():
     platform = PlatformAdapters(MemoryTable(), MemoryObjectStore())
-    log = CommitLog(platform.table, platform.objects, CLOCK)
-    await log.apply("op-1", 0, SNAPSHOT, "tester", "", 5.0)
+    await commit(platform, SNAPSHOT)
     backend = SlowBackend()
     entry_ports = choose_ports(FIRST_PORT)
     owner_ports = choose_ports(FIRST_PORT + 10)
@@ -157,13 +151,6 @@
         open_stoppable_node("entry", entry_ports, platform) as entry,
         open_stoppable_node("owner", owner_ports, platform) as owner,
     ):
-        values = {
-            "instance": "box-1",
-            "service": "box",
-            "address": f"{HOST}:{server.port}",
-            "lease_s": 60.0,
-            "slots": 1,
-        }
         mesh = Mesh(
             entry,
             owner,
@@ -171,11 +158,8 @@
             owner_ports["caller_port"],
             backend,
         )
-        await send(
-            owner_ports["admin_port"],
-            "POST",
-            "/announce",
-            orjson.dumps(values),
+        await announce_slots(
+            owner_ports["admin_port"], "box-1", server.port, 1
         )
         async with curio.timeout_after(20):
             for port in (mesh.owner_port, mesh.entry_port):
--- a/libs/traffic/auburnjunction/traffic/meters.py
+++ b/libs/traffic/auburnjunction/traffic/meters.py
@@ -93,12 +93,13 @@
             self._calls.set(labels, count)
         for outcome, count in self.claims.items():
             self._claims.set({"outcome": outcome}, count)
-        for service, count in self.late_starts.items():
-            self._late_starts.set({"service": service}, count)
-        for service, count in self.abandoned.items():
-            self._abandoned.set({"service": service}, count)
-        for service, count in self.abandoned_runs.items():
-            self._abandoned_runs.set({"service": service}, count)
+        for counts, counter in (
+            (self.late_starts, self._late_starts),
+            (self.abandoned, self._abandoned),
+            (self.abandoned_runs, self._abandoned_runs),
+        ):
+            for service, count in counts.items():
+                counter.set({"service": service}, count)
         for owner in self._owners:
             labels = {
                 "service": owner.service.name,
