Model organisations, versions of instances and three libraries for new parts

Change: Organisation with digests of its keys, Route.allow_anonymous, Instance.version, Call.organisation, their codecs, deltas, validation and translation; empty libraries organisations, rollouts and placements under the import contract. Versions are announced only where roll-outs are in force, and protobuf leaves out empty fields, so that other deployments send and store the same bytes.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 PYTHON ?= python3.11
 BIN := .venv/bin
-LIBS := base schema model http storage membership distribution traffic \
+LIBS := base schema model http storage membership distribution organisations rollouts \
+	placements traffic \
 	operators node commands standins
 DEPLOYMENT ?= tuttipullo
 SCHEMA := libs/schema/auburnjunction/schema
--- a/libs/membership/auburnjunction/membership/announcements.py
+++ b/libs/membership/auburnjunction/membership/announcements.py
@@ -42,6 +42,8 @@
     cold_s: float = attrs.field(
         default=0.0, validator=check_range(0, MAX_COLD_S)
     )
+    # Version of its software; empty if the deployment has no use for it.
+    version: str = ""
     lease_s: float = attrs.field(
         default=10.0, validator=check_range(0.5, MAX_LEASE_S)
     )
--- a/libs/membership/auburnjunction/membership/instances.py
+++ b/libs/membership/auburnjunction/membership/instances.py
@@ -101,12 +101,21 @@
             peer_port=own.address.port,
             resources=announcement.resources,
             born_ms=announcement.born_ms,
+            version=announcement.version,
         )
 
 
 def _without_load(instances: tuple[Instance, ...]) -> list[tuple]:
     return [
-        (i.instance, i.service, i.state, i.slots, i.resources, i.born_ms)
+        (
+            i.instance,
+            i.service,
+            i.state,
+            i.slots,
+            i.resources,
+            i.born_ms,
+            i.version,
+        )
         for i in instances
     ]
 
--- a/libs/membership/auburnjunction/membership/records.py
+++ b/libs/membership/auburnjunction/membership/records.py
@@ -110,6 +110,7 @@
         load_percent=instance.load_percent,
         resources=instance.resources,
         born_ms=instance.born_ms,
+        version=instance.version,
     )
 
 
@@ -187,4 +188,5 @@
         peer_port=owner.peer_port,
         resources=tuple(message.resources),
         born_ms=message.born_ms,
+        version=message.version,
     )
--- a/libs/model/auburnjunction/model/codecs.py
+++ b/libs/model/auburnjunction/model/codecs.py
@@ -9,6 +9,7 @@
 
 from auburnjunction.base.errors import AuburnError, ErrorCode
 from auburnjunction.base.settings import SettingsError, configure_settings
+from auburnjunction.model.organisations import Organisation
 from auburnjunction.model.priorities import ClaimMode, Priority
 from auburnjunction.model.routes import Route, SplitPart
 from auburnjunction.model.services import DEFAULT_HEALTH_PATH, Service
@@ -68,6 +69,7 @@
         ],
         max_attempts=route.max_attempts,
         target_latency_ms=route.target_latency_ms,
+        allow_anonymous=route.allow_anonymous,
     )
 
 
@@ -98,6 +100,38 @@
         ),
         max_attempts=message.max_attempts,
         target_latency_ms=message.target_latency_ms,
+        allow_anonymous=message.allow_anonymous,
+    )
+
+
+def encode_organisation(organisation: Organisation) -> pb.Organisation:
+    """Return the protobuf message for an organisation."""
+    return pb.Organisation(
+        name=organisation.name,
+        key_digests=organisation.key_digests,
+        priority=organisation.priority or pb.PRIORITY_UNSPECIFIED,
+        rate_per_s=organisation.rate_per_s,
+        burst=organisation.burst,
+    )
+
+
+def decode_organisation(message: pb.Organisation) -> Organisation:
+    """Return the organisation that a protobuf message describes.
+
+    Raise CodecError when its priority has an unknown value.
+    """
+    priority = None
+    if message.priority != pb.PRIORITY_UNSPECIFIED:
+        try:
+            priority = Priority(message.priority)
+        except ValueError as exc:
+            raise CodecError(f"organisation {message.name}: {exc}") from exc
+    return Organisation(
+        name=message.name,
+        key_digests=tuple(message.key_digests),
+        priority=priority,
+        rate_per_s=message.rate_per_s,
+        burst=message.burst,
     )
 
 
@@ -125,6 +159,7 @@
         services=[encode_service(s) for s in ordered.services],
         routes=[encode_route(r) for r in ordered.routes],
         limits=encode_limits(ordered.limits),
+        organisations=[encode_organisation(o) for o in ordered.organisations],
     )
 
 
@@ -135,6 +170,9 @@
             services=tuple(decode_service(s) for s in message.services),
             routes=tuple(decode_route(r) for r in message.routes),
             limits=decode_limits(message.limits),
+            organisations=tuple(
+                decode_organisation(o) for o in message.organisations
+            ),
         )
     )
 
@@ -171,6 +209,10 @@
         "routes": [_unstructure_route(r) for r in ordered.routes],
         "limits": attrs.asdict(ordered.limits),
     }
+    if ordered.organisations:
+        values["organisations"] = [
+            _unstructure_organisation(o) for o in ordered.organisations
+        ]
     return orjson.dumps(values, option=orjson.OPT_INDENT_2)
 
 
@@ -197,30 +239,39 @@
     values = attrs.asdict(route)
     values["priority"] = route.priority.name.lower()
     values["claims"] = route.claims.name.lower().replace("_", "-")
+    if not route.allow_anonymous:
+        del values["allow_anonymous"]
+    return values
+
+
+def _unstructure_organisation(organisation: Organisation) -> dict[str, Any]:
+    values = attrs.asdict(organisation)
+    if organisation.priority is not None:
+        values["priority"] = organisation.priority.name.lower()
     return values
 
 
 def _replace_enum_names(values: Any) -> None:
     if not isinstance(values, dict):
         return
-    for index, route in enumerate(values.get("routes") or []):
-        if isinstance(route, dict):
-            _replace_enum_name(route, "priority", Priority, index)
-            _replace_enum_name(route, "claims", ClaimMode, index)
+    for kind in ("routes", "organisations"):
+        for index, item in enumerate(values.get(kind) or []):
+            if isinstance(item, dict):
+                path = f"{kind}.{index}"
+                _replace_enum_name(item, "priority", Priority, path)
+                _replace_enum_name(item, "claims", ClaimMode, path)
 
 
-def _replace_enum_name(
-    route: dict, field: str, enum: type, index: int
-) -> None:
-    name = route.get(field)
+def _replace_enum_name(item: dict, field: str, enum: type, path: str) -> None:
+    name = item.get(field)
     if name is None:
         return
     try:
-        route[field] = enum[str(name).upper().replace("-", "_")]
+        item[field] = enum[str(name).upper().replace("-", "_")]
     except KeyError as exc:
         names = ", ".join(e.name.lower().replace("_", "-") for e in enum)
         raise SettingsError(
-            f"routes.{index}.{field}",
+            f"{path}.{field}",
             f"{name!r} is not known",
             f"write one of {names}",
         ) from exc
--- a/libs/model/auburnjunction/model/deltas.py
+++ b/libs/model/auburnjunction/model/deltas.py
@@ -7,10 +7,12 @@
 from auburnjunction.model.codecs import (
     CodecError,
     decode_limits,
+    decode_organisation,
     decode_route,
     decode_service,
     digest_snapshot,
     encode_limits,
+    encode_organisation,
     encode_route,
     encode_service,
 )
@@ -43,6 +45,9 @@
     before, after = base.snapshot, result.snapshot
     set_services, removed_services = _diff(before.services, after.services)
     set_routes, removed_routes = _diff(before.routes, after.routes)
+    set_organisations, removed_organisations = _diff(
+        before.organisations, after.organisations
+    )
     return pb.Delta(
         base_revision=base.mark.revision,
         base_digest=base.mark.digest,
@@ -53,6 +58,8 @@
         set_routes=[encode_route(route) for route in set_routes],
         removed_routes=removed_routes,
         limits=encode_limits(after.limits),
+        set_organisations=[encode_organisation(o) for o in set_organisations],
+        removed_organisations=removed_organisations,
     )
 
 
@@ -89,10 +96,16 @@
         routes = _apply_changes(
             base.routes, delta.set_routes, delta.removed_routes, decode_route
         )
+        organisations = _apply_changes(
+            base.organisations,
+            delta.set_organisations,
+            delta.removed_organisations,
+            decode_organisation,
+        )
     except CodecError as exc:
         raise DeltaError(exc.message) from exc
     limits = decode_limits(delta.limits)
-    return sort_snapshot(Snapshot(services, routes, limits))
+    return sort_snapshot(Snapshot(services, routes, limits, organisations))
 
 
 def _diff(
--- a/libs/model/auburnjunction/model/routes.py
+++ b/libs/model/auburnjunction/model/routes.py
@@ -38,6 +38,8 @@
     split: tuple[SplitPart, ...] = ()
     max_attempts: int = 0
     target_latency_ms: int = 0
+    # Whether a request needs no API key in a configuration with organisations.
+    allow_anonymous: bool = False
 
     @property
     def services(self) -> tuple[str, ...]:
--- a/libs/model/auburnjunction/model/services.py
+++ b/libs/model/auburnjunction/model/services.py
@@ -44,3 +44,5 @@
     resources: tuple[str, ...] = ()
     # Start of this incarnation in milliseconds since the epoch; 0 if unknown.
     born_ms: int = 0
+    # Version of its software; empty if unknown.
+    version: str = ""
--- a/libs/model/auburnjunction/model/snapshots.py
+++ b/libs/model/auburnjunction/model/snapshots.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from auburnjunction.model.organisations import Organisation, digest_key
 from auburnjunction.model.routes import Route
 from auburnjunction.model.services import Service
 
@@ -34,17 +35,35 @@
 
 @attrs.frozen(slots=False)
 class Snapshot:
-    """All services and routes of one configuration, sorted by name."""
+    """All items of one configuration, each kind sorted by name."""
 
     services: tuple[Service, ...] = ()
     routes: tuple[Route, ...] = ()
     limits: CallerLimits = CallerLimits()
+    organisations: tuple[Organisation, ...] = ()
 
     @cached_property
     def services_by_name(self) -> dict[str, Service]:
         """Services by their name."""
         return {service.name: service for service in self.services}
 
+    @cached_property
+    def organisations_by_name(self) -> dict[str, Organisation]:
+        """Organisations by their name."""
+        return {item.name: item for item in self.organisations}
+
+    @cached_property
+    def _organisations_by_digest(self) -> dict[str, Organisation]:
+        return {
+            digest: organisation
+            for organisation in self.organisations
+            for digest in organisation.key_digests
+        }
+
+    def find_organisation(self, key: bytes) -> Organisation | None:
+        """Return the organisation that holds an API key, if any."""
+        return self._organisations_by_digest.get(digest_key(key))
+
     @cached_property
     def _routes_by_host(self) -> dict[str, "PrefixIndex"]:
         by_host: dict[str, list[Route]] = {}
@@ -105,4 +124,7 @@
         services=tuple(sorted(snapshot.services, key=lambda s: s.name)),
         routes=tuple(sorted(snapshot.routes, key=lambda r: r.name)),
         limits=snapshot.limits,
+        organisations=tuple(
+            sorted(snapshot.organisations, key=lambda o: o.name)
+        ),
     )
--- a/libs/model/auburnjunction/model/validators.py
+++ b/libs/model/auburnjunction/model/validators.py
@@ -1,11 +1,16 @@
 """Validation of the names, ranges and references in a snapshot."""
 
+import math
 from collections import Counter
 from collections.abc import Iterator
 
 import attrs
 
 from auburnjunction.base.errors import AuburnError, ErrorCode
+from auburnjunction.model.organisations import (
+    FINGERPRINT_DIGITS,
+    Organisation,
+)
 from auburnjunction.model.priorities import ClaimMode
 from auburnjunction.model.routes import Route
 from auburnjunction.model.services import Service
@@ -47,6 +52,7 @@
     for route in snapshot.routes:
         problems += _check_route(route, services)
     problems += _check_overlaps(snapshot.routes)
+    problems += _check_organisations(snapshot.organisations)
     return problems
 
 
@@ -61,6 +67,7 @@
     for kind, items in (
         ("services", snapshot.services),
         ("routes", snapshot.routes),
+        ("organisations", snapshot.organisations),
     ):
         for name, count in Counter(item.name for item in items).items():
             if not name or len(name) > MAX_NAME_LENGTH:
@@ -155,6 +162,29 @@
         )
 
 
+def _check_organisations(
+    organisations: tuple[Organisation, ...],
+) -> Iterator[Problem]:
+    holders: dict[str, str] = {}
+    for organisation in organisations:
+        item_path = f"organisations.{organisation.name}"
+        for field in ("rate_per_s", "burst"):
+            value = getattr(organisation, field)
+            if not 0 <= value < math.inf:
+                yield Problem(
+                    f"{item_path}.{field}", f"is {value}", "use 0 or more"
+                )
+        for digest in organisation.key_digests:
+            other = holders.setdefault(digest, organisation.name)
+            if other != organisation.name:
+                yield Problem(
+                    f"{item_path}.key_digests",
+                    f"the key {digest[:FINGERPRINT_DIGITS]} is also held by "
+                    f"{other}",
+                    "give each organisation keys of its own",
+                )
+
+
 def _check_overlaps(routes: tuple[Route, ...]) -> Iterator[Problem]:
     seen: dict[tuple[str, str, str], str] = {}
     for route in routes:
--- /dev/null
+++ b/libs/organisations/auburnjunction/organisations/__init__.py
@@ -0,0 +1,1 @@
+"""Authentication and quotas of organisations."""
--- /dev/null
+++ b/libs/placements/auburnjunction/placements/__init__.py
@@ -0,0 +1,1 @@
+"""Expected completion and choice of data centres."""
--- /dev/null
+++ b/libs/rollouts/auburnjunction/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Versions of services and roll-outs."""
--- a/libs/traffic/auburnjunction/traffic/calls.py
+++ b/libs/traffic/auburnjunction/traffic/calls.py
@@ -65,7 +65,8 @@
     request that was. The rate limit is the one that the backend server has
     named, in calls per second, as far as the entry node knows. The answer
     limit, by the same clock, is when the entry node shuts down; a call that
-    would end later is not started.
+    would end later is not started. The organisation is that of the API key,
+    for a nested call that of the request it is made for; empty without one.
     """
 
     request_id: str
@@ -84,6 +85,7 @@
     repeated: bool = False
     rate_limit_per_s: float | None = None
     answer_limit_s: float = math.inf
+    organisation: str = ""
 
 
 @attrs.define(slots=True)
