Try a request on probation once in the fleet, not once at each node

Cause: when the hold of a request under which backend servers had crashed ended, every node sent it again. Runs of 0.3 s that several callers start together look like one cause from outside, so that this hold lasts only 10 s.

Change: after a hold the request is on probation. Entry nodes send it as a probe to the instance with the highest rendezvous hash, and its owner runs one probe at a time. Only the answer of an instance that ran it to its end clears it. docs/design/crashing-requests.md has the rule.

Result: the new test of eight nodes and eight callers had 5 runs later than 3 s after the third crash before, 3 allowed; it passes now.

--- a/libs/membership/auburnjunction/membership/crashes.py
+++ b/libs/membership/auburnjunction/membership/crashes.py
@@ -26,8 +26,8 @@
 # it, up to the maximum.
 FIRST_HOLD_S = 120.0
 MAX_HOLD_S = 960.0
-# The same if all of its runs were under way at the first crash, so that one
-# further run shows whether the request has caused them.
+# The same if all of its runs were under way at the first crash, so that a
+# probe shows whether the request has caused them.
 JOINT_HOLD_S = 10.0
 # Times of crashes that other nodes have seen are late by up to this, the time
 # that messages take.
@@ -196,6 +196,20 @@
             return 0.0
         return max(0.0, suspect.expires_s - self._clock.monotonic())
 
+    def is_on_probation(self, fingerprint: bytes) -> bool:
+        """Return whether a request may only be run as a probe.
+
+        Its quarantine has ended, but nothing has cleared it. Released to all
+        nodes at once, a request that several callers repeat would crash a
+        backend server of each.
+        """
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or not suspect.is_quarantined:
+            return False
+        return not self._is_forgotten(suspect) and not self.find_hold(
+            fingerprint
+        )
+
     def add(self, crashes: Iterable[Crash]) -> list[Crash]:
         """Add crashes; return those that were not known."""
         self._forget()
--- a/libs/node/auburnjunction/node/tests/test_crashing_requests.py
+++ b/libs/node/auburnjunction/node/tests/test_crashing_requests.py
@@ -12,6 +12,7 @@
 from auburnjunction.http.errors import HttpError
 from auburnjunction.http.messages import HttpResponse
 from auburnjunction.http.servers import open_server
+from auburnjunction.membership import crashes
 from auburnjunction.model.routes import Route
 from auburnjunction.model.services import Service
 from auburnjunction.model.snapshots import Snapshot
@@ -48,6 +49,10 @@
 CONTACT_S = 3.0
 MAX_REPEATS = 3
 CRASH_LIMIT = 3
+# A run that is longer than JOINT_MARGIN_S, and a hold that ends after
+# CONTACT_S, so that what follows counts as a repeat.
+JOINT_RUN_S = 0.4
+SHORT_HOLD_S = 4.0
 
 
 @attrs.define
@@ -61,6 +66,8 @@
     admin_port: int
     port: int
     crashes: list
+    # Time for which it runs the poison before it ends.
+    poison_run_s: float = 0.0
     ended: curio.Event = attrs.field(factory=curio.Event)
     # The listening socket.
     sock: socket.socket | None = None
@@ -91,6 +98,8 @@
         if request.body != POISON:
             await curio.sleep(SLOW_S if request.body == SLOW else 0.01)
             return HttpResponse(200, [], b"done")
+        if self.poison_run_s:
+            await curio.sleep(self.poison_run_s)
         self.crashes.append(CLOCK.monotonic())
         await self.end()
         await curio.sleep(60)
@@ -136,7 +145,7 @@
 
 
 @asynccontextmanager
-async def open_fleet(data_centres):
+async def open_fleet(data_centres, poison_run_s=0.0):
     """Yield a fleet of nodes that serve a configuration."""
     platform = PlatformAdapters(MemoryTable(), MemoryObjectStore())
     await commit(platform, SNAPSHOT)
@@ -153,6 +162,7 @@
                 ports["admin_port"],
                 FIRST_PORT + PORTS_PER_NODE * index + 8,
                 fleet.crashes,
+                poison_run_s,
             )
             fleet.backends.append(backend)
             task = await curio.spawn(backend.run, daemon=True)
@@ -248,3 +258,26 @@
             assert (await fleet.call(0, b"other")).status == 200
 
     curio.run(main)
+
+
+# Guards against a crashing request that several callers send at one moment:
+# its crashes look like those of one cause from outside, and it was sent by
+# every node again once the short hold for these had ended.
+def test_crashing_request_of_several_callers_is_tried_once_more(monkeypatch):
+    monkeypatch.setattr(crashes, "JOINT_HOLD_S", SHORT_HOLD_S)
+
+    async def call_repeatedly(fleet, index, end_s):
+        while CLOCK.monotonic() < end_s:
+            await fleet.call(index, POISON)
+            await curio.sleep(SEND_INTERVAL_S)
+
+    async def main():
+        async with open_fleet(["one", "two"] * 4, JOINT_RUN_S) as fleet:
+            end_s = CLOCK.monotonic() + SHORT_HOLD_S + 4.0
+            async with curio.TaskGroup() as group:
+                for index in range(8):
+                    await group.spawn(call_repeatedly, fleet, index, end_s)
+            assert fleet.count_repeats() <= MAX_REPEATS
+            assert (await fleet.call(0, b"harmless")).status == 200
+
+    curio.run(main)
--- a/libs/traffic/auburnjunction/traffic/balancers.py
+++ b/libs/traffic/auburnjunction/traffic/balancers.py
@@ -78,6 +78,10 @@
                 found.append(instance)
         return candidates
 
+    def list_eligible(self, routed: RoutedCall) -> Sequence[Instance]:
+        """Return all instances that serve the route, whatever their state."""
+        return self._find_eligible(routed)
+
     def choose_from(
         self, routed: RoutedCall, candidates: Candidates, now_s: float
     ) -> Instance | None:
--- a/libs/traffic/auburnjunction/traffic/calls.py
+++ b/libs/traffic/auburnjunction/traffic/calls.py
@@ -67,6 +67,7 @@
     limit, by the same clock, is when the entry node shuts down; a call that
     would end later is not started. The organisation is that of the API key,
     for a nested call that of the request it is made for; empty without one.
+    A probe runs a request under which backend servers have crashed.
     """
 
     request_id: str
@@ -86,6 +87,7 @@
     rate_limit_per_s: float | None = None
     answer_limit_s: float = math.inf
     organisation: str = ""
+    probe: bool = False
 
 
 @attrs.define(slots=True)
--- a/libs/traffic/auburnjunction/traffic/headers.py
+++ b/libs/traffic/auburnjunction/traffic/headers.py
@@ -58,6 +58,7 @@
 # Flags of its eleventh field.
 NESTED_FLAG = 1
 REPEATED_FLAG = 2
+PROBE_FLAG = 4
 # Values of the Connection header that list no other header.
 PLAIN_CONNECTIONS = frozenset({b"keep-alive", b"close"})
 
@@ -164,12 +165,20 @@
         str(remaining_ms),
         str(call.revision),
         _format_target(call, now_s),
-        str(NESTED_FLAG * call.nested + REPEATED_FLAG * call.repeated),
+        str(_format_flags(call)),
         "1" if call.fail_fast else "0",
     )
     return ";".join(fields).encode("ascii")
 
 
+def _format_flags(call: Call) -> int:
+    return (
+        NESTED_FLAG * call.nested
+        + REPEATED_FLAG * call.repeated
+        + PROBE_FLAG * call.probe
+    )
+
+
 def _format_target(call: Call, now_s: float) -> str:
     if call.target_s == math.inf:
         return ""
@@ -205,6 +214,7 @@
             target_s=now_s + int(fields[9]) / 1000 if fields[9] else math.inf,
             nested=bool(int(fields[10]) & NESTED_FLAG),
             repeated=bool(int(fields[10]) & REPEATED_FLAG),
+            probe=bool(int(fields[10]) & PROBE_FLAG),
             fail_fast=fields[11] == "1",
             rate_limit_per_s=parse_rate(request.header(RATE_LIMIT_HEADER)),
             answer_limit_s=_parse_answer_limit(request, now_s),
--- a/libs/traffic/auburnjunction/traffic/instances.py
+++ b/libs/traffic/auburnjunction/traffic/instances.py
@@ -273,6 +273,7 @@
             raise
         finally:
             self._crash_watch.end_call(call)
+            self._quarantine.end_run(call)
         self._crash_watch.record_answer(call, response.status)
         self._record_duration(call, start_s)
         return response
@@ -292,7 +293,7 @@
         except NotRunError:
             self._metrics.count_late_start(call)
             raise
-        self._quarantine.check(call)
+        self._quarantine.start_run(call)
         self._crash_watch.start_call(call)
 
     def _apply_notice(
--- a/libs/traffic/auburnjunction/traffic/senders.py
+++ b/libs/traffic/auburnjunction/traffic/senders.py
@@ -97,6 +97,7 @@
         self._lifetime = lifetime or NodeLifetime(clock)
         self._quarantine = quarantine or Quarantine(CrashLog(clock))
         self._location = location
+        self._balancer = balancer
         self._planner = AttemptPlanner(balancer, settings)
         self._instance_tracker = instance_tracker
         self._local_runner = local_runner
@@ -115,8 +116,15 @@
 
         NotRunError means that the call ran in none of its attempts.
         """
+        if self._quarantine.is_on_probation(routed.call):
+            return await self._send_probe(routed, trace)
+        self._quarantine.check(routed.call)
+        return await self._send_with_retries(routed, trace)
+
+    async def _send_with_retries(
+        self, routed: RoutedCall, trace: CallTrace
+    ) -> Answer:
         call = routed.call
-        self._quarantine.check(call)
         budget, attempts = self._start(routed)
         while True:
             now_s = self._clock.monotonic()
@@ -142,6 +150,25 @@
                     return answer
             await self._back_off(call, attempts.ended_count)
 
+    async def _send_probe(
+        self, routed: RoutedCall, trace: CallTrace
+    ) -> Answer:
+        """Run a request on probation once, at the instance for its probes."""
+        _, attempts = self._start(routed)
+        instance = self._quarantine.choose_probed(
+            routed.call, self._balancer.list_eligible(routed)
+        )
+        self._record_attempt(instance, trace)
+        routed = attrs.evolve(
+            routed, call=attrs.evolve(routed.call, probe=True)
+        )
+        return await self._run_attempt(
+            routed,
+            attempts,
+            PlannedAttempt(instance, False),
+            self._clock.monotonic(),
+        )
+
     def _start(self, routed: RoutedCall) -> tuple[RetryBudget, AttemptState]:
         """Count the call in its budgets; return its retry budget and state."""
         call = routed.call
