Authenticate requests by API key and refuse them past the bound of withdrawal

Cause: configurations can hold organisations, but nodes neither ask for keys nor know whether a configuration that withdraws one may be missing here.

Before each attempt and again at the start on the owner node the key is looked up in the newest configuration, and with organisations.strict the age of the proof that it is in force must be below the bound. The proof is the start of a head read, kept on CLOCK_BOOTTIME and passed on as an age in responses to gossip and pulls. Claims and fingerprints include the organisation. Without organisations in the configuration nothing of this is sent or checked.

--- a/libs/base/auburnjunction/base/clocks.py
+++ b/libs/base/auburnjunction/base/clocks.py
@@ -16,6 +16,12 @@
     def monotonic(self) -> float:
         """Return seconds since an arbitrary start; never decreases."""
 
+    def boottime(self) -> float:
+        """Return seconds since an arbitrary start, suspended time included.
+
+        Never decreases; its start may differ from that of monotonic.
+        """
+
     async def sleep(self, delay_s: float) -> None:
         """Wait for the given number of seconds."""
 
@@ -34,6 +40,10 @@
         """
         return time.monotonic()
 
+    def boottime(self) -> float:
+        """Return seconds since the boot, suspended time included."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     async def sleep(self, delay_s: float) -> None:
         """Wait for the given number of seconds."""
         await curio.sleep(delay_s)
@@ -44,6 +54,7 @@
 
     def __init__(self, start_s: float = 1000.0):
         self._time_s = start_s
+        self._suspended_s = 0.0
 
     def now(self) -> datetime:
         """Return the simulated time as a UTC datetime."""
@@ -53,6 +64,14 @@
         """Return the simulated time in seconds."""
         return self._time_s
 
+    def boottime(self) -> float:
+        """Return the simulated time plus the time in suspend."""
+        return self._time_s + self._suspended_s
+
+    def suspend(self, duration_s: float) -> None:
+        """Let time pass that monotonic does not count."""
+        self._suspended_s += duration_s
+
     def advance(self, delay_s: float) -> None:
         """Advance the clock."""
         self._time_s += delay_s
--- a/libs/base/auburnjunction/base/errors.py
+++ b/libs/base/auburnjunction/base/errors.py
@@ -29,6 +29,13 @@
     CRASHED = "crashed"
     # Backend servers have crashed under the request, so it is not sent.
     QUARANTINED = "quarantined"
+    # The request has no valid API key.
+    UNAUTHORISED = "unauthorised"
+    # The node cannot prove that its configuration is the one in force, so
+    # that it may not judge API keys.
+    STALE = "stale"
+    # The request's API key was withdrawn before the request was sent on.
+    REVOKED = "revoked"
     TOO_LARGE = "too-large"
     PROTOCOL = "protocol"
     INTERNAL = "internal"
--- a/libs/distribution/auburnjunction/distribution/distributors.py
+++ b/libs/distribution/auburnjunction/distribution/distributors.py
@@ -31,8 +31,11 @@
 from auburnjunction.distribution.holders import (
     RevisionOrigin,
     SnapshotHolder,
+    has_organisations,
 )
 from auburnjunction.distribution.peers import PeerDirectory, PeerView
+from auburnjunction.distribution.proof_refreshers import ProofRefresher
+from auburnjunction.distribution.proofs import HeadProof
 from auburnjunction.distribution.pullers import Puller, adopt_and_count
 from auburnjunction.distribution.pushers import Pusher
 from auburnjunction.distribution.read_delegations import ReadDelegator
@@ -78,6 +81,7 @@
         self._recent = RecentRevisions(cfg.revisions_kept, cfg.delta_share)
         holder.subscribe(self._recent.add)
         self._freshness = ReadFreshness(clock)
+        self.proof = HeadProof(clock, lambda: holder.mark)
         client = PeerClient(pools, self.stats)
         self._puller = Puller(
             cfg,
@@ -88,6 +92,7 @@
             self.stats,
             clock,
             random,
+            self.proof,
         )
         self._pusher = Pusher(
             cfg,
@@ -101,7 +106,13 @@
             background,
         )
         self._head_reader = HeadReader(
-            cfg, source, holder, self._freshness, self.stats, clock
+            cfg,
+            source,
+            holder,
+            self._freshness,
+            self.stats,
+            clock,
+            self.proof,
         )
         self._head_poller = HeadPoller(
             cfg,
@@ -118,6 +129,9 @@
         self._freshness_checker = FreshnessChecker(
             cfg, view, self._puller, self._freshness, clock, random
         )
+        self._proof_refresher = ProofRefresher(
+            cfg, view, self._puller, self.proof, holder, clock, random
+        )
         self._start_up = StartUp(
             cfg,
             view,
@@ -144,6 +158,16 @@
         """Whether a peer is known to have a higher revision."""
         return self._puller.is_behind
 
+    @property
+    def shared_proof_age_ms(self) -> int | None:
+        """Age of the proof for other nodes; None without organisations.
+
+        Configurations without organisations need no proof.
+        """
+        if not has_organisations(self._holder):
+            return None
+        return self.proof.age_ms
+
     async def start_up(self) -> None:
         """Adopt the highest revision of the platform and several peers.
 
@@ -155,6 +179,7 @@
     async def run(self, group: curio.TaskGroup) -> None:
         """Spawn the tasks that keep this node up to date."""
         await group.spawn(self._puller.run)
+        await group.spawn(self._proof_refresher.run)
         await group.spawn(self._run_after_start_up, self._head_poller.run)
         await group.spawn(
             self._run_after_start_up, self._freshness_checker.run
@@ -215,6 +240,7 @@
         response = pb.PullResponse(
             mark=encode_mark(self._holder.mark),
             read_age_ms=self._freshness.age_ms,
+            proof_age_ms=self.shared_proof_age_ms,
         )
         if have.revision >= self._holder.mark.revision:
             return make_message_response(response)
--- a/libs/distribution/auburnjunction/distribution/head_readers.py
+++ b/libs/distribution/auburnjunction/distribution/head_readers.py
@@ -17,6 +17,7 @@
     RevisionOrigin,
     SnapshotHolder,
 )
+from auburnjunction.distribution.proofs import HeadProof
 from auburnjunction.distribution.settings import DistributionSettings
 from auburnjunction.distribution.sources import HeadSource
 from auburnjunction.distribution.statistics import DistributionStats
@@ -45,7 +46,9 @@
         freshness: ReadFreshness,
         stats: DistributionStats,
         clock: Clock,
+        proof: HeadProof | None = None,
     ):
+        self._proof = proof or HeadProof(clock, lambda: holder.mark)
         self._cfg = cfg
         self._source = source
         self._holder = holder
@@ -99,6 +102,7 @@
         the snapshot in force then stays.
         """
         start_s = self._clock.monotonic()
+        proof_start_s = self._proof.now()
         self._stats.platform_reads += 1
         timeout_s = wait_s + min(timeout_s, self._cfg.platform_timeout_s)
         async with curio.ignore_after(timeout_s):
@@ -107,6 +111,7 @@
             # read is only known to be as recent as its start.
             read_s = self._clock.monotonic() if wait_s else start_s
             self._freshness.record_read(read_s)
+            self._proof.record_read(self.head, proof_start_s)
             return adopted
         raise DistributionError(
             f"the platform did not respond within {timeout_s} s"
--- a/libs/distribution/auburnjunction/distribution/holders.py
+++ b/libs/distribution/auburnjunction/distribution/holders.py
@@ -68,6 +68,12 @@
         return True
 
 
+def has_organisations(holder: SnapshotHolder) -> bool:
+    """Return whether the snapshot in force holds organisations."""
+    current = holder.current
+    return current is not None and bool(current.snapshot.organisations)
+
+
 def require_valid_content(revised: RevisedSnapshot) -> None:
     """Raise BadContentError if the content is invalid or corrupt."""
     revision = revised.mark.revision
--- a/libs/distribution/auburnjunction/distribution/pullers.py
+++ b/libs/distribution/auburnjunction/distribution/pullers.py
@@ -16,9 +16,11 @@
     SnapshotHolder,
 )
 from auburnjunction.distribution.peers import Node, PeerView
+from auburnjunction.distribution.proofs import HeadProof
 from auburnjunction.distribution.revisions import (
     MissingBaseError,
     decode_content,
+    decode_mark,
     encode_mark,
 )
 from auburnjunction.distribution.settings import DistributionSettings
@@ -55,7 +57,9 @@
         stats: DistributionStats,
         clock: Clock,
         random: Random,
+        proof: HeadProof | None = None,
     ):
+        self._proof = proof or HeadProof(clock, lambda: holder.mark)
         self._cfg = cfg
         self._view = view
         self._client = client
@@ -105,17 +109,25 @@
         head, or BadContentError.
         """
         start_s = self._clock.monotonic()
+        proof_start_s = self._proof.now()
         response = await self._request_content(
             address, self._holder.mark, head
         )
         try:
             self._adopt(response)
         except MissingBaseError:
+            proof_start_s = self._proof.now()
             response = await self._request_content(address, NO_REVISION)
             self._adopt(response)
         is_current = self._holder.mark.revision >= response.mark.revision
         if is_current and response.HasField("read_age_ms"):
             self._freshness.record_peer_read(response.read_age_ms, start_s)
+        if response.HasField("proof_age_ms"):
+            self._proof.record_peer_proof(
+                decode_mark(response.mark),
+                response.proof_age_ms,
+                proof_start_s,
+            )
 
     async def try_pull(
         self,
--- a/libs/distribution/auburnjunction/distribution/settings.py
+++ b/libs/distribution/auburnjunction/distribution/settings.py
@@ -40,6 +40,11 @@
     silence_s: float = attrs.field(
         default=20.0, validator=check_range(0.01, 600)
     )
+    # Age of the proof of the head from which a node pulls one from a head
+    # reader, if its configuration has organisations.
+    proof_refresh_s: float = attrs.field(
+        default=1.5, validator=check_range(0.05, 300)
+    )
     # Longest wait of a starting node for a read of the head; after it, the
     # node serves with the highest revision of its peers.
     start_up_wait_s: float = attrs.field(
--- a/libs/membership/auburnjunction/membership/memberships.py
+++ b/libs/membership/auburnjunction/membership/memberships.py
@@ -30,6 +30,8 @@
     GossipSender,
     MarkListener,
     MarkSource,
+    ProofAgeSource,
+    ProofListener,
     ignore_mark,
 )
 from auburnjunction.membership.settings import MembershipSettings
@@ -113,6 +115,16 @@
     def mark_source(self, source: MarkSource) -> None:
         self._sender.mark_source = source
 
+    def exchange_proofs(
+        self, source: ProofAgeSource, listener: ProofListener
+    ) -> None:
+        """Send the age of this node's proof in gossip; pass on received ones.
+
+        Only responses carry it, as their receiver knows how old they are.
+        """
+        self._sender.proof_age_source = source
+        self._sender.on_proof = listener
+
     def announce(self, announcement: Announcement) -> Lease:
         """Renew the lease of a backend server of this host."""
         return self._locals.announce(announcement)
--- a/libs/membership/auburnjunction/membership/receivers.py
+++ b/libs/membership/auburnjunction/membership/receivers.py
@@ -56,6 +56,7 @@
             news=new_indexes,
             sender_unknown=sender is None,
             table_generation=self._cluster.table_generation,
+            proof_age_ms=self._sender.proof_age_source(),
         )
         self._add_records(request, records, response)
         crashes = self._cluster.crashes
--- a/libs/membership/auburnjunction/membership/senders.py
+++ b/libs/membership/auburnjunction/membership/senders.py
@@ -24,6 +24,11 @@
 from auburnjunction.schema import control_pb2 as pb
 
 MarkSource = Callable[[], RevisionMark]
+# Age in milliseconds of the proof that the mark is the newest one.
+ProofAgeSource = Callable[[], int | None]
+# Called with the mark, the age of its proof and the start of the exchange, in
+# the time of Clock.boottime.
+ProofListener = Callable[[RevisionMark, int, float], None]
 MarkListener = Callable[[RevisionMark, Address], Awaitable[None]]
 
 
@@ -36,6 +41,14 @@
     return NO_REVISION
 
 
+def no_proof() -> None:
+    """Return None, for a node without a proof."""
+
+
+def ignore_proof(_mark: RevisionMark, _age_ms: int, _start_s: float) -> None:
+    """Ignore the proof of a peer."""
+
+
 class GossipSender:
     """Sends gossip requests and merges the records of responses."""
 
@@ -43,6 +56,8 @@
         self._cluster = cluster
         self._pools = pools
         self.mark_source: MarkSource = no_revision
+        self.proof_age_source: ProofAgeSource = no_proof
+        self.on_proof: ProofListener = ignore_proof
         self.on_peer_mark: Callable[[RevisionMark, Address], None] = (
             lambda _mark, _address: None
         )
@@ -127,6 +142,7 @@
         if cross:
             timeout_s = cluster.cfg.cross_timeout_s
         started_s = cluster.clock.monotonic()
+        proof_start_s = cluster.clock.boottime()
         response_body = await post(
             self._pools, address, b"/gossip", body, timeout_s
         )
@@ -139,5 +155,8 @@
         cluster.merge_update(read_update(response, cluster.clock))
         if response.sender_unknown:
             cluster.gossip_queue.add(cluster.own_record)
-        self.on_peer_mark(decode_mark(response.mark), address)
+        mark = decode_mark(response.mark)
+        self.on_peer_mark(mark, address)
+        if response.HasField("proof_age_ms"):
+            self.on_proof(mark, response.proof_age_ms, proof_start_s)
         return response
--- a/libs/membership/auburnjunction/membership/tests/support.py
+++ b/libs/membership/auburnjunction/membership/tests/support.py
@@ -79,6 +79,10 @@
         """Return the system's monotonic time plus the jumps."""
         return super().monotonic() + self.offset_s
 
+    def boottime(self) -> float:
+        """Return the system's time since boot plus the jumps."""
+        return super().boottime() + self.offset_s
+
 
 @attrs.define
 class Network:
--- a/libs/model/auburnjunction/model/snapshots.py
+++ b/libs/model/auburnjunction/model/snapshots.py
@@ -62,7 +62,11 @@
 
     def find_organisation(self, key: bytes) -> Organisation | None:
         """Return the organisation that holds an API key, if any."""
-        return self._organisations_by_digest.get(digest_key(key))
+        return self.find_digest(digest_key(key))
+
+    def find_digest(self, key_digest: str) -> Organisation | None:
+        """Return the organisation that holds the key with a digest, if any."""
+        return self._organisations_by_digest.get(key_digest)
 
     @cached_property
     def _routes_by_host(self) -> dict[str, "PrefixIndex"]:
--- a/libs/node/auburnjunction/node/components.py
+++ b/libs/node/auburnjunction/node/components.py
@@ -33,6 +33,7 @@
 from auburnjunction.traffic.entries import EntryHandler, make_entry_handler
 from auburnjunction.traffic.forwarded_calls import ForwardedCalls
 from auburnjunction.traffic.headers import DEFAULT_HEADER_NAMES, HeaderNames
+from auburnjunction.traffic.key_checks import KeyChecker
 from auburnjunction.traffic.lifetimes import NodeLifetime
 from auburnjunction.traffic.meters import OwnerMetrics
 from auburnjunction.traffic.owners import OwnerRegistry
@@ -141,6 +142,16 @@
             random,
         ) as distributor,
     ):
+        keys = KeyChecker(
+            cfg.organisations,
+            holder,
+            lambda: distributor.proof.age_s,
+            metrics,
+        )
+        membership.exchange_proofs(
+            lambda: distributor.shared_proof_age_ms,
+            distributor.proof.record_peer_proof,
+        )
         lifetime = NodeLifetime(clock)
         forwarded = ForwardedCalls()
         owners = OwnerRegistry(
@@ -154,6 +165,7 @@
             platform.names,
             membership.crashes,
             lifetime,
+            keys.find_start_refusal,
         )
         membership.mark_source = lambda: holder.mark
         membership.on_mark = distributor.on_mark
@@ -176,6 +188,7 @@
             membership.crashes,
             lifetime,
             forwarded,
+            keys,
         )
         ControlPlaneMetrics(metrics, membership.stats, distributor.stats)
         commits = CommitLog(platform.table, platform.objects, clock)
--- a/libs/traffic/auburnjunction/traffic/call_forwarders.py
+++ b/libs/traffic/auburnjunction/traffic/call_forwarders.py
@@ -46,6 +46,7 @@
     ERROR_HEADER,
     LEAVING_HEADER,
     LOAD_HEADER,
+    ORGANISATION_HEADER,
     OUTCOME_HEADER,
     OWNER_DURATION_HEADER,
     RATE_LIMIT_HEADER,
@@ -53,6 +54,7 @@
     RETRY_AFTER_HEADER,
     format_answer_limit,
     format_call,
+    format_organisation,
     format_rate,
     make_error_response,
     parse_call,
@@ -180,6 +182,9 @@
         if call.answer_limit_s < math.inf:
             limit = format_answer_limit(call, now_s)
             own_headers = [*own_headers, (ANSWER_LIMIT_HEADER, limit)]
+        if call.organisation:
+            organisation = format_organisation(call)
+            own_headers = [*own_headers, (ORGANISATION_HEADER, organisation)]
         packed = pack_headers(own_headers)
         headers = [(CALL_HEADER, value), *packed]
         if packed is not own_headers:
--- a/libs/traffic/auburnjunction/traffic/calls.py
+++ b/libs/traffic/auburnjunction/traffic/calls.py
@@ -67,6 +67,8 @@
     limit, by the same clock, is when the entry node shuts down; a call that
     would end later is not started. The organisation is that of the API key,
     for a nested call that of the request it is made for; empty without one.
+    key_digest is the digest of the API key, empty without one. A started call
+    has been sent to its backend server.
     """
 
     request_id: str
@@ -86,6 +88,8 @@
     rate_limit_per_s: float | None = None
     answer_limit_s: float = math.inf
     organisation: str = ""
+    key_digest: str = ""
+    started: bool = False
 
 
 @attrs.define(slots=True)
--- a/libs/traffic/auburnjunction/traffic/claims.py
+++ b/libs/traffic/auburnjunction/traffic/claims.py
@@ -329,8 +329,14 @@
 
 
 def format_key(call: Call) -> str:
-    """Return the key of the row that claims a call."""
+    """Return the key of the row that claims a call.
+
+    Equal idempotency keys of two organisations are different keys.
+    """
     key = call.idempotency_key.encode("latin-1")
+    if call.organisation:
+        name = call.organisation.encode()
+        key = b"%d:%b%b" % (len(name), name, key)
     digest = hashlib.sha256(key).hexdigest()
     return f"claims/{quote(call.service, safe='')}/{digest}"
 
--- a/libs/traffic/auburnjunction/traffic/entries.py
+++ b/libs/traffic/auburnjunction/traffic/entries.py
@@ -11,6 +11,7 @@
 from auburnjunction.http.clients import PoolRegistry
 from auburnjunction.http.messages import HttpRequest, HttpResponse
 from auburnjunction.membership.crashes import CrashLog
+from auburnjunction.organisations.settings import OrganisationSettings
 from auburnjunction.traffic.balancers import Balancer, NodeLocation
 from auburnjunction.traffic.call_forwarders import InstanceSource, PeerRunner
 from auburnjunction.traffic.call_reports import CallReporter
@@ -33,6 +34,7 @@
     strip_headers,
 )
 from auburnjunction.traffic.instance_trackers import InstanceTracker
+from auburnjunction.traffic.key_checks import KeyChecker
 from auburnjunction.traffic.lifetimes import NodeLifetime
 from auburnjunction.traffic.quarantines import Quarantine
 from auburnjunction.traffic.retries import NodeCounter, count_one
@@ -193,9 +195,11 @@
     crashes: CrashLog | None = None,
     lifetime: NodeLifetime | None = None,
     forwarded: ForwardedCalls | None = None,
+    keys: KeyChecker | None = None,
 ) -> EntryHandler:
     """Return a node's entry handler with all its components."""
     rng = rng or random.Random()
+    keys = keys or KeyChecker(OrganisationSettings(), snapshots)
     outlier_tracker = OutlierTracker(settings)
     instance_tracker = InstanceTracker(outlier_tracker, clock, settings)
     balancer = Balancer(
@@ -214,6 +218,7 @@
         count_nodes,
         Quarantine(crashes or CrashLog(clock), names),
         lifetime,
+        keys.find_attempt_refusal,
     )
     reporter = CallReporter(metrics, outlier_tracker, settings)
     router = Router(
@@ -223,5 +228,6 @@
         own_service,
         find_parent,
         settings.uniform_timeouts,
+        keys,
     )
     return EntryHandler(router, sender, reporter, clock, names, lifetime)
--- a/libs/traffic/auburnjunction/traffic/fingerprints.py
+++ b/libs/traffic/auburnjunction/traffic/fingerprints.py
@@ -9,6 +9,7 @@
 def compute_fingerprint(request: HttpRequest, names: HeaderNames) -> bytes:
     """Return a digest of method, host, target, caller and body, 16 bytes.
 
+    It also covers the organisation, if the request has one.
     The same caller's same request has the same digest under another id, with
     another deadline and at another node. The digest is not a cryptographic
     one.
@@ -22,5 +23,9 @@
     ):
         digest.update(b"%d:" % len(part))
         digest.update(part)
+    organisation = request.header(names.organisation)
+    if names.organisation and organisation is not None:
+        digest.update(b"%d:" % len(organisation))
+        digest.update(organisation)
     digest.update(request.body)
     return digest.digest()
--- a/libs/traffic/auburnjunction/traffic/headers.py
+++ b/libs/traffic/auburnjunction/traffic/headers.py
@@ -48,6 +48,10 @@
 # Milliseconds within which an entry node that shuts down needs the answer.
 ANSWER_LIMIT_HEADER = b"auburn-answer-within-ms"
 
+# Name of the organisation and, if the call has one, the digest of its API
+# key, separated by a semicolon.
+ORGANISATION_HEADER = b"auburn-organisation"
+
 RATE_PATTERN = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?\Z")
 
 # Seconds after which a refused call should be retried.
@@ -88,6 +92,9 @@
     instance: bytes = b""
     # Service of the host on which the call was made.
     caller_service: bytes = b""
+    # Organisation of the API key of a request; nodes remove those of callers
+    # while the configuration has organisations.
+    organisation: bytes = b""
     # Present on every successful response of a backend server.
     signature: bytes = b""
     # Separates the id of the parent request from the rest of the id of a
@@ -170,6 +177,19 @@
     return ";".join(fields).encode("ascii")
 
 
+def format_organisation(call: Call) -> bytes:
+    """Return the value of the header for the call's organisation."""
+    name = quote(call.organisation, safe="")
+    return f"{name};{call.key_digest}".encode("ascii")
+
+
+def _parse_organisation(request: HttpRequest) -> tuple[str, str]:
+    """Return the organisation and the key digest; empty without them."""
+    value = request.header(ORGANISATION_HEADER) or b""
+    name, _, key_digest = value.decode("latin-1").partition(";")
+    return unquote(name), key_digest
+
+
 def _format_target(call: Call, now_s: float) -> str:
     if call.target_s == math.inf:
         return ""
@@ -191,6 +211,7 @@
         )
     try:
         key = request.header(IDEMPOTENCY_KEY_HEADER) or b""
+        organisation, key_digest = _parse_organisation(request)
         call = Call(
             request_id=unquote(fields[0]),
             route=unquote(fields[1]),
@@ -208,6 +229,8 @@
             fail_fast=fields[11] == "1",
             rate_limit_per_s=parse_rate(request.header(RATE_LIMIT_HEADER)),
             answer_limit_s=_parse_answer_limit(request, now_s),
+            organisation=organisation,
+            key_digest=key_digest,
         )
     except (ValueError, OverflowError) as exc:
         raise BadMessageError(f"invalid call header: {exc}") from exc
@@ -225,6 +248,9 @@
 
 
 STATUS_BY_CODE = {
+    ErrorCode.UNAUTHORISED: 401,
+    ErrorCode.STALE: 503,
+    ErrorCode.REVOKED: 503,
     ErrorCode.NOT_FOUND: 404,
     ErrorCode.INVALID: 400,
     ErrorCode.CONFLICT: 409,
--- a/libs/traffic/auburnjunction/traffic/instance_trackers.py
+++ b/libs/traffic/auburnjunction/traffic/instance_trackers.py
@@ -31,8 +31,11 @@
     {
         ErrorCode.CONFLICT,
         ErrorCode.INVALID,
+        ErrorCode.REVOKED,
         ErrorCode.SHUTDOWN,
+        ErrorCode.STALE,
         ErrorCode.TOO_LARGE,
+        ErrorCode.UNAUTHORISED,
     }
 )
 # Codes of refusals that put the instance in cooldown, since it would refuse
@@ -53,8 +56,10 @@
         ErrorCode.DRAINING,
         ErrorCode.MISPLACED,
         ErrorCode.OVERLOADED,
+        ErrorCode.REVOKED,
         ErrorCode.SHED,
         ErrorCode.SHUTDOWN,
+        ErrorCode.STALE,
         ErrorCode.UNRESPONSIVE,
     }
 )
--- a/libs/traffic/auburnjunction/traffic/instances.py
+++ b/libs/traffic/auburnjunction/traffic/instances.py
@@ -31,6 +31,7 @@
     ignore_crashes,
 )
 from auburnjunction.traffic.headers import DEFAULT_HEADER_NAMES, HeaderNames
+from auburnjunction.traffic.key_checks import RefusalFinder, find_no_refusal
 from auburnjunction.traffic.lifetimes import NodeLifetime
 from auburnjunction.traffic.limits import SlotLimit
 from auburnjunction.traffic.meters import OwnerMetrics
@@ -70,6 +71,7 @@
         crashes: CrashLog | None = None,
         on_crash: CrashObserver = ignore_crashes,
         lifetime: NodeLifetime | None = None,
+        find_refusal: RefusalFinder = find_no_refusal,
     ):
         self.instance = instance
         # Incarnation that announced itself last; 0 if it is not known.
@@ -90,6 +92,7 @@
             clock,
             self._rate_limiter,
             lifetime,
+            find_refusal,
         )
         self._backend = BackendClient(
             cfg, address, connections, clock, instance, names
@@ -294,6 +297,7 @@
             raise
         self._quarantine.check(call)
         self._crash_watch.start_call(call)
+        call.started = True
 
     def _apply_notice(
         self, born_ms: int, sent_s: float, notice: ServerNotice
--- a/libs/traffic/auburnjunction/traffic/owners.py
+++ b/libs/traffic/auburnjunction/traffic/owners.py
@@ -20,6 +20,7 @@
     InstanceOwner,
     ignore_departure,
 )
+from auburnjunction.traffic.key_checks import RefusalFinder, find_no_refusal
 from auburnjunction.traffic.lifetimes import NodeLifetime
 from auburnjunction.traffic.meters import OwnerMetrics
 
@@ -41,7 +42,9 @@
         names: HeaderNames = DEFAULT_HEADER_NAMES,
         crashes: CrashLog | None = None,
         lifetime: NodeLifetime | None = None,
+        find_refusal: RefusalFinder = find_no_refusal,
     ):
+        self._find_refusal = find_refusal
         self.on_departure: DepartureObserver = ignore_departure
         self.on_crash: CrashObserver = ignore_crashes
         self._crashes = crashes or CrashLog(clock)
@@ -233,6 +236,7 @@
             self._crashes,
             self._handle_crash,
             self._lifetime,
+            self._find_refusal,
         )
 
 
--- a/libs/traffic/auburnjunction/traffic/routers.py
+++ b/libs/traffic/auburnjunction/traffic/routers.py
@@ -11,9 +11,16 @@
 
 from auburnjunction.base.errors import ErrorCode
 from auburnjunction.http.messages import Headers, HttpRequest
+from auburnjunction.model.priorities import Priority
 from auburnjunction.model.routes import Route
 from auburnjunction.model.services import Service
 from auburnjunction.model.snapshots import RevisedSnapshot
+from auburnjunction.organisations.authentications import (
+    ANONYMOUS,
+    AUTHORIZATION_HEADER,
+    Authentication,
+)
+from auburnjunction.organisations.settings import OrganisationSettings
 from auburnjunction.traffic.calls import Call, NotRunError
 from auburnjunction.traffic.headers import (
     DEFAULT_HEADER_NAMES,
@@ -22,6 +29,7 @@
     drop_headers,
     strip_headers,
 )
+from auburnjunction.traffic.key_checks import KeyChecker, SnapshotSource
 from auburnjunction.traffic.splits import TrafficSplitter
 from auburnjunction.traffic.timeouts import ElapsedTimeEstimator
 
@@ -49,14 +57,6 @@
     """Return None, for nodes that do not track parent requests."""
 
 
-class SnapshotSource(Protocol):
-    """Provides the configuration in force."""
-
-    @property
-    def current(self) -> RevisedSnapshot | None:
-        """The snapshot in force, or None before the first one."""
-
-
 class ReadinessSource(Protocol):
     """Reports whether this node's state is recent enough to route calls.
 
@@ -103,7 +103,12 @@
         own_service: ServiceSource = no_service,
         find_parent: ParentFinder = find_no_parent,
         uniform_timeouts: bool = False,
+        keys: KeyChecker | None = None,
     ):
+        self._keys = keys or KeyChecker(OrganisationSettings(), snapshots)
+        self._set_by_keys = frozenset(
+            {AUTHORIZATION_HEADER, names.organisation}
+        )
         self._elapsed = ElapsedTimeEstimator() if uniform_timeouts else None
         self._find_parent = find_parent
         self._snapshots = snapshots
@@ -122,17 +127,27 @@
             raise NotRunError(
                 "the request has no Host header", ErrorCode.INVALID
             )
-        route = _find_route(revised, request)
+        route = self._find_route(revised, request, request_id)
         name = self._splitter.choose_service(route)
         service = revised.snapshot.services_by_name[name]
         timeout_ms = _read_timeout(request, route, self._names.deadline)
         parent = self._find_parent(request_id)
+        headers = self._make_headers(request)
+        access = ANONYMOUS
+        if revised.snapshot.organisations:
+            if parent is not None and not parent.started:
+                # An id that a caller invents from that of a waiting call.
+                parent = None
+            access = self._authenticate(
+                revised, route, request, request_id, parent
+            )
+            headers = drop_headers(headers, self._set_by_keys)
+            headers += self._make_organisation_header(access)
         call = Call(
             request_id=request_id,
             route=route.name,
             service=service.name,
-            # A slow nested call delays its parent request.
-            priority=route.priority if parent is None else parent.priority,
+            priority=_find_priority(route, parent, access),
             nested=parent is not None,
             repeated=parent is not None and parent.repeated,
             target_s=self._compute_target(
@@ -145,13 +160,50 @@
             request=HttpRequest(
                 request.method,
                 request.target,
-                self._make_headers(request),
+                headers,
                 request.body,
             ),
             idempotency_key=_read_idempotency_key(request),
+            organisation=_find_organisation_name(parent, access),
+            key_digest=access.key_digest,
         )
         return RoutedCall(call, route, service)
 
+    def _find_route(
+        self, revised: RevisedSnapshot, request: HttpRequest, request_id: str
+    ) -> Route:
+        try:
+            return _find_route(revised, request)
+        except NotRunError as exc:
+            if (
+                exc.code is ErrorCode.NOT_FOUND
+                and revised.snapshot.organisations
+            ):
+                self._keys.require_current(request_id)
+            raise
+
+    def _authenticate(
+        self,
+        revised: RevisedSnapshot,
+        route: Route,
+        request: HttpRequest,
+        request_id: str,
+        parent: Call | None,
+    ) -> Authentication:
+        """Return the accepted authentication of a request.
+
+        A nested call needs no key: the backend server that makes it runs a
+        request that was authenticated.
+        """
+        needs_key = parent is None and not route.allow_anonymous
+        return self._keys.authenticate(revised, request, request_id, needs_key)
+
+    def _make_organisation_header(self, access: Authentication) -> Headers:
+        name = self._names.organisation
+        if not name or access.organisation is None:
+            return []
+        return [(name, access.organisation.name.encode())]
+
     def _compute_target(
         self, route: Route, timeout_ms: int, nested: bool, now_s: float
     ) -> float:
@@ -200,6 +252,28 @@
         return revised
 
 
+def _find_priority(
+    route: Route, parent: Call | None, access: Authentication
+) -> Priority:
+    """Return the priority of a request; a nested call has its parent's."""
+    if parent is not None:
+        # A slow nested call delays its parent request.
+        return parent.priority
+    organisation = access.organisation
+    if organisation is not None and organisation.priority is not None:
+        return organisation.priority
+    return route.priority
+
+
+def _find_organisation_name(
+    parent: Call | None, access: Authentication
+) -> str:
+    """Return the organisation that a request counts for."""
+    if access.organisation is not None:
+        return access.organisation.name
+    return parent.organisation if parent is not None else ""
+
+
 def _find_route(revised: RevisedSnapshot, request: HttpRequest) -> Route:
     path = request.path
     if not path.startswith("/") or AMBIGUOUS_PATH.search(path):
--- a/libs/traffic/auburnjunction/traffic/senders.py
+++ b/libs/traffic/auburnjunction/traffic/senders.py
@@ -27,6 +27,7 @@
     COOLDOWN_CODES,
     InstanceTracker,
 )
+from auburnjunction.traffic.key_checks import RefusalFinder, find_no_refusal
 from auburnjunction.traffic.lifetimes import NodeLifetime
 from auburnjunction.traffic.quarantines import Quarantine
 from auburnjunction.traffic.retries import (
@@ -51,6 +52,7 @@
         ErrorCode.UNAVAILABLE,
         ErrorCode.SHED,
         ErrorCode.SHUTDOWN,
+        ErrorCode.STALE,
         ErrorCode.MISPLACED,
         ErrorCode.TIMEOUT,
     }
@@ -93,7 +95,9 @@
         count_nodes: NodeCounter = count_one,
         quarantine: Quarantine | None = None,
         lifetime: NodeLifetime | None = None,
+        find_refusal: RefusalFinder = find_no_refusal,
     ):
+        self._find_refusal = find_refusal
         self._lifetime = lifetime or NodeLifetime(clock)
         self._quarantine = quarantine or Quarantine(CrashLog(clock))
         self._location = location
@@ -168,6 +172,10 @@
             error = NotRunError("this node shuts down", ErrorCode.SHUTDOWN)
             attempts.add_error(error, False)
             return None
+        error = self._find_refusal(routed.call)
+        if error is not None:
+            attempts.add_error(error, False)
+            return None
         return self._planner.plan(routed, attempts, now_s)
 
     def _record_attempt(self, instance: Instance, trace: CallTrace) -> None:
--- a/libs/traffic/auburnjunction/traffic/slots.py
+++ b/libs/traffic/auburnjunction/traffic/slots.py
@@ -10,6 +10,7 @@
 from auburnjunction.base.errors import ErrorCode
 from auburnjunction.traffic.admissions import AdmissionSettings
 from auburnjunction.traffic.calls import Call, NotRunError, UnknownRunError
+from auburnjunction.traffic.key_checks import RefusalFinder, find_no_refusal
 from auburnjunction.traffic.lifetimes import NodeLifetime
 from auburnjunction.traffic.limits import SlotLimit
 from auburnjunction.traffic.queues import (
@@ -35,7 +36,9 @@
         clock: Clock,
         rate_limiter: RateLimiter | None = None,
         lifetime: NodeLifetime | None = None,
+        find_refusal: RefusalFinder = find_no_refusal,
     ):
+        self._find_refusal = find_refusal
         self.running = 0
         self._rate_limiter = rate_limiter or RateLimiter("")
         self._is_dispatch_scheduled = False
@@ -68,6 +71,12 @@
         if self._is_past_drain_start_limit():
             raise NotRunError(*_DRAINING)
         self._shutdown.check(call, self._clock.monotonic())
+        self._check_key(call)
+
+    def _check_key(self, call: Call) -> None:
+        error = self._find_refusal(call)
+        if error is not None:
+            raise error
 
     def set_queue_limit(self, queue_limit: int) -> None:
         """Change the queue limit; calls already waiting are kept."""
@@ -103,9 +112,15 @@
         """Refuse the waiting calls that cannot be served any more.
 
         These are all if the drain start limit has passed, and those that
-        would outlast this node or their entry node.
+        would outlast this node or their entry node, or whose key is no
+        longer accepted.
         """
         await self._refuse_if_drained()
+        for ticket in list(self._queue):
+            error = self._find_refusal(ticket.call)
+            if error and ticket.state is TicketState.WAITING:
+                self._queue.remove(ticket)
+                await self._refuse(ticket, error)
         limited = [
             t
             for t in self._queue
@@ -148,6 +163,7 @@
             return
         if call.fail_fast:
             raise NotRunError(*_BUSY, self._estimate_wait(ticket, now_s))
+        self._check_key(call)
         self._check_wait(call, ticket, now_s)
         try:
             evicted = self._queue.push(ticket)
@@ -307,6 +323,7 @@
                 await self._refuse(ticket, NotRunError(*_TOO_LATE))
                 continue
             error = self._shutdown.find_error(ticket.call, now_s)
+            error = error or self._find_refusal(ticket.call)
             if error is not None:
                 await self._refuse(ticket, error)
                 continue
