--- a/libs/distribution/auburnjunction/distribution/distributors.py
+++ b/libs/distribution/auburnjunction/distribution/distributors.py
@@ -130,7 +130,14 @@
             cfg, view, self._puller, self._freshness, clock, random
         )
         self._proof_refresher = ProofRefresher(
-            cfg, view, self._puller, self.proof, holder, clock, random
+            cfg,
+            view,
+            self._puller,
+            self.proof,
+            holder,
+            clock,
+            random,
+            background,
         )
         self._start_up = StartUp(
             cfg,
--- a/libs/node/auburnjunction/node/components.py
+++ b/libs/node/auburnjunction/node/components.py
@@ -189,6 +189,7 @@
             lifetime,
             forwarded,
             keys,
+            owners.has_abandoned_parent,
         )
         ControlPlaneMetrics(metrics, membership.stats, distributor.stats)
         commits = CommitLog(platform.table, platform.objects, clock)
--- /dev/null
+++ b/libs/organisations/auburnjunction/organisations/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the organisations library."""
--- a/libs/traffic/auburnjunction/traffic/entries.py
+++ b/libs/traffic/auburnjunction/traffic/entries.py
@@ -1,6 +1,7 @@
 """Entry side of a node: handling of callers' requests."""
 
 import random
+from collections.abc import Callable
 
 import attrs
 from absl import logging
@@ -46,6 +47,7 @@
     ServiceSource,
     SnapshotSource,
     find_no_parent,
+    has_no_parent,
     no_service,
 )
 from auburnjunction.traffic.routing_settings import RoutingSettings
@@ -196,6 +198,7 @@
     lifetime: NodeLifetime | None = None,
     forwarded: ForwardedCalls | None = None,
     keys: KeyChecker | None = None,
+    has_abandoned_parent: Callable[[str], bool] = has_no_parent,
 ) -> EntryHandler:
     """Return a node's entry handler with all its components."""
     rng = rng or random.Random()
@@ -229,5 +232,6 @@
         find_parent,
         settings.uniform_timeouts,
         keys,
+        has_abandoned_parent,
     )
     return EntryHandler(router, sender, reporter, clock, names, lifetime)
--- a/libs/traffic/auburnjunction/traffic/owners.py
+++ b/libs/traffic/auburnjunction/traffic/owners.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable, Iterable
 
+import curio
+
 from auburnjunction.base.clocks import Clock
 from auburnjunction.base.errors import ErrorCode
 from auburnjunction.http.clients import Address, parse_address
@@ -10,7 +12,12 @@
 from auburnjunction.model.services import Service
 from auburnjunction.model.validators import MAX_TIMEOUT_MS
 from auburnjunction.traffic.admissions import AdmissionSettings
-from auburnjunction.traffic.calls import Answer, Call, NotRunError
+from auburnjunction.traffic.calls import (
+    Answer,
+    Call,
+    NotRunError,
+    UnknownRunError,
+)
 from auburnjunction.traffic.claims import ClaimStore
 from auburnjunction.traffic.crash_watches import CrashObserver, ignore_crashes
 from auburnjunction.traffic.headers import DEFAULT_HEADER_NAMES, HeaderNames
@@ -26,6 +33,11 @@
 
 REFUSED_STATES = ("starting", "leaving", "gone")
 
+# Time for which a call that ended without an answer is known as a parent: the
+# backend server may run it until then.
+ABANDONED_KEEP_S = 10.0
+MAX_ABANDONED = 1024
+
 ServiceFinder = Callable[[str], Service | None]
 
 
@@ -58,6 +70,8 @@
         self._owners: dict[str, InstanceOwner] = {}
         # Calls that run or wait, by request id.
         self._calls: dict[str, Call] = {}
+        # Those that ended without an answer after their start, and when.
+        self._abandoned: dict[str, float] = {}
         self._retired: list[InstanceOwner] = []
         self._draining = False
         self._lifetime = lifetime or NodeLifetime(clock)
@@ -108,9 +122,27 @@
         self._calls[call.request_id] = call
         try:
             return await owner.run_call(call)
+        except (UnknownRunError, curio.CancelledError):
+            self._record_abandoned(call)
+            raise
         finally:
             self._calls.pop(call.request_id, None)
 
+    def _record_abandoned(self, call: Call) -> None:
+        if not call.started or not self._names.parent_id_separator:
+            return
+        if len(self._abandoned) >= MAX_ABANDONED:
+            del self._abandoned[next(iter(self._abandoned))]
+        self._abandoned[call.request_id] = self._clock.monotonic()
+
+    def _drop_abandoned(self) -> None:
+        limit_s = self._clock.monotonic() - ABANDONED_KEEP_S
+        self._abandoned = {
+            request_id: ended_s
+            for request_id, ended_s in self._abandoned.items()
+            if ended_s > limit_s
+        }
+
     def find_parent(self, request_id: str) -> Call | None:
         """Return the call that a nested call is made for.
 
@@ -121,6 +153,13 @@
             return None
         return self._calls.get(request_id.rpartition(separator)[0])
 
+    def has_abandoned_parent(self, request_id: str) -> bool:
+        """Return whether a nested call's parent ended without an answer."""
+        separator = self._names.parent_id_separator
+        if not separator:
+            return False
+        return request_id.rpartition(separator)[0] in self._abandoned
+
     async def limit_answers(
         self, request_ids: Iterable[str], limit_s: float
     ) -> list[str]:
@@ -176,6 +215,8 @@
         """
         for owner in self._list_owners():
             await owner.sweep()
+        if self._abandoned:
+            self._drop_abandoned()
         if self._claims is not None:
             await self._claims.retry_unrecorded()
         self._retired = [
--- a/libs/traffic/auburnjunction/traffic/routers.py
+++ b/libs/traffic/auburnjunction/traffic/routers.py
@@ -57,6 +57,11 @@
     """Return None, for nodes that do not track parent requests."""
 
 
+def has_no_parent(_request_id: str) -> bool:
+    """Return False, for nodes that do not track parent requests."""
+    return False
+
+
 class ReadinessSource(Protocol):
     """Reports whether this node's state is recent enough to route calls.
 
@@ -104,7 +109,9 @@
         find_parent: ParentFinder = find_no_parent,
         uniform_timeouts: bool = False,
         keys: KeyChecker | None = None,
+        has_abandoned_parent: Callable[[str], bool] = has_no_parent,
     ):
+        self._has_abandoned_parent = has_abandoned_parent
         self._keys = keys or KeyChecker(OrganisationSettings(), snapshots)
         self._set_by_keys = frozenset(
             {AUTHORIZATION_HEADER, names.organisation}
@@ -196,6 +203,13 @@
         request that was authenticated.
         """
         needs_key = parent is None and not route.allow_anonymous
+        if (
+            needs_key
+            and request.header(AUTHORIZATION_HEADER) is None
+            and self._has_abandoned_parent(request_id)
+        ):
+            # Nested calls have no key; 401 would be wrong for this one.
+            raise NotRunError("the parent request has ended without an answer")
         return self._keys.authenticate(revised, request, request_id, needs_key)
 
     def _make_organisation_header(self, access: Authentication) -> Headers:
