--- a/libs/traffic/auburnjunction/traffic/calls.py
+++ b/libs/traffic/auburnjunction/traffic/calls.py
@@ -68,6 +68,8 @@
     would end later is not started. The organisation is that of the API key,
     for a nested call that of the request it is made for; empty without one.
     A probe runs a request under which backend servers have crashed.
+    key_digest is the digest of the API key, empty without one. A started call
+    has been sent to its backend server.
     """
 
     request_id: str
@@ -88,6 +90,8 @@
     answer_limit_s: float = math.inf
     organisation: str = ""
     probe: bool = False
+    key_digest: str = ""
+    started: bool = False
 
 
 @attrs.define(slots=True)
--- a/libs/traffic/auburnjunction/traffic/entries.py
+++ b/libs/traffic/auburnjunction/traffic/entries.py
@@ -1,6 +1,7 @@
 """Entry side of a node: handling of callers' requests."""
 
 import random
+from collections.abc import Callable
 
 import attrs
 from absl import logging
@@ -11,6 +12,7 @@
 from auburnjunction.http.clients import PoolRegistry
 from auburnjunction.http.messages import HttpRequest, HttpResponse
 from auburnjunction.membership.crashes import CrashLog
+from auburnjunction.organisations.settings import OrganisationSettings
 from auburnjunction.traffic.balancers import Balancer, NodeLocation
 from auburnjunction.traffic.call_forwarders import InstanceSource, PeerRunner
 from auburnjunction.traffic.call_reports import CallReporter
@@ -33,6 +35,7 @@
     strip_headers,
 )
 from auburnjunction.traffic.instance_trackers import InstanceTracker
+from auburnjunction.traffic.key_checks import KeyChecker
 from auburnjunction.traffic.lifetimes import NodeLifetime
 from auburnjunction.traffic.quarantines import Quarantine
 from auburnjunction.traffic.retries import NodeCounter, count_one
@@ -44,6 +47,7 @@
     ServiceSource,
     SnapshotSource,
     find_no_parent,
+    has_no_parent,
     no_service,
 )
 from auburnjunction.traffic.routing_settings import RoutingSettings
@@ -193,9 +197,12 @@
     crashes: CrashLog | None = None,
     lifetime: NodeLifetime | None = None,
     forwarded: ForwardedCalls | None = None,
+    keys: KeyChecker | None = None,
+    has_abandoned_parent: Callable[[str], bool] = has_no_parent,
 ) -> EntryHandler:
     """Return a node's entry handler with all its components."""
     rng = rng or random.Random()
+    keys = keys or KeyChecker(OrganisationSettings(), snapshots)
     outlier_tracker = OutlierTracker(settings)
     instance_tracker = InstanceTracker(outlier_tracker, clock, settings)
     balancer = Balancer(
@@ -214,6 +221,7 @@
         count_nodes,
         Quarantine(crashes or CrashLog(clock), names),
         lifetime,
+        keys.find_attempt_refusal,
     )
     reporter = CallReporter(metrics, outlier_tracker, settings)
     router = Router(
@@ -223,5 +231,7 @@
         own_service,
         find_parent,
         settings.uniform_timeouts,
+        keys,
+        has_abandoned_parent,
     )
     return EntryHandler(router, sender, reporter, clock, names, lifetime)
