Judge roll-outs by version over all nodes

Cause: traffic goes to all ready instances whatever their version, so that a bad version gets its full part at once.

All of it is off without the platform's contract.

--- a/libs/node/auburnjunction/node/components.py
+++ b/libs/node/auburnjunction/node/components.py
@@ -23,6 +23,11 @@
 from auburnjunction.node.meters import ControlPlaneMetrics
 from auburnjunction.node.readiness_gates import ReadinessGate
 from auburnjunction.node.settings import NodeSettings
+from auburnjunction.rollouts.coordinators import (
+    RolloutCoordinator,
+    open_rollouts,
+)
+from auburnjunction.rollouts.orders import RolloutAdapters
 from auburnjunction.storage.clients import HttpObjectStore, HttpTable
 from auburnjunction.storage.objects import ObjectStore
 from auburnjunction.storage.tables import Table
@@ -65,6 +70,8 @@
     own_service: ServiceSource = no_service
     # Listeners in addition to those of every node.
     listeners: tuple[HostListener, ...] = ()
+    # Orders and status rows of roll-outs; None if there are none.
+    rollouts: RolloutAdapters | None = None
 
 
 @attrs.frozen
@@ -81,6 +88,8 @@
     readiness_gate: ReadinessGate
     lifetime: NodeLifetime
     answer_limits: AnswerLimitSender
+    # None if roll-outs are not in force.
+    rollouts: RolloutCoordinator | None = None
 
 
 def connect_platform(cfg: NodeSettings, clock: Clock) -> PlatformAdapters:
@@ -140,6 +149,17 @@
             control_pools,
             random,
         ) as distributor,
+        open_rollouts(
+            cfg.rollouts,
+            cfg.node,
+            cfg.data_centre,
+            membership,
+            control_pools,
+            platform.rollouts,
+            clock,
+            random,
+            metrics,
+        ) as rollouts,
     ):
         lifetime = NodeLifetime(clock)
         forwarded = ForwardedCalls()
@@ -176,6 +196,7 @@
             membership.crashes,
             lifetime,
             forwarded,
+            versions=rollouts.selector if rollouts is not None else None,
         )
         ControlPlaneMetrics(metrics, membership.stats, distributor.stats)
         commits = CommitLog(platform.table, platform.objects, clock)
@@ -190,4 +211,5 @@
             readiness_gate,
             lifetime,
             AnswerLimitSender(forwarded, lifetime, control_pools, clock),
+            rollouts,
         )
--- a/libs/node/auburnjunction/node/listeners.py
+++ b/libs/node/auburnjunction/node/listeners.py
@@ -21,6 +21,7 @@
 from auburnjunction.node.instances import LocalInstanceRegistry
 from auburnjunction.node.meters import PipelineMetrics
 from auburnjunction.node.settings import NodeSettings
+from auburnjunction.rollouts.peers import EXCHANGE_TARGET
 from auburnjunction.traffic.answer_limits import (
     ANSWER_LIMIT_TARGET,
     AnswerLimitHandler,
@@ -76,6 +77,8 @@
             components.owners, clock
         ).handle,
     }
+    if components.rollouts is not None:
+        control_handlers[EXCHANGE_TARGET] = components.rollouts.handle
     peer_handler = PeerHandler(components.owners, clock)
     return PeerDispatcher(control_handlers, peer_handler.handle)
 
--- a/libs/traffic/auburnjunction/traffic/attempts.py
+++ b/libs/traffic/auburnjunction/traffic/attempts.py
@@ -185,7 +185,9 @@
         self, routed: RoutedCall, state: AttemptState, candidates: Candidates
     ) -> bool:
         """Return whether the call can be offered elsewhere if refused."""
-        if state.busy or len(candidates.local) > 1:
+        if candidates.has_fallback or state.busy:
+            return True
+        if len(candidates.local) > 1:
             return True
         has_remote = bool(candidates.remote) and routed.route.spill
         return has_remote and state.remote_prompts_left > 0
--- a/libs/traffic/auburnjunction/traffic/balancers.py
+++ b/libs/traffic/auburnjunction/traffic/balancers.py
@@ -6,6 +6,7 @@
 import attrs
 
 from auburnjunction.model.services import Instance
+from auburnjunction.rollouts.selectors import VersionSelector
 from auburnjunction.traffic.call_forwarders import InstanceSource
 from auburnjunction.traffic.ejections import OutlierTracker
 from auburnjunction.traffic.instance_trackers import InstanceTracker
@@ -36,6 +37,8 @@
     local_exists: bool = False
     # Ejected instance that this call is to probe.
     probe: Instance | None = None
+    # Whether instances of another version may take the call if these refuse.
+    has_fallback: bool = False
 
 
 class Balancer:
@@ -52,7 +55,9 @@
         instance_tracker: InstanceTracker,
         settings: RoutingSettings,
         rng: random.Random,
+        versions: VersionSelector | None = None,
     ):
+        self._versions = versions
         self._location = location
         self._instances = instances
         self._outlier_tracker = outlier_tracker
@@ -66,6 +71,13 @@
         """Return the untried instances of the call's service."""
         instances = self._find_reachable(routed, now_s)
         candidates = Candidates([], [])
+        if self._versions is not None:
+            call = routed.call
+            selection = self._versions.select(
+                call.service, call.route, instances, not tried
+            )
+            instances = selection.instances
+            candidates.has_fallback = selection.has_fallback
         if not tried:
             candidates.probe = self._take_probe(
                 instances, routed.call.repeatable, now_s
--- a/libs/traffic/auburnjunction/traffic/entries.py
+++ b/libs/traffic/auburnjunction/traffic/entries.py
@@ -11,6 +11,7 @@
 from auburnjunction.http.clients import PoolRegistry
 from auburnjunction.http.messages import HttpRequest, HttpResponse
 from auburnjunction.membership.crashes import CrashLog
+from auburnjunction.rollouts.selectors import VersionSelector
 from auburnjunction.traffic.balancers import Balancer, NodeLocation
 from auburnjunction.traffic.call_forwarders import InstanceSource, PeerRunner
 from auburnjunction.traffic.call_reports import CallReporter
@@ -48,6 +49,7 @@
 )
 from auburnjunction.traffic.routing_settings import RoutingSettings
 from auburnjunction.traffic.senders import CallSender, CallTrace
+from auburnjunction.traffic.version_observers import VersionObserver
 
 # Minimum Retry-After, in seconds, of calls whose refusal gave none: the time
 # in which a change reaches every node. It is jittered up to twice this time.
@@ -193,13 +195,20 @@
     crashes: CrashLog | None = None,
     lifetime: NodeLifetime | None = None,
     forwarded: ForwardedCalls | None = None,
+    versions: VersionSelector | None = None,
 ) -> EntryHandler:
     """Return a node's entry handler with all its components."""
     rng = rng or random.Random()
     outlier_tracker = OutlierTracker(settings)
     instance_tracker = InstanceTracker(outlier_tracker, clock, settings)
     balancer = Balancer(
-        location, instances, outlier_tracker, instance_tracker, settings, rng
+        location,
+        instances,
+        outlier_tracker,
+        instance_tracker,
+        settings,
+        rng,
+        versions,
     )
     peer_runner = PeerRunner(instances, pools, clock, settings, forwarded)
     sender = CallSender(
@@ -214,6 +223,7 @@
         count_nodes,
         Quarantine(crashes or CrashLog(clock), names),
         lifetime,
+        VersionObserver(versions, clock) if versions is not None else None,
     )
     reporter = CallReporter(metrics, outlier_tracker, settings)
     router = Router(
--- a/libs/traffic/auburnjunction/traffic/senders.py
+++ b/libs/traffic/auburnjunction/traffic/senders.py
@@ -37,6 +37,7 @@
 )
 from auburnjunction.traffic.routers import RoutedCall
 from auburnjunction.traffic.routing_settings import RoutingSettings
+from auburnjunction.traffic.version_observers import VersionObserver
 
 # Crashes of backend servers that ran a request after which a call with it is
 # not retried. One may be a coincidence.
@@ -93,7 +94,9 @@
         count_nodes: NodeCounter = count_one,
         quarantine: Quarantine | None = None,
         lifetime: NodeLifetime | None = None,
+        version_observer: VersionObserver | None = None,
     ):
+        self._version_observer = version_observer
         self._lifetime = lifetime or NodeLifetime(clock)
         self._quarantine = quarantine or Quarantine(CrashLog(clock))
         self._location = location
@@ -202,7 +205,12 @@
             )
         instance_tracker.start_call(instance)
         try:
-            answer = await self._run(call, instance)
+            if self._version_observer is None:
+                answer = await self._run(call, instance)
+            else:
+                answer = await self._version_observer.run(
+                    call, instance, self._run
+                )
         except TrafficError as exc:
             instance_tracker.record_error(instance, exc)
             raise
