--- a/libs/rollouts/auburnjunction/rollouts/schedules.py
+++ b/libs/rollouts/auburnjunction/rollouts/schedules.py
@@ -14,6 +14,9 @@
 # Progress from which a version without suspicion is accepted though some
 # route has too few answers: its service has few requests.
 FORCED_PROGRESS = 0.75
+# Progress from which suspicion that has not led to a verdict no longer
+# keeps the roll-out from its end.
+DECISION_PROGRESS = 1.0
 # Answers required then, unless the service has fewer requests than these.
 MIN_FORCED_ANSWERS = 10
 MIN_FORCED_REQUESTS = 100
@@ -47,6 +50,8 @@
     # Slots of the ready, warmed instances of both versions.
     target_slots: int
     old_slots: int
+    # Ready instances of the target in this data centre.
+    local_targets: int = 0
     # Whether other nodes are heard from.
     has_contact: bool = True
 
@@ -69,27 +74,30 @@
     if situation.accepted_progress is None:
         if not situation.has_contact:
             return 0.0
-        part = _find_part(situation)
-        return min(exposure_share * part, room)
+        return min(_plan_first(situation, exposure_share), room)
     share = _plan_raise(situation, exposure_share * HOLDING_PART)
-    is_early = situation.progress < 1.0
+    is_early = situation.progress < DECISION_PROGRESS
     if situation.assessment.is_suspicious and is_early:
         share = min(share, present)
     return min(share, room)
 
 
-def _find_part(situation: Situation) -> float:
-    """Return the part of exposure_share before acceptance.
+def _plan_first(situation: Situation, exposure_share: float) -> float:
+    """Return the share before acceptance.
 
-    Suspicion does not lower it: the verdict would only come later.
+    With that of one instance, one of the data centre at a time gets the load
+    of ordinary operation. Suspicion does not lower the share, as the verdict
+    would only come later.
     """
     assessment = situation.assessment
+    limit = exposure_share * SHARE_PART
     is_late = situation.progress >= FEW_ANSWERS_PROGRESS
     if is_late and assessment.answers < FEW_ANSWERS:
-        return SHARE_PART
+        return limit
     if assessment.answers < FIRST_STEP_ANSWERS:
-        return FIRST_PART
-    return HOLDING_PART
+        return exposure_share * FIRST_PART
+    one_instance = 1.0 / max(1, situation.local_targets)
+    return min(limit, max(exposure_share * HOLDING_PART, one_instance))
 
 
 def _plan_raise(situation: Situation, first: float) -> float:
@@ -106,7 +114,10 @@
 def may_accept(situation: Situation) -> bool:
     """Return whether the version may be accepted now."""
     assessment = situation.assessment
-    if not situation.target_slots or assessment.is_suspicious:
+    if not situation.target_slots:
+        return False
+    is_early = situation.progress < DECISION_PROGRESS
+    if assessment.is_suspicious and is_early:
         return False
     if not situation.old_slots:
         return True
--- a/libs/rollouts/auburnjunction/rollouts/splits.py
+++ b/libs/rollouts/auburnjunction/rollouts/splits.py
@@ -12,7 +12,7 @@
     choose_version,
     merge_baselines,
 )
-from auburnjunction.rollouts.counters import hash_name
+from auburnjunction.rollouts.counters import find_slice, hash_name
 from auburnjunction.rollouts.orders import Phase, Rollout
 
 # New instances are slow for this long after they are ready. Until then they
@@ -104,8 +104,8 @@
         )
         if share >= 1.0:
             return Split(old, target, target)
-        is_late = rollout.find_progress(now_s) >= COLD_PROGRESS
-        chosen = self._choose_target(target, share, is_late, now_s)
+        progress = rollout.find_progress(now_s)
+        chosen = self._choose_target(target, share, progress, now_s)
         return Split(old, target, chosen)
 
     def _list_old(
@@ -140,23 +140,26 @@
         self,
         target: list[Instance],
         share: float,
-        is_late: bool,
+        progress: float,
         now_s: float,
     ) -> list[Instance]:
         """Return the target instances that the share is concentrated on.
 
         Each then has about the load that all have once the target is in
-        force, so that faults under load show with a small share.
+        force, so that faults under load show with a small share. Others
+        are chosen in each slice, so that a slow host counts for little.
         """
         own = self._identity.data_centre
         local = [i for i in target if i.data_centre == own]
         usable = [i for i in local if self.is_warm(i, now_s)]
-        if not usable and is_late:
+        if not usable and progress >= COLD_PROGRESS:
             usable = local
         if not usable:
             return []
         count = max(1, math.ceil(share * len(usable)))
-        return sorted(usable, key=lambda i: hash_name(i.instance))[:count]
+        usable.sort(key=lambda i: hash_name(i.instance))
+        first = find_slice(progress) * count % len(usable)
+        return (usable[first:] + usable[:first])[:count]
 
     def is_warm(self, instance: Instance, now_s: float) -> bool:
         """Return whether the instance has been ready for WARM_UP_S."""
--- a/libs/rollouts/auburnjunction/rollouts/states.py
+++ b/libs/rollouts/auburnjunction/rollouts/states.py
@@ -301,6 +301,7 @@
             self.accepted_progress,
             sum(i.slots for i in warm),
             sum(i.slots for i in split.old),
+            sum(i.data_centre == self.data_centre for i in split.target),
             has_contact,
         )
 
--- a/libs/rollouts/auburnjunction/rollouts/verdicts.py
+++ b/libs/rollouts/auburnjunction/rollouts/verdicts.py
@@ -24,8 +24,8 @@
 # Logarithm of the ratio at which the target is condemned: 1 in 60,000, as
 # some 10 routes and 8 first slices are looked at in each roll-out.
 CONDEMNING_LOG_RATIO = 11.0
-# The same at the end of the ramp, by when a verdict is due, and the progress
-# between which it falls. A good version is rarely under suspicion then.
+# The same for failures at the end of the ramp, by when a verdict is due, and
+# the progress between which it falls.
 LATE_LOG_RATIO = 4.5
 FALLING_PROGRESS = (0.8, 1.0)
 # Logarithm of the ratio from which the share is not raised.
@@ -33,22 +33,24 @@
 # Fewest bad answers for a verdict. One crashed instance fails its running
 # requests, up to 3, at once.
 MIN_BAD_ANSWERS = 6
-# Fewest bad answers beside those of the worst instance, whose host may be
-# at fault and not the version.
+# Fewest bad answers, and their share, beside those of the worst instance,
+# whose host may be at fault and not the version. Before acceptance, at least
+# one instance in each data centre is in use.
 MIN_OTHER_BAD_ANSWERS = 3
+MIN_OTHER_BAD_SHARE = 0.25
 # Answers from which an instance counts as tried.
 MIN_INSTANCE_ANSWERS = 3
 # Share of bad answers that a good version may have beyond the old one's.
-BAD_MARGIN = 0.02
+BAD_MARGIN = 0.015
 # Shares of answers that a bad version fails beyond the null hypothesis.
-BAD_ALTERNATIVES = (0.08, 0.2, 0.4, 0.8)
+BAD_ALTERNATIVES = (0.03, 0.08, 0.2, 0.4, 0.8)
 # An answer is slow if it takes longer than this quantile of the old ones.
 SLOW_QUANTILE = 0.75
 # Share of slow answers that a good version may have: a third of its
 # instances may be on a host that is slowed down five times.
-SLOW_NULL = 0.5
+SLOW_NULL = 0.6
 SLOW_MARGIN = 0.2
-SLOW_ALTERNATIVES = (0.7, 0.85, 0.97)
+SLOW_ALTERNATIVES = (0.75, 0.85, 0.97)
 # Answers of the old version from which durations are compared.
 MIN_OLD_DURATIONS = 20
 # Bad share, beyond the null hypothesis, that acceptance has ruled out with
@@ -61,6 +63,13 @@
 MIN_ROUTE_SHARE = 0.005
 
 
+# Causes of verdicts.
+FAILURES = "failures"
+DURATIONS = "durations"
+# Route under which the answers of all routes are judged together.
+ALL_ROUTES = 0
+
+
 @attrs.frozen(slots=True)
 class Sample:
     """Answers of one version on one route: all, and those of a kind."""
@@ -126,7 +135,7 @@
 
 def find_slow_null(old: Sample) -> float:
     """Return the share of slow answers that the target may have."""
-    return max(SLOW_NULL, min(0.6, find_upper_share(old) + SLOW_MARGIN))
+    return max(SLOW_NULL, min(0.65, find_upper_share(old) + SLOW_MARGIN))
 
 
 def split_slow(
@@ -146,8 +155,10 @@
     )
 
 
-def find_condemning_ratio(progress: float) -> float:
+def find_condemning_ratio(cause: str, progress: float) -> float:
     """Return the log likelihood ratio at which the target is condemned."""
+    if cause != FAILURES:
+        return CONDEMNING_LOG_RATIO
     first, last = FALLING_PROGRESS
     part = min(max((progress - first) / (last - first), 0.0), 1.0)
     return CONDEMNING_LOG_RATIO + part * (
@@ -164,18 +175,17 @@
         if not firsts:
             return Assessment()
         totals = book.sum_from(firsts[0])
-        worst = (0.0, 0, "")
+        worst = (0.0, ALL_ROUTES, "")
         sums: Counts = {}
         for first in reversed(firsts):
             add_counts(sums, book.sums[first])
-            for route in _list_routes(sums):
-                worst = max(worst, self._judge_route(sums, totals, route))
+            worst = max(worst, self._judge_span(sums, totals))
         log_ratio, route, cause = worst
         return Assessment(
             log_ratio,
             route,
             cause,
-            log_ratio >= find_condemning_ratio(progress)
+            log_ratio >= find_condemning_ratio(cause, progress)
             and self._has_causes(cause, totals),
             self._is_accepted(totals),
             _sum_values(totals, Kind.TARGET, 0),
@@ -183,28 +193,40 @@
             _sum_values(totals, Kind.SEEN, 0),
         )
 
-    def _judge_route(
-        self, sums: Counts, totals: Counts, route: int
+    def _judge_span(
+        self, sums: Counts, totals: Counts
     ) -> tuple[float, int, str]:
-        target = sums[Kind.TARGET, route]
-        old = sums.get((Kind.OLD, route), [0, 0])
-        bad = find_bad_log_ratio(_read_sample(target), _read_sample(old))
-        if target[1] < MIN_BAD_ANSWERS:
-            bad = min(bad, LATE_LOG_RATIO - 1)
-        found = max((0.0, route, ""), (bad, route, "failures"))
-        slow = split_slow(target, old) or split_slow(
-            target, totals.get((Kind.OLD, route), [])
-        )
-        if slow is not None:
-            ratio = find_log_ratio(
-                slow[0], find_slow_null(slow[1]), SLOW_ALTERNATIVES
+        """Return the strongest evidence in the counts of a span."""
+        target = _read_all(sums, Kind.TARGET)
+        found = [(0.0, ALL_ROUTES, "")]
+        ratio = self._judge_failures(target, _read_all(sums, Kind.OLD))
+        found.append((ratio, ALL_ROUTES, FAILURES))
+        for route in _list_routes(sums):
+            values = sums[Kind.TARGET, route]
+            old = sums.get((Kind.OLD, route), [0, 0])
+            ratio = self._judge_failures(
+                _read_sample(values), _read_sample(old)
             )
-            found = max(found, (ratio, route, "durations"))
-        return found
+            found.append((ratio, route, FAILURES))
+            slow = split_slow(values, old) or split_slow(
+                values, totals.get((Kind.OLD, route), [])
+            )
+            if slow is not None:
+                ratio = find_log_ratio(
+                    slow[0], find_slow_null(slow[1]), SLOW_ALTERNATIVES
+                )
+                found.append((ratio, route, DURATIONS))
+        return max(found)
+
+    def _judge_failures(self, target: Sample, old: Sample) -> float:
+        ratio = find_bad_log_ratio(target, old)
+        if target.hits < MIN_BAD_ANSWERS:
+            return min(ratio, LATE_LOG_RATIO - 1)
+        return ratio
 
     def _has_causes(self, cause: str, totals: Counts) -> bool:
         """Return whether bad answers are not those of one instance only."""
-        if cause != "failures":
+        if cause != FAILURES:
             return True
         tried = [
             values
@@ -214,7 +236,8 @@
         bad = [values[1] if len(values) > 1 else 0 for values in tried]
         if len(bad) < 2:
             return True
-        return sum(bad) - max(bad) >= MIN_OTHER_BAD_ANSWERS
+        required = max(MIN_OTHER_BAD_ANSWERS, MIN_OTHER_BAD_SHARE * sum(bad))
+        return sum(bad) - max(bad) >= required
 
     def _is_accepted(self, totals: Counts) -> bool:
         requests = _sum_values(totals, Kind.SEEN, 0)
@@ -251,6 +274,10 @@
     return Sample(values[0] if values else 0, bad)
 
 
+def _read_all(sums: Counts, kind: Kind) -> Sample:
+    return Sample(_sum_values(sums, kind, 0), _sum_values(sums, kind, 1))
+
+
 def _sum_values(sums: Counts, kind: Kind, position: int) -> int:
     return sum(
         values[position]
