--- a/libs/rollouts/auburnjunction/rollouts/coordinators.py
+++ b/libs/rollouts/auburnjunction/rollouts/coordinators.py
@@ -337,7 +337,8 @@
         yield None
         return
     # Differs between restarts of the node, whose counters start from 0.
-    source = xxhash.xxh64_intdigest(f"{node}/{rng.getrandbits(64)}")
+    text = f"{node}/{rng.getrandbits(64)}"
+    source = xxhash.xxh64_intdigest(text.encode())
     identity = NodeIdentity(node, data_centre, source, clock.monotonic())
     selector = FleetVersionSelector(identity, settings, clock, rng)
     stats = RolloutStats()
