--- a/libs/rollouts/auburnjunction/rollouts/splits.py
+++ b/libs/rollouts/auburnjunction/rollouts/splits.py
@@ -15,9 +15,11 @@
 from auburnjunction.rollouts.counters import find_slice, hash_name
 from auburnjunction.rollouts.orders import Phase, Rollout
 
-# New instances are slow for this long after they are ready. Until then they
-# get no requests before acceptance, and their durations do not count.
+# Time after which new instances get requests before acceptance.
 WARM_UP_S = 2.5
+# New instances are slow for some seconds. Until this long after they are
+# ready, their durations and run-outs of deadlines do not count.
+SLOW_START_S = 5.0
 # Progress from which cold instances are used if no warm one is there.
 COLD_PROGRESS = 0.3
 
@@ -161,10 +163,12 @@
         first = find_slice(progress) * count % len(usable)
         return (usable[first:] + usable[:first])[:count]
 
-    def is_warm(self, instance: Instance, now_s: float) -> bool:
-        """Return whether the instance has been ready for WARM_UP_S."""
+    def is_warm(
+        self, instance: Instance, now_s: float, limit_s: float = WARM_UP_S
+    ) -> bool:
+        """Return whether the instance has been ready for that long."""
         seen_s = self._first_seen_s.get((instance.instance, instance.born_ms))
-        return seen_s is not None and now_s - seen_s >= WARM_UP_S
+        return seen_s is not None and now_s - seen_s >= limit_s
 
     def observe_instances(
         self, instances: Sequence[Instance], now_s: float
--- a/libs/rollouts/auburnjunction/rollouts/states.py
+++ b/libs/rollouts/auburnjunction/rollouts/states.py
@@ -1,5 +1,6 @@
 """State of one service: versions, its roll-out and this node's share."""
 
+import math
 import random
 from collections.abc import Sequence
 
@@ -30,6 +31,7 @@
 from auburnjunction.rollouts.settings import RolloutSettings
 from auburnjunction.rollouts.splits import (
     COLD_PROGRESS,
+    SLOW_START_S,
     NodeIdentity,
     Split,
     VersionSplitter,
@@ -42,6 +44,9 @@
 MAX_OLD_CREDIT = 40
 # A route is rare below this share of the requests seen.
 RARE_ROUTE_SHARE = 0.1
+# Shortest time between judgements, each of which takes about 1 ms for 61
+# nodes.
+JUDGING_INTERVAL_S = 0.2
 # Progress from which requests still running at old instances no longer keep
 # this node from reporting that it sends to the target only.
 WAIT_PROGRESS = 1.15
@@ -83,6 +88,7 @@
         self.accepted_progress: float | None = None
         self.running_old = 0
         self._judged_revision = -1
+        self._judged_s = -math.inf
         self._old_credits: dict[str, int] = {}
         self._seen: dict[str, int] = {}
         self._splitter.invalidate()
@@ -230,7 +236,7 @@
         is_target = instance.version == self.rollout.order.target
         if not is_target and not self._take_old_credit(route):
             return
-        is_warm = self._splitter.is_warm(instance, now_s)
+        is_warm = self._splitter.is_warm(instance, now_s, SLOW_START_S)
         if is_timeout and not is_warm:
             return
         index = find_slice(self.rollout.find_progress(now_s))
@@ -264,8 +270,10 @@
         self._splitter.observe_instances(instances, now_s)
         if not self.is_active:
             return False
-        if self._judged_revision != self.book.revision:
+        is_due = now_s - self._judged_s >= JUDGING_INTERVAL_S
+        if is_due and self._judged_revision != self.book.revision:
             self._judged_revision = self.book.revision
+            self._judged_s = now_s
             progress = self.rollout.find_progress(now_s)
             self.assessment = self._judge.assess(self.book, progress)
         if self.assessment.is_condemned:
--- a/libs/rollouts/auburnjunction/rollouts/tests/simulations.py
+++ b/libs/rollouts/auburnjunction/rollouts/tests/simulations.py
@@ -24,7 +24,7 @@
 RESERVE_S = 3.0
 GOSSIP_S = 0.25
 # Instances have run for this long at the order.
-LEAD_S = 5.0
+LEAD_S = 4.0
 SLOTS = 3
 MEDIAN_S = 0.04
 SIGMA = 0.5
