--- a/libs/rollouts/auburnjunction/rollouts/coordinators.py
+++ b/libs/rollouts/auburnjunction/rollouts/coordinators.py
@@ -33,10 +33,15 @@
 # Interval of the steps that read orders, plan shares and push news.
 STEP_INTERVAL_S = 0.1
 # Interval of exchanges of evidence while a roll-out is under way. Pulling
-# from one peer each time, evidence takes about 1.5 s to 61 nodes.
+# from one peer each time, evidence takes about 1.5 s to 61 nodes. It is a
+# smaller part of rollback_ms where that is short.
 ACTIVE_INTERVAL_S = 0.25
-# Interval of exchanges of roll-outs that have ended, for restarted nodes.
+ROLLBACK_PART = 0.05
+# Interval of exchanges of roll-outs that have ended, for restarted nodes. A
+# node that missed the push of an order learns of it within a smaller part of
+# config_apply_ms.
 IDLE_INTERVAL_S = 2.0
+APPLY_PART = 0.8
 # Interval at which counters are published.
 PUBLISH_INTERVAL_S = 0.4
 # Interval at which readers read the status row of a roll-out under way; they
@@ -70,6 +75,12 @@
         stats: RolloutStats,
     ):
         self._contact_s = settings.contact_ms / 1000
+        self._active_interval_s = min(
+            ACTIVE_INTERVAL_S, ROLLBACK_PART * settings.rollback_ms / 1000
+        )
+        self._idle_interval_s = min(
+            IDLE_INTERVAL_S, APPLY_PART * settings.config_apply_ms / 1000
+        )
         self.selector = selector
         self._membership = membership
         self._peers = peers
@@ -116,8 +127,8 @@
         phases = [s.rollout.phase for _, s in self._list_rollouts()]
         is_active = any(not phase.is_final for phase in phases)
         if is_active or self._start_peers_left:
-            return ACTIVE_INTERVAL_S
-        return IDLE_INTERVAL_S
+            return self._active_interval_s
+        return self._idle_interval_s
 
     async def exchange(self) -> None:
         """Exchange with one peer, if there is anything to exchange.
--- a/libs/rollouts/auburnjunction/rollouts/tests/simulations.py
+++ b/libs/rollouts/auburnjunction/rollouts/tests/simulations.py
@@ -30,6 +30,8 @@
 SIGMA = 0.5
 # Queued requests of an instance beyond which it refuses further ones.
 QUEUE = 6
+# Deadline of requests; a later answer counts as bad.
+DEADLINE_S = 0.4
 # Bad answers after which the time limit of a rollback begins.
 BAD_LIMIT = 50
 
@@ -49,6 +51,8 @@
     """Share of bad answers and factor of durations of a version."""
 
     name: str
+    # Times from and to which the fleet gets that many times the requests.
+    burst: tuple[float, float, float] = (0.0, 0.0, 1.0)
     bad: Callable[[Situation], float] = lambda _: 0.0
     slow: Callable[[Situation], float] = lambda _: 1.0
 
@@ -147,7 +151,7 @@
         for state in self._nodes:
             state.adopt(Rollout(order, 0.0, Phase.RUNNING), len(self._nodes))
         while now_s < end_s:
-            now_s += self._random.expovariate(self._rate_per_s)
+            now_s += self._random.expovariate(self._find_rate(now_s))
             while next_round_s <= now_s:
                 self._end_requests(next_round_s, result)
                 self._run_round(next_round_s, result)
@@ -156,6 +160,11 @@
         result.phase = max(s.rollout.phase for s in self._nodes)
         return result
 
+    def _find_rate(self, now_s: float) -> float:
+        start_s, end_s, factor = self._behaviour.burst
+        is_burst = start_s <= now_s < end_s
+        return self._rate_per_s * (factor if is_burst else 1.0)
+
     def _run_round(self, now_s: float, result: Result) -> None:
         for state in self._nodes:
             state.publish(now_s)
@@ -219,15 +228,15 @@
             result.last_s = now_s
         end_s = start_s + work_s * backend.speed
         backend.slots[index] = end_s
-        is_bad = self._random.random() < bad_share
+        is_late = end_s - now_s > DEADLINE_S
+        is_bad = is_late or self._random.random() < bad_share
         entry = (end_s, self._random.random(), state, route, backend, now_s)
-        heapq.heappush(self._pending, (*entry, is_bad))
+        heapq.heappush(self._pending, (*entry, is_bad, is_late))
 
     def _end_requests(self, now_s: float, result: Result) -> None:
         while self._pending and self._pending[0][0] <= now_s:
-            end_s, _, state, route, backend, start_s, is_bad = heapq.heappop(
-                self._pending
-            )
+            entry = heapq.heappop(self._pending)
+            end_s, _, state, route, backend, start_s, is_bad, is_late = entry
             instance = backend.instance
             if is_bad and instance.version == NEW:
                 result.bad += 1
@@ -235,7 +244,7 @@
                     result.fiftieth_s = end_s
             duration_s = end_s - start_s
             state.count_answer(
-                route, instance, is_bad, False, duration_s, end_s
+                route, instance, is_bad, is_late, duration_s, end_s
             )
 
 
@@ -250,6 +259,8 @@
         "good, one instance fails all",
         bad=lambda s: 1.0 if s.instance == 4 else 0.0,
     ),
+    Behaviour("good, 2.4 times the requests from 4 to 7 s", (4, 7, 2.4)),
+    Behaviour("good, 1.7 times the requests from 8 to 11 s", (8, 11, 1.7)),
     Behaviour("bad: fails 30% at once", bad=lambda _: 0.3),
     Behaviour("bad: fails 10% at once", bad=lambda _: 0.1),
     Behaviour("bad: fails 30% from 5 s on", bad=lambda s: 0.3 * (s.age_s > 5)),
