--- a/libs/rollouts/auburnjunction/rollouts/peers.py
+++ b/libs/rollouts/auburnjunction/rollouts/peers.py
@@ -16,6 +16,7 @@
     parse_message,
     post,
 )
+from auburnjunction.rollouts.baselines import SETTLING_S
 from auburnjunction.rollouts.exchanges import (
     decode_baseline,
     decode_evidence,
@@ -192,9 +193,10 @@
         for service, state in self._selector.states.items():
             if state.rollout is not None:
                 message.rollouts.append(encode_rollout(state.rollout, now_s))
-            if state.baseline is not None:
+            baseline = state.baseline
+            if baseline is not None and now_s - baseline.since_s > SETTLING_S:
                 message.baselines.append(
-                    encode_baseline(service, state.baseline, now_s)
+                    encode_baseline(service, baseline, now_s)
                 )
 
     def _merge(self, message: pb.RolloutExchange) -> None:
