Complete roll-outs also where nodes are cut off from each other

Cause: nodes that are cut off from most others, but not from the store, never learned that a version was accepted, and still sent requests to the old one when the roll-out was completed.

Change: a row of this system's table says that a target is accepted, written and read only while known nodes are not heard from; a completion then waits until shortly after the ramp.

--- a/libs/rollouts/auburnjunction/rollouts/coordinators.py
+++ b/libs/rollouts/auburnjunction/rollouts/coordinators.py
@@ -14,6 +14,7 @@
 from auburnjunction.http.clients import PoolRegistry
 from auburnjunction.http.messages import HttpRequest, HttpResponse
 from auburnjunction.membership.memberships import Membership
+from auburnjunction.rollouts.contacts import FleetContacts
 from auburnjunction.rollouts.orders import (
     UNKNOWN_AGE_SHARE,
     Phase,
@@ -50,9 +51,6 @@
 # A node is a reader of the head until this long after its last read. Reads
 # are long polls of up to 5 s.
 READER_S = 6.0
-# Time for which the highest number of nodes known stays in force, so that
-# those of a partition are not taken for all.
-PEAK_HOLD_S = 30.0
 # Time for which all nodes must have reported that they send to the target
 # only before the roll-out is completed.
 FULL_S = 0.4
@@ -74,7 +72,11 @@
         rng: random.Random,
         stats: RolloutStats,
     ):
-        self._contact_s = settings.contact_ms / 1000
+        self._contacts = FleetContacts(
+            lambda: peers.node_count,
+            settings.contact_ms / 1000,
+            clock.monotonic(),
+        )
         self._active_interval_s = min(
             ACTIVE_INTERVAL_S, ROLLBACK_PART * settings.rollback_ms / 1000
         )
@@ -95,7 +97,6 @@
         self._era: int | None = None
         self._published_s = 0.0
         self._status_read_s = 0.0
-        self._peak = (1, clock.monotonic())
         self._full_since_s: dict[str, float] = {}
         self._start_peers_left = START_PEERS
 
@@ -219,28 +220,19 @@
         self, service: str, state: ServiceState, now_s: float
     ) -> None:
         instances = self._membership.find_instances(service)
-        heard = state.book.find_nodes(now_s - self._contact_s)
-        peak = self._find_peak(now_s)
+        contact = self._contacts.find(state.book, now_s)
         phase = state.rollout.phase if state.rollout else None
         if state.refresh(
             instances,
             now_s,
-            has_contact=len(heard) > 1 or peak == 1,
-            has_majority=2 * len(heard) > peak,
+            has_contact=contact.has_others,
+            has_majority=contact.has_majority,
         ):
             self._stats.verdicts += 1
             self._peers.report(service)
         elif state.rollout and state.rollout.phase is not phase:
             self._peers.report(service)
 
-    def _find_peak(self, now_s: float) -> int:
-        """Return the highest number of nodes within PEAK_HOLD_S."""
-        count = self._peers.node_count
-        peak, peak_s = self._peak
-        if count >= peak or now_s - peak_s > PEAK_HOLD_S:
-            self._peak = (count, now_s)
-        return self._peak[0]
-
     def _find_writer(self, service: str) -> StatusWriter:
         writer = self._writers.get(service)
         if writer is None:
@@ -271,9 +263,13 @@
         Nodes that have published nothing for contact_s are left out.
         """
         now_s = self._clock.monotonic()
-        heard = state.book.find_nodes(now_s - self._contact_s)
-        has_majority = 2 * len(heard) > self._find_peak(now_s)
-        if not (has_majority and state.is_full and all(heard.values())):
+        contact = self._contacts.find(state.book, now_s)
+        is_past_ramp = state.rollout.is_past_ramp(now_s)
+        if (
+            (contact.has_unheard and not is_past_ramp)
+            or not (contact.has_majority and contact.are_full)
+            or not state.is_full
+        ):
             self._full_since_s.pop(service, None)
             return False
         since_s = self._full_since_s.setdefault(service, now_s)
@@ -319,6 +315,30 @@
         phase = status.find_phase(target)
         if phase >= Phase.RUNNING and writer.adopt(target, phase):
             self._peers.report(service)
+        now_s = self._clock.monotonic()
+        if self._contacts.find(state.book, now_s).has_unheard:
+            await self._exchange_acceptance(service, state, target)
+
+    async def _exchange_acceptance(
+        self, service: str, state: ServiceState, target: str
+    ) -> None:
+        """Write that the target is accepted, or read it, in the store.
+
+        A part of the fleet that is cut off from the others, but not from the
+        store, then raises its share in time for the completion.
+        """
+        writer = self._find_writer(service)
+        try:
+            if state.rollout.phase is Phase.ACCEPTED:
+                await writer.share_acceptance()
+            elif state.rollout.phase is Phase.RUNNING:
+                status = await writer.read_acceptance()
+                if status.phase is Phase.ACCEPTED and writer.adopt(
+                    target, Phase.ACCEPTED
+                ):
+                    self._peers.report(service)
+        except PlatformError:
+            self._stats.failed_status_calls += 1
 
     async def _push_news(self) -> None:
         if not self._peers.news:
--- a/libs/rollouts/auburnjunction/rollouts/orders.py
+++ b/libs/rollouts/auburnjunction/rollouts/orders.py
@@ -8,6 +8,10 @@
 # Shortest time over which a version is judged; shorter ramps would end
 # before its evidence has spread.
 MIN_RAMP_S = 4.0
+# Time after the ramp for which a completion waits for nodes that are not
+# heard from, as a share of the ramp and at most.
+WAIT_SHARE = 0.1
+MAX_WAIT_S = 1.2
 # Share of the ramp that is taken to have passed when a roll-out is found
 # running and no node knows its age, as after a restart of all nodes.
 UNKNOWN_AGE_SHARE = 0.5
@@ -76,6 +80,11 @@
     started_s: float
     phase: Phase = Phase.ORDERED
 
+    def is_past_ramp(self, now_s: float) -> bool:
+        """Return whether nodes that are cut off need not be waited for."""
+        wait_s = min(MAX_WAIT_S, self.order.judging_s * WAIT_SHARE)
+        return now_s - self.started_s >= self.order.judging_s + wait_s
+
     def find_progress(self, now_s: float) -> float:
         """Return the time since the order as a share of judging_s."""
         return (now_s - self.started_s) / self.order.judging_s
@@ -165,6 +174,17 @@
     ) -> int:
         """Replace the row at the expected version; return the new one."""
 
+    async def read_acceptance(self, order: Order, timeout_s: float) -> Status:
+        """Return the row that says whether an order's target is accepted.
+
+        Its phase is ACCEPTED or ORDERED.
+        """
+
+    async def write_acceptance(
+        self, order: Order, expected_version: int, timeout_s: float
+    ) -> None:
+        """Replace that row by one that says so, at the expected version."""
+
 
 @attrs.frozen
 class RolloutAdapters:
--- a/libs/rollouts/auburnjunction/rollouts/splits.py
+++ b/libs/rollouts/auburnjunction/rollouts/splits.py
@@ -55,11 +55,34 @@
         self._first_seen_s: dict[tuple[str, int], float] = {}
         self._cached: tuple[object, Split] | None = None
         self.baseline: Baseline | None = None
+        self._is_target_in_force = False
 
     def invalidate(self) -> None:
         """Forget the last split, as the roll-out or the share has changed."""
         self._cached = None
 
+    def start_rollout(
+        self, rollout: Rollout, previous: Rollout | None
+    ) -> None:
+        """Forget the last split, and find out whether the target is in force.
+
+        An order of the version in force ends a roll-out, or changes nothing.
+        The belief of a node that has just started does not count: it may
+        have seen only instances of the target.
+        """
+        self.invalidate()
+        if previous is not None and previous.phase is Phase.COMPLETED:
+            self.baseline = Baseline(previous.order.target, previous.started_s)
+        held = self.baseline
+        self._is_target_in_force = (
+            held is not None
+            and held.version == rollout.order.target
+            and (
+                previous is not None
+                or rollout.started_s - held.since_s > SETTLING_S
+            )
+        )
+
     def adopt_baseline(self, received: Baseline) -> None:
         """Merge another node's belief of the version in force."""
         merged = merge_baselines(self.baseline, received)
@@ -95,15 +118,9 @@
         if rollout.phase is Phase.COMPLETED:
             return Split((), target, target)
         rest = [i for i in instances if i.version != target_version]
-        is_in_force = (
-            rollout.phase.is_active
-            and self.baseline is not None
-            and self.baseline.version == target_version
-            and rollout.started_s - self.baseline.since_s > SETTLING_S
-        )
-        old = (
-            () if is_in_force else self._list_old(rest, target_version, now_s)
-        )
+        old = ()
+        if not (rollout.phase.is_active and self._is_target_in_force):
+            old = self._list_old(rest, target_version, now_s)
         if share >= 1.0:
             return Split(old, target, target)
         progress = rollout.find_progress(now_s)
--- a/libs/rollouts/auburnjunction/rollouts/states.py
+++ b/libs/rollouts/auburnjunction/rollouts/states.py
@@ -132,11 +132,8 @@
         if not is_new and held.phase.is_final and not merged.phase.is_final:
             is_new = True
         if is_new:
-            if held is not None and held.phase is Phase.COMPLETED:
-                self._splitter.baseline = Baseline(
-                    held.order.target, held.started_s
-                )
             self._reset()
+            self._splitter.start_rollout(merged, held)
             self.budget = make_budget(self._settings, node_count, self._random)
         self.rollout = merged
         self._splitter.invalidate()
--- a/libs/rollouts/auburnjunction/rollouts/tests/test_writers.py
+++ b/libs/rollouts/auburnjunction/rollouts/tests/test_writers.py
@@ -45,6 +45,12 @@
             raise error
         return self.status.version
 
+    async def read_acceptance(self, order, timeout_s):
+        return self.status
+
+    async def write_acceptance(self, order, expected, timeout_s):
+        await self.write("", order.target, Phase.ACCEPTED, expected, timeout_s)
+
 
 def make_writer(table, phase):
     rng = random.Random(1)
@@ -120,3 +126,13 @@
             clock.advance(0.01)
         due[is_reader] = clock.monotonic() - start_s
     assert due[True] < 0.2 < due[False] < 2.1
+
+
+# Guards against a part of the fleet that never learns of the acceptance.
+def test_acceptance_is_written_once():
+    table = StatusTable(Status(3))
+    _, _, writer = make_writer(table, Phase.ACCEPTED)
+    for _ in range(2):
+        curio.run(writer.share_acceptance)
+    assert table.written == [Phase.ACCEPTED]
+    assert curio.run(writer.read_acceptance).phase is Phase.ACCEPTED
--- a/libs/rollouts/auburnjunction/rollouts/writers.py
+++ b/libs/rollouts/auburnjunction/rollouts/writers.py
@@ -48,6 +48,8 @@
         self._wanted: Phase | None = None
         self._due_s = 0.0
         self._is_busy = False
+        # Evidence of the roll-out whose acceptance is known to be written.
+        self._acceptance_shared: object | None = None
         # Whether the row may have lost a final state that is known here.
         self.is_lost = False
 
@@ -128,6 +130,32 @@
         )
         return version
 
+    async def share_acceptance(self) -> None:
+        """Write that the target is accepted, for nodes cut off from others.
+
+        It is written once by each node that is asked to, unless it is there.
+        """
+        if self._acceptance_shared is self._state.book or self._is_busy:
+            return
+        self._is_busy = True
+        try:
+            order = self._state.rollout.order
+            status = await self.read_acceptance()
+            if status.phase is not Phase.ACCEPTED:
+                self._stats.status_writes += 1
+                await self._store.write_acceptance(
+                    order, status.version, STORE_TIMEOUT_S
+                )
+            self._acceptance_shared = self._state.book
+        finally:
+            self._is_busy = False
+
+    async def read_acceptance(self) -> Status:
+        """Return whether another node has written that it is accepted."""
+        self._stats.status_reads += 1
+        order = self._state.rollout.order
+        return await self._store.read_acceptance(order, STORE_TIMEOUT_S)
+
     def adopt(self, target: str, phase: Phase) -> bool:
         """Adopt a phase read or written, unless the order was replaced."""
         rollout = self._state.rollout
