Spare the store and the processor in roll-outs

Cause: while the store fails, all nodes repeated the write of a verdict every second; without a roll-out, nodes were counted ten times a second.

Change: longer delays for nodes that are not readers, counts every 0.5 s.

--- a/libs/rollouts/auburnjunction/rollouts/contacts.py
+++ b/libs/rollouts/auburnjunction/rollouts/contacts.py
@@ -1,5 +1,6 @@
 """Which nodes of the fleet this node hears from."""
 
+import math
 from collections.abc import Callable, Mapping
 
 import attrs
@@ -9,6 +10,8 @@
 # Time for which the highest number of nodes known stays in force, so that
 # those of a partition are not taken for all.
 PEAK_HOLD_S = 30.0
+# Interval at which the nodes are counted.
+COUNT_INTERVAL_S = 0.5
 
 
 @attrs.frozen(slots=True)
@@ -52,10 +55,18 @@
         self._count_nodes = count_nodes
         self._contact_s = contact_s
         self._peak, self._peak_s = 1, now_s
+        self._observed_s = -math.inf
 
-    def find(self, book: EvidenceBook, now_s: float) -> Contact:
-        """Return the contact; nodes silent for contact_s are not heard."""
+    def observe(self, now_s: float) -> None:
+        """Count the nodes known, at most once in COUNT_INTERVAL_S."""
+        if now_s - self._observed_s < COUNT_INTERVAL_S:
+            return
+        self._observed_s = now_s
         count = self._count_nodes()
         if count >= self._peak or now_s - self._peak_s > PEAK_HOLD_S:
             self._peak, self._peak_s = count, now_s
+
+    def find(self, book: EvidenceBook, now_s: float) -> Contact:
+        """Return the contact; nodes silent for contact_s are not heard."""
+        self.observe(now_s)
         return Contact(book.find_nodes(now_s - self._contact_s), self._peak)
--- a/libs/rollouts/auburnjunction/rollouts/coordinators.py
+++ b/libs/rollouts/auburnjunction/rollouts/coordinators.py
@@ -149,6 +149,7 @@
         """Adopt orders, judge targets, write statuses and push news."""
         await self._start_reading_orders()
         now_s = self._clock.monotonic()
+        self._contacts.observe(now_s)
         self._publish(now_s)
         for service, state in list(self.selector.states.items()):
             self._refresh(service, state, now_s)
@@ -220,8 +221,10 @@
         self, service: str, state: ServiceState, now_s: float
     ) -> None:
         instances = self._membership.find_instances(service)
+        if not state.is_active:
+            state.observe_instances(instances, now_s)
+            return
         contact = self._contacts.find(state.book, now_s)
-        phase = state.rollout.phase if state.rollout else None
         if state.refresh(
             instances,
             now_s,
@@ -230,8 +233,6 @@
         ):
             self._stats.verdicts += 1
             self._peers.report(service)
-        elif state.rollout and state.rollout.phase is not phase:
-            self._peers.report(service)
 
     def _find_writer(self, service: str) -> StatusWriter:
         writer = self._writers.get(service)
--- a/libs/rollouts/auburnjunction/rollouts/states.py
+++ b/libs/rollouts/auburnjunction/rollouts/states.py
@@ -98,10 +98,10 @@
         """Data centre of this node."""
         return self._identity.data_centre
 
-    def observe_start(
+    def observe_instances(
         self, instances: Sequence[Instance], now_s: float
     ) -> None:
-        """Record since when instances are ready, without a roll-out."""
+        """Record since when instances are ready."""
         self._splitter.observe_instances(instances, now_s)
 
     @property
@@ -264,7 +264,7 @@
         has_majority: bool,
     ) -> bool:
         """Judge the target and plan its share; return on a new phase."""
-        self._splitter.observe_instances(instances, now_s)
+        self.observe_instances(instances, now_s)
         if not self.is_active:
             return False
         is_due = now_s - self._judged_s >= JUDGING_INTERVAL_S
--- a/libs/rollouts/auburnjunction/rollouts/tests/simulations.py
+++ b/libs/rollouts/auburnjunction/rollouts/tests/simulations.py
@@ -144,7 +144,7 @@
         result = Result(Phase.ORDERED, math.inf)
         for state in self._nodes:
             for at_s in (-LEAD_S, 0.0):
-                state.observe_start(self._instances, at_s)
+                state.observe_instances(self._instances, at_s)
         now_s, next_round_s = 0.0, 0.0
         end_s = RAMP_S + RESERVE_S
         order = Order(SERVICE, NEW, RAMP_S, 0, 5)
--- a/libs/rollouts/auburnjunction/rollouts/writers.py
+++ b/libs/rollouts/auburnjunction/rollouts/writers.py
@@ -22,8 +22,10 @@
 # others learn of it: the news of a write takes about 0.3 s to all nodes.
 READER_DELAY_S = (0.0, 0.15)
 OTHER_DELAY_S = (0.7, 2.0)
-# Delays before the next attempt after a failed one.
-RETRY_DELAY_S = (0.5, 1.5)
+# Delays before the next attempt after a failed one. Those of other nodes than
+# readers, of which there are many, spare a store that is overloaded.
+READER_RETRY_DELAY_S = (0.5, 1.5)
+OTHER_RETRY_DELAY_S = (2.0, 6.0)
 CONFLICT_DELAY_S = (0.05, 0.2)
 
 
@@ -47,6 +49,7 @@
         self._stats = stats
         self._wanted: Phase | None = None
         self._due_s = 0.0
+        self._is_reader = False
         self._is_busy = False
         # Evidence of the roll-out whose acceptance is known to be written.
         self._acceptance_shared: object | None = None
@@ -56,6 +59,7 @@
     def plan(self, wanted: Phase | None, is_reader: bool) -> bool:
         """Return whether to call write now for the wanted phase."""
         now_s = self._clock.monotonic()
+        self._is_reader = is_reader
         if wanted is not self._wanted:
             self._wanted = wanted
             delay_s = READER_DELAY_S if is_reader else OTHER_DELAY_S
@@ -78,7 +82,11 @@
             self._delay(CONFLICT_DELAY_S)
         except PlatformError as exc:
             self._stats.failed_status_calls += 1
-            self._delay(RETRY_DELAY_S)
+            self._delay(
+                READER_RETRY_DELAY_S
+                if self._is_reader
+                else OTHER_RETRY_DELAY_S
+            )
             log_event(
                 "status of a roll-out not written",
                 logging.WARNING,
