--- a/libs/node/auburnjunction/node/settings.py
+++ b/libs/node/auburnjunction/node/settings.py
@@ -18,6 +18,7 @@
 from auburnjunction.http.messages import MessageLimits
 from auburnjunction.membership.settings import MembershipSettings
 from auburnjunction.organisations.settings import OrganisationSettings
+from auburnjunction.rollouts.settings import RolloutSettings
 from auburnjunction.traffic.admissions import AdmissionSettings
 from auburnjunction.traffic.routing_settings import RoutingSettings
 
@@ -84,6 +85,7 @@
     organisations: OrganisationSettings = attrs.field(
         factory=OrganisationSettings
     )
+    rollouts: RolloutSettings = attrs.field(factory=RolloutSettings)
 
     @property
     def translations(self) -> dict[Address, Address]:
--- a/libs/traffic/auburnjunction/traffic/senders.py
+++ b/libs/traffic/auburnjunction/traffic/senders.py
@@ -38,6 +38,7 @@
 )
 from auburnjunction.traffic.routers import RoutedCall
 from auburnjunction.traffic.routing_settings import RoutingSettings
+from auburnjunction.traffic.version_observers import VersionObserver
 
 # Crashes of backend servers that ran a request after which a call with it is
 # not retried. One may be a coincidence.
@@ -96,8 +97,10 @@
         quarantine: Quarantine | None = None,
         lifetime: NodeLifetime | None = None,
         find_refusal: RefusalFinder = find_no_refusal,
+        version_observer: VersionObserver | None = None,
     ):
         self._find_refusal = find_refusal
+        self._version_observer = version_observer
         self._lifetime = lifetime or NodeLifetime(clock)
         self._quarantine = quarantine or Quarantine(CrashLog(clock))
         self._location = location
@@ -237,7 +240,12 @@
             )
         instance_tracker.start_call(instance)
         try:
-            answer = await self._run(call, instance)
+            if self._version_observer is None:
+                answer = await self._run(call, instance)
+            else:
+                answer = await self._version_observer.run(
+                    call, instance, self._run
+                )
         except TrafficError as exc:
             instance_tracker.record_error(instance, exc)
             raise
