Bound the memory and descriptors that clients can take

Nothing bounded the bytes of the requests that a node held, so many large or chunked bodies took it over the memory of its host.

The process has a byte budget (http/budgets.py, no sockets, clock passed in): memory_mb less what the process needs. Heads and announced bodies are charged when the head is read, chunked bodies as they grow, responses as they are read. Over the budget reading pauses, then a new body is refused with 503 before it is read, then the body that is slowest for longest ends with 408. Shares are kept for small requests and for exchanges between nodes. Connections are bounded by max_fds and by the receive buffers, which are fixed in size; idle ones close first. A body is held once: large ones are neither copied when they are complete nor joined with their head. With a budget the owner node takes bodies of up to 64 MiB from other nodes; above 4 MiB these were answered 413, which callers saw as 502. The process reads memory_mb and max_fds of the users' limits. Without memory_mb nothing is limited.

--- a/libs/http/auburnjunction/http/connections.py
+++ b/libs/http/auburnjunction/http/connections.py
@@ -7,17 +7,21 @@
 import h11
 from absl import logging
 
+from auburnjunction.base.logs import log_event
+from auburnjunction.http.budgets import Share
 from auburnjunction.http.errors import (
     AbandonedMessageError,
     BadMessageError,
     HttpError,
+    RefusedMessageError,
 )
 from auburnjunction.http.message_streams import MessageStream
-from auburnjunction.http.messages import HttpResponse
+from auburnjunction.http.messages import HttpRequest, HttpResponse
 from auburnjunction.http.pipelines import (
     PeerDisconnectedError,
     RequestPipeline,
     ServerState,
+    release_account,
 )
 
 # Time for which a closed connection still discards what the peer sends. A
@@ -44,10 +48,19 @@
 class ServerConnection:
     """One accepted connection, whose task reads requests."""
 
-    def __init__(self, sock, state: ServerState):
+    def __init__(self, sock, state: ServerState, address: str = ""):
+        bounds = state.bounds
         self.stream = MessageStream(
-            sock, h11.SERVER, state.limits, state.clock
+            sock,
+            h11.SERVER,
+            state.limits,
+            state.clock,
+            state.resources,
+            Share.SMALL if bounds is None else bounds.share,
         )
+        # IP address of the peer.
+        self.address = address
+        self._request: HttpRequest | None = None
         self.task: curio.Task | None = None
         self._state = state
         self._pipeline = RequestPipeline(sock, state, self.abort)
@@ -62,6 +75,13 @@
         is_reading = self._phase in (ReadPhase.HEAD, ReadPhase.BODY)
         return is_reading and not self._pipeline.is_closing
 
+    @property
+    def idle_start_s(self) -> float | None:
+        """Since when the connection is idle, or None while it is not."""
+        if self._phase is not ReadPhase.IDLE or self._pipeline:
+            return None
+        return max(self._phase_start_s, self._pipeline.last_end_s)
+
     def handles_in(self, task: curio.Task) -> bool:
         """Return whether the task handles a request of this connection."""
         return self._pipeline.handles_in(task)
@@ -76,6 +96,7 @@
             logging.debug("connection ended: %r", exc)
         finally:
             await self._pipeline.cancel()
+            release_account(self.stream.account)
             await self.stream.close()
 
     async def abort(self) -> None:
@@ -90,6 +111,19 @@
             await self.abort()
         elif self._is_too_slow(now_s):
             await self._reject("the request came too slowly", 408)
+        elif self._must_make_room():
+            await self._refuse(
+                self._state.resources.refuse_slow_body(self.stream.account)
+            )
+
+    def _must_make_room(self) -> bool:
+        account = self.stream.account
+        return (
+            account is not None
+            and account.must_end
+            and self._phase is ReadPhase.BODY
+            and not self._pipeline.is_closing
+        )
 
     def _is_overdue(self, now_s: float) -> bool:
         """Return whether the connection must be closed now."""
@@ -125,10 +159,23 @@
         while await self._wait_for_request():
             try:
                 await self._read_request()
+            except RefusedMessageError as exc:
+                await self._refuse(exc)
             except BadMessageError as exc:
                 await self._reject(exc.message, exc.status)
             except AbandonedMessageError:
                 return
+            except (curio.CurioError, HttpError, OSError):
+                raise
+            except Exception:
+                if self._state.resources is None:
+                    raise
+                # A fault in the accounting must not end the process.
+                logging.exception("accounting of a request failed")
+                self._state.resources.stats.count("accounting-fault")
+                await self._refuse(
+                    RefusedMessageError("internal error", "accounting-fault")
+                )
 
     async def _wait_for_request(self) -> bool:
         """Wait for the start of a request; return whether there is one.
@@ -153,6 +200,7 @@
 
     async def _read_request(self) -> None:
         stream = self.stream
+        self._request = None
         self._set_phase(ReadPhase.HEAD)
         request = await stream.read_request_head()
         if request is None:
@@ -161,13 +209,43 @@
             # An interim response must not precede earlier responses.
             self._set_phase(ReadPhase.PAUSED)
             await self._pipeline.wait_until_empty()
+        self._request = request
         self._set_phase(ReadPhase.BODY)
+        if self._state.resources is not None:
+            await stream.reserve_request(request)
         await stream.read_request_body(request)
         if not self._pipeline.is_closing:
             await self._pipeline.run(stream, request)
 
+    async def _refuse(self, error: RefusedMessageError) -> None:
+        """Refuse the request that is being read, then close."""
+        state = self._state
+        request_id = ""
+        if self._request is not None:
+            request_id = state.find_request_id(self._request)
+        response = state.make_refusal(request_id, error)
+        log_event(
+            "request refused",
+            logging.WARNING,
+            cause=error.cause,
+            request_id=request_id,
+            value=error.value,
+            limit=error.limit,
+            # The budget is this process's own, so nothing is outdated.
+            evidence_age_s=0.0,
+            retry_after_s=round(error.retry_after_s, 3),
+        )
+        response.headers.append((b"connection", b"close"))
+        await self._end_with(response)
+
     async def _reject(self, reason: str, status: int) -> None:
         """Send an error response after all others, then close."""
+        headers = [(b"connection", b"close"), (b"auburn-outcome", b"not-run")]
+        await self._end_with(
+            HttpResponse(status, headers, reason.encode() + b"\n")
+        )
+
+    async def _end_with(self, response: HttpResponse) -> None:
         stream = self.stream
         if self._pipeline.is_closing:
             return
@@ -175,8 +253,6 @@
             await self._pipeline.close_output()
             return
         stream.abandon_input()
-        headers = [(b"connection", b"close"), (b"auburn-outcome", b"not-run")]
-        response = HttpResponse(status, headers, reason.encode() + b"\n")
         await self._pipeline.reject(stream, response)
 
     async def _discard_input(self) -> None:
--- a/libs/http/auburnjunction/http/errors.py
+++ b/libs/http/auburnjunction/http/errors.py
@@ -63,5 +63,26 @@
         self.status = status
 
 
+class RefusedMessageError(BadMessageError):
+    """There is no room for the message, or it makes too little progress."""
+
+    code = ErrorCode.OVERLOADED
+
+    def __init__(
+        self,
+        message: str,
+        cause: str,
+        value: float = 0,
+        limit: float = 0,
+        retry_after_s: float = 0.0,
+        status: int = 503,
+    ):
+        super().__init__(message, status)
+        self.cause = cause
+        self.value = value
+        self.limit = limit
+        self.retry_after_s = retry_after_s
+
+
 class AbandonedMessageError(HttpError):
     """Reading of the message was given up by another task."""
--- a/libs/http/auburnjunction/http/message_streams.py
+++ b/libs/http/auburnjunction/http/message_streams.py
@@ -4,17 +4,20 @@
 import h11
 
 from auburnjunction.base.clocks import Clock
+from auburnjunction.http.budgets import Account, Share
 from auburnjunction.http.errors import (
     AbandonedMessageError,
     BadMessageError,
     NotSentError,
     TruncatedError,
 )
+from auburnjunction.http.message_checks import check_request_head
 from auburnjunction.http.messages import (
     HttpRequest,
     HttpResponse,
     MessageLimits,
 )
+from auburnjunction.http.resources import ProcessResources
 
 RECEIVE_BYTES = 64 * 1024
 # Data that is always available would keep the task from ever being suspended,
@@ -26,6 +29,9 @@
 # Bytes of a message on the wire, as a multiple of its size limits; chunk
 # headers may exceed the chunks.
 WIRE_FACTOR = 2
+# Bodies up to this size are copied behind their head and sent with it, which
+# saves a system call; longer ones are sent from where they are.
+MAX_JOINED_BYTES = 64 * 1024
 BODILESS_STATUSES = frozenset({204, 304})
 
 
@@ -36,9 +42,23 @@
     socket, so the connection must then be closed and not be reused.
     """
 
-    def __init__(self, sock, role, limits: MessageLimits, clock: Clock):
+    def __init__(
+        self,
+        sock,
+        role,
+        limits: MessageLimits,
+        clock: Clock,
+        resources: ProcessResources | None = None,
+        share: Share = Share.RESPONSE,
+    ):
         self.sock = sock
         self.limits = limits
+        self.resources = resources
+        self.share = share
+        # Bytes of the message that is being read, if the process has a
+        # budget.
+        self.account: Account | None = None
+        self._body = bytearray()
         # Whether reading of a message has begun.
         self.is_used = False
         self._clock = clock
@@ -58,11 +78,6 @@
             role, max_incomplete_event_size=limits.head_bytes
         )
 
-    @property
-    def is_reusable(self) -> bool:
-        """Whether another exchange may follow on this connection."""
-        return self._conn.our_state is h11.IDLE
-
     @property
     def can_respond(self) -> bool:
         """Whether an error response can still be sent."""
@@ -95,7 +110,12 @@
         response may still be outstanding on this stream.
         """
         following = MessageStream(
-            self.sock, self._role, self.limits, self._clock
+            self.sock,
+            self._role,
+            self.limits,
+            self._clock,
+            self.resources,
+            self.share,
         )
         data, closed = self._conn.trailing_data
         following._received_s = self._received_s
@@ -107,9 +127,15 @@
     def abandon_input(self) -> None:
         """Stop parsing; reading ends with AbandonedMessageError."""
         self._is_abandoned = True
+        if self.account is not None:
+            # The task that reads may wait for data that never comes.
+            self._body.clear()
+            self.account.release()
 
     async def close(self) -> None:
         """Close the socket."""
+        if self.account is not None:
+            self.account.release()
         await self.sock.close()
 
     async def wait_for_message(self) -> None:
@@ -145,18 +171,35 @@
             list(event.headers),
             received_s=self._received_s,
         )
-        self._reject_long_head(request)
-        _reject_ambiguous_length(request)
-        self._reject_long_body(request)
+        received_bytes, self._received_bytes = self._received_bytes, 0
+        check_request_head(request, received_bytes, self.limits)
         return request
 
+    async def reserve_request(self, request: HttpRequest) -> None:
+        """Open an account; see ProcessResources.reserve_request()."""
+        self.account = self.resources.budget.open_account(self.share)
+        await self.resources.reserve_request(self.account, request)
+
     async def read_request_body(self, request: HttpRequest) -> None:
         """Read the body of the request whose head was read last."""
         if self._conn.they_are_waiting_for_100_continue:
             await self._send(
                 h11.InformationalResponse(status_code=100, headers=[])
             )
-        request.body = await self._read_body()
+        account = self.account
+        if account is None or not self.has_incomplete_body:
+            request.body = await self._read_body()
+            return
+        account.start_reading(self._clock.monotonic())
+        try:
+            request.body = await self._read_body()
+        finally:
+            account.stop_reading()
+
+    @property
+    def has_incomplete_body(self) -> bool:
+        """Whether a body follows that has not been read yet."""
+        return self._conn.their_state is h11.SEND_BODY
 
     async def write_response(
         self, response: HttpResponse, omit_body: bool = False
@@ -172,15 +215,21 @@
         else:
             omit_body = True
         event = h11.Response(status_code=response.status, headers=headers)
-        data = self._encode_message(event, b"" if omit_body else body)
-        await self.sock.sendall(data)
+        await self.send_parts(
+            self._encode_message(event, b"" if omit_body else body)
+        )
 
     async def write_request(self, request: HttpRequest) -> None:
         """Send a request with its body."""
-        await self.sock.sendall(self.encode_request(request))
+        await self.send_parts(self.encode_request(request))
 
-    def encode_request(self, request: HttpRequest) -> bytes:
-        """Return the bytes of a request that is about to be sent.
+    async def send_parts(self, parts: list[bytes]) -> None:
+        """Send the parts of a message."""
+        for part in parts:
+            await self.sock.sendall(part)
+
+    def encode_request(self, request: HttpRequest) -> list[bytes]:
+        """Return the parts of a request that is about to be sent.
 
         Raise NotSentError if it is not valid.
         """
@@ -211,8 +260,13 @@
             event = await self._next_event()
         if isinstance(event, h11.ConnectionClosed):
             raise TruncatedError("connection closed before a response")
+        if self.resources is not None:
+            self.account = self.resources.budget.open_account(self.share)
         body = await self._read_body()
-        response = HttpResponse(event.status_code, list(event.headers), body)
+        headers = list(event.headers)
+        response = HttpResponse(event.status_code, headers, body)
+        response.account = self.account
+        self.account = None
         if self._is_head_request:
             length = response.header(b"content-length")
             response.head_length = None if length is None else int(length)
@@ -249,15 +303,32 @@
 
     async def _read_body(self) -> bytes:
         # One buffer, as there may be a chunk for each byte.
-        body = bytearray()
+        self._body = body = bytearray()
+        account = self.account
         while True:
             event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
-                return bytes(body)
-            if len(body) + len(event.data) > self.limits.body_bytes:
+                self._body = bytearray()
+                return self._freeze(body)
+            size = len(event.data)
+            if len(body) + size > self.limits.body_bytes:
                 raise BadMessageError("body exceeds the limit", 413)
+            if account is not None:
+                if not account.try_receive(size):
+                    await self.resources.wait_for_growth(account, size)
+                if self._is_abandoned:
+                    raise AbandonedMessageError("reading was given up")
             body += event.data
 
+    def _freeze(self, body: bytearray) -> bytes:
+        """Return the body, that of a large request without copying it."""
+        is_held_once = (
+            self._role is h11.SERVER
+            and self.account is not None
+            and len(body) > MAX_JOINED_BYTES
+        )
+        return body if is_held_once else bytes(body)
+
     async def _next_event(self):
         while True:
             try:
@@ -307,40 +378,21 @@
             return TruncatedError(str(exc))
         return BadMessageError(str(exc), exc.error_status_hint or 400)
 
-    def _encode_message(self, head, body: bytes) -> bytes:
+    def _encode_message(self, head, body: bytes) -> list[bytes]:
+        """Return the parts to send; a long body is one of them, uncopied."""
         try:
             data = self._conn.send(head)
+            if len(body) > MAX_JOINED_BYTES:
+                parts = self._conn.send_with_data_passthrough(
+                    h11.Data(data=body)
+                )
+                return [data, *parts, self._conn.send(h11.EndOfMessage())]
             if body:
                 data += self._conn.send(h11.Data(data=body))
             data += self._conn.send(h11.EndOfMessage())
         except h11.LocalProtocolError as exc:
             raise NotSentError(f"invalid HTTP message: {exc}") from exc
-        return data
+        return [data]
 
     async def _send(self, event) -> None:
         await self.sock.sendall(self._conn.send(event))
-
-    def _reject_long_head(self, request: HttpRequest) -> None:
-        """Reject a head over the limit.
-
-        h11 checks the size only of a head that arrives in parts.
-        """
-        received_bytes, self._received_bytes = self._received_bytes, 0
-        if received_bytes <= self.limits.head_bytes:
-            return
-        size = len(request.method) + len(request.target)
-        size += sum(len(name) + len(value) for name, value in request.headers)
-        if size > self.limits.head_bytes:
-            raise BadMessageError("head exceeds the limit", 431)
-
-    def _reject_long_body(self, request: HttpRequest) -> None:
-        length = request.header(b"content-length")
-        if length is not None and int(length) > self.limits.body_bytes:
-            raise BadMessageError("body exceeds the limit", 413)
-
-
-def _reject_ambiguous_length(request: HttpRequest) -> None:
-    encoding = request.header(b"transfer-encoding")
-    length = request.header(b"content-length")
-    if encoding is not None and length is not None:
-        raise BadMessageError("both content-length and transfer-encoding")
--- a/libs/http/auburnjunction/http/messages.py
+++ b/libs/http/auburnjunction/http/messages.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from auburnjunction.http.budgets import Account
+
 Headers = list[tuple[bytes, bytes]]
 
 HOP_BY_HOP_HEADERS = frozenset(
@@ -36,7 +38,9 @@
     method: bytes
     target: bytes
     headers: Headers = attrs.field(factory=list)
-    body: bytes = b""
+    # A server with a byte budget passes a large body on as the bytearray into
+    # which it was read.
+    body: bytes | bytearray = b""
     # Monotonic time at which a server had received the head; else None.
     received_s: float | None = None
 
@@ -68,6 +72,8 @@
     headers: Headers = attrs.field(factory=list)
     body: bytes = b""
     head_length: int | None = None
+    # Bytes of the process's budget that the response holds, if it has one.
+    account: Account | None = attrs.field(default=None, eq=False, repr=False)
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header; the name is lower case."""
--- a/libs/http/auburnjunction/http/pipelines.py
+++ b/libs/http/auburnjunction/http/pipelines.py
@@ -13,13 +13,15 @@
 from absl import logging
 
 from auburnjunction.base.clocks import Clock
-from auburnjunction.http.errors import HttpError
+from auburnjunction.http.budgets import Account
+from auburnjunction.http.errors import HttpError, RefusedMessageError
 from auburnjunction.http.message_streams import MessageStream
 from auburnjunction.http.messages import (
     HttpRequest,
     HttpResponse,
     MessageLimits,
 )
+from auburnjunction.http.resources import ListenerBounds, ProcessResources
 
 SAFE_METHODS = frozenset({b"GET", b"HEAD", b"OPTIONS"})
 
@@ -27,6 +29,27 @@
 RequestPredicate = Callable[[HttpRequest], bool]
 
 
+RequestIdFinder = Callable[[HttpRequest], str]
+# Makes the response from the id of the request, if known, and the error.
+RefusalWriter = Callable[[str, RefusedMessageError], HttpResponse]
+
+
+def find_no_id(_request: HttpRequest) -> str:
+    """Return no id."""
+    return ""
+
+
+def make_plain_refusal(
+    _request_id: str, error: RefusedMessageError
+) -> HttpResponse:
+    """Return the response to a request for which there is no room."""
+    headers = [(b"auburn-outcome", b"not-run")]
+    if error.retry_after_s:
+        value = f"{error.retry_after_s:.3f}".encode()
+        headers.append((b"retry-after", value))
+    return HttpResponse(error.status, headers, error.message.encode() + b"\n")
+
+
 def has_safe_method(request: HttpRequest) -> bool:
     """Return whether the method of a request is a safe one of RFC 9110."""
     return request.method in SAFE_METHODS
@@ -60,6 +83,11 @@
     limits: MessageLimits
     # Whether a request may run while others of its connection run.
     may_overlap: RequestPredicate = has_safe_method
+    # Budget of the process and what this listener may use of it, if limited.
+    resources: ProcessResources | None = None
+    bounds: ListenerBounds | None = None
+    find_request_id: RequestIdFinder = find_no_id
+    make_refusal: RefusalWriter = make_plain_refusal
     stats: PipelineStats = attrs.field(factory=PipelineStats)
     closing: bool = False
     keep_alive: bool = True
@@ -272,5 +300,18 @@
     async def _end(self, exchange: PipelinedExchange) -> None:
         self._exchanges.remove(exchange)
         exchange.previous = None
+        if self._state.resources is not None:
+            release_account(exchange.stream.account)
+            if exchange.response is not None:
+                release_account(exchange.response.account)
         self.last_end_s = self._state.clock.monotonic()
         await exchange.ended.set()
+
+
+def release_account(account: Account | None) -> None:
+    """Release an account; a fault in it must not end the connection."""
+    try:
+        if account is not None:
+            account.release()
+    except Exception:
+        logging.exception("bytes of a message not released")
--- a/libs/http/auburnjunction/http/servers.py
+++ b/libs/http/auburnjunction/http/servers.py
@@ -4,6 +4,7 @@
 import socket
 from contextlib import asynccontextmanager
 
+import attrs
 import curio
 from absl import logging
 
@@ -15,9 +16,19 @@
 from auburnjunction.http.pipelines import (
     Handler,
     PipelineStats,
+    RefusalWriter,
+    RequestIdFinder,
     RequestPredicate,
     ServerState,
+    find_no_id,
     has_safe_method,
+    make_plain_refusal,
+)
+from auburnjunction.http.resources import (
+    Holder,
+    ListenerBounds,
+    ProcessResources,
+    choose_idle,
 )
 
 SWEEP_INTERVAL_S = 0.05
@@ -25,6 +36,19 @@
 LISTEN_BACKLOG = 1024
 
 
+@attrs.frozen
+class ServerOptions:
+    """What a listener may use of the process's resources.
+
+    Without resources nothing is limited.
+    """
+
+    resources: ProcessResources | None = None
+    bounds: ListenerBounds | None = None
+    find_request_id: RequestIdFinder = find_no_id
+    make_refusal: RefusalWriter = make_plain_refusal
+
+
 class HttpServer:
     """Accepts connections and passes each request to a handler."""
 
@@ -35,10 +59,23 @@
         clock: Clock,
         limits: MessageLimits,
         may_overlap: RequestPredicate = has_safe_method,
+        options: ServerOptions | None = None,
     ):
         self._sock = sock
         self._clock = clock
-        self._state = ServerState(handler, clock, limits, may_overlap)
+        options = options or ServerOptions()
+        self._resources = options.resources
+        self._bounds = options.bounds
+        self._state = ServerState(
+            handler,
+            clock,
+            limits,
+            may_overlap,
+            options.resources,
+            options.bounds,
+            options.find_request_id,
+            options.make_refusal,
+        )
         self._connections: set[ServerConnection] = set()
         self.port: int = sock.getsockname()[1]
 
@@ -80,14 +117,20 @@
     async def accept_connections(self, group: curio.TaskGroup) -> None:
         """Accept connections until cancelled."""
         while True:
+            if self._bounds is not None:
+                await self._wait_for_descriptor()
             try:
-                sock, _ = await self._sock.accept()
+                sock, address = await self._sock.accept()
             except OSError as exc:
                 logging.warning("accept failed: %s", exc)
                 await self._clock.sleep(SWEEP_INTERVAL_S)
                 continue
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            conn = ServerConnection(sock, self._state)
+            if self._bounds is not None and self._is_over_share(address[0]):
+                self._resources.stats.count("address-share")
+                await sock.close()
+                continue
+            conn = ServerConnection(sock, self._state, address[0])
             self._connections.add(conn)
             # A daemon task, as the group keeps no reference to it once it
             # has ended.
@@ -95,6 +138,32 @@
                 self._serve_connection, conn, daemon=True
             )
 
+    async def _wait_for_descriptor(self) -> None:
+        """Wait until another connection may be accepted."""
+        bound = self._bounds.max_connections
+        while len(self._connections) >= bound:
+            self._resources.stats.count("connections-full")
+            await self._close_idle(choose_idle(self._list_holders()))
+            await self._clock.sleep(SWEEP_INTERVAL_S)
+
+    def _is_over_share(self, address: str) -> bool:
+        """Return whether an address holds all that it may hold."""
+        if len(self._connections) < self._bounds.max_per_address:
+            return False
+        held = sum(conn.address == address for conn in self._connections)
+        return held >= self._bounds.max_per_address
+
+    def _list_holders(self) -> list[Holder]:
+        return [
+            Holder(conn, conn.address, conn.idle_start_s)
+            for conn in self._connections
+        ]
+
+    async def _close_idle(self, connections: list[ServerConnection]) -> None:
+        for conn in connections:
+            self._resources.stats.count("idle-closed")
+            await conn.abort()
+
     def disable_keep_alive(self) -> None:
         """Send Connection: close with each response.
 
@@ -132,6 +201,8 @@
 
     async def sweep(self) -> None:
         """Apply the time-outs of all connections."""
+        if self._resources is not None:
+            self._resources.budget.check_progress()
         for conn in self.connections:
             await conn.check()
 
@@ -142,13 +213,19 @@
             self._connections.discard(conn)
 
 
-def bind_socket(host: str, port: int):
+def bind_socket(host: str, port: int, receive_buffer_bytes: int = 0):
     """Return a listening curio socket.
 
-    Raise AddressInUseError if the address cannot be bound.
+    receive_buffer_bytes is the size of the receive buffers of accepted
+    connections; 0 leaves it to the system. Raise AddressInUseError if the
+    address cannot be bound.
     """
     sock = curio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    if receive_buffer_bytes:
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes
+        )
     try:
         sock.bind((host, port))
         sock.listen(LISTEN_BACKLOG)
@@ -167,14 +244,17 @@
     clock: Clock,
     limits: MessageLimits | None = None,
     may_overlap: RequestPredicate = has_safe_method,
+    options: ServerOptions | None = None,
 ):
     """Yield an HttpServer that listens until the block ends.
 
     may_overlap tells which requests of a connection may run at one time.
     """
-    sock = bind_socket(host, port)
+    bounds = None if options is None else options.bounds
+    buffer_bytes = 0 if bounds is None else bounds.receive_buffer_bytes
+    sock = bind_socket(host, port, buffer_bytes)
     server = HttpServer(
-        sock, handler, clock, limits or MessageLimits(), may_overlap
+        sock, handler, clock, limits or MessageLimits(), may_overlap, options
     )
     async with sock, open_task_group() as group:
         await group.spawn(server.accept_connections, group)
--- /dev/null
+++ b/libs/http/auburnjunction/http/tests/test_client_limits.py
@@ -0,0 +1,202 @@
+"""Tests of servers and clients whose process has a byte budget."""
+
+from contextlib import asynccontextmanager
+
+import curio
+import pytest
+
+from auburnjunction.base.clocks import SystemClock
+from auburnjunction.http.budgets import ByteBudget, ResourceSettings
+from auburnjunction.http.clients import Address, PoolRegistry
+from auburnjunction.http.errors import NotSentError, RefusedMessageError
+from auburnjunction.http.messages import (
+    HttpRequest,
+    HttpResponse,
+    MessageLimits,
+)
+from auburnjunction.http.resources import make_resources
+from auburnjunction.http.servers import ServerOptions, open_server
+from auburnjunction.http.tests.support import (
+    LONG_ENOUGH_S,
+    LOOPBACK_HOST,
+    REQUEST,
+)
+
+CLOCK = SystemClock()
+BODY = 3_000_000
+# 8 MB for messages, 4 MB of them for large bodies: room for one of them.
+CFG = ResourceSettings(
+    memory_mb=12.0,
+    own_memory_mb=2.0,
+    connection_share=0.2,
+    large_share=0.5,
+    pause_s=0.1,
+    pressure_window_s=0.2,
+    max_fds=250,
+)
+
+
+@asynccontextmanager
+async def open_limited(handled, settings=CFG):
+    """Yield a server and its resources; it echoes the size of a body."""
+
+    async def handle(request):
+        handled.append(len(request.body))
+        return HttpResponse(200, [], b"%d" % len(request.body))
+
+    resources = make_resources(settings, CLOCK)
+    options = ServerOptions(resources, resources.callers)
+    async with open_server(
+        LOOPBACK_HOST,
+        0,
+        handle,
+        CLOCK,
+        MessageLimits(body_bytes=10 * BODY),
+        options=options,
+    ) as server:
+        yield server, resources
+
+
+async def start_body(port, head, size):
+    sock = await curio.open_connection(LOOPBACK_HOST, port)
+    await sock.sendall(b"PUT / HTTP/1.1\r\nHost: t\r\n" + head + b"\r\n\r\n")
+    await sock.sendall(b"x" * size)
+    return sock
+
+
+async def wait_for_bytes(budget, is_met):
+    async with curio.timeout_after(LONG_ENOUGH_S):
+        while not is_met(budget.used_bytes):
+            await curio.sleep(0.01)
+
+
+ANNOUNCED = b"Content-Length: %d" % BODY
+# Head of a second body while a first one stops short of its end, and how it
+# is refused. For lack of room the first one ends too.
+CASES = {
+    "refused unread": (ANNOUNCED, b"503", {"no-room"}),
+    "never fits": (b"Content-Length: 9000000", b"503", {"over-budget"}),
+}
+
+
+# Guards against bodies that are read without room, refused requests that run,
+# and stalled bodies that keep their room.
+@pytest.mark.parametrize("case", CASES.values(), ids=CASES)
+def test_body_without_room_is_refused_unread(case):
+    head, status, causes = case
+
+    async def main():
+        handled = []
+        async with open_limited(handled) as (server, resources):
+            budget = resources.budget
+            stalled = await start_body(server.port, ANNOUNCED, BODY - 1)
+            await wait_for_bytes(budget, lambda used: used > BODY)
+            late = await start_body(server.port, head, 0)
+            response = await late.recv(1000)
+            assert response[9:12] == status
+            assert b"retry-after: " in response
+            assert causes <= set(resources.stats.causes)
+            assert handled == []
+            if "no-room" in causes:
+                ended = await stalled.recv(1000)
+                assert ended[9:12] == b"408"
+                await wait_for_bytes(budget, lambda used: used == 0)
+            await late.close()
+            await stalled.close()
+            await wait_for_bytes(budget, lambda used: used == 0)
+            assert resources.stats.dropped == 0
+
+    curio.run(main)
+
+
+# Guards against a limit that refuses legal requests one after another, and
+# against bytes that are held after the answer.
+@pytest.mark.parametrize("size", [0, 1, 70_000, BODY])
+def test_requests_in_turn_are_served(size):
+    async def main():
+        handled = []
+        pools = PoolRegistry(CLOCK)
+        async with open_limited(handled) as (server, resources):
+            pool = pools.get(Address(LOOPBACK_HOST, server.port))
+            body = bytes(size)
+            request = HttpRequest(b"PUT", b"/", [(b"host", b"t")], body)
+            for _ in range(3):
+                response = await pool.exchange(request, LONG_ENOUGH_S)
+                assert response.body == b"%d" % size
+            await wait_for_bytes(resources.budget, lambda used: used == 0)
+            await pools.close()
+            assert resources.stats.causes == {}
+
+    curio.run(main)
+
+
+# Guards against a fault of the accounting that ends the process or lets a
+# request run without an account.
+def test_accounting_fault_ends_the_request_only(monkeypatch):
+    def fail(*_arguments):
+        raise ZeroDivisionError
+
+    async def main():
+        handled = []
+        async with open_limited(handled) as (server, resources):
+            with monkeypatch.context() as patch:
+                patch.setattr(ByteBudget, "_try_take", fail)
+                sock = await start_body(server.port, b"Content-Length: 1", 1)
+                assert (await sock.recv(1000))[9:12] == b"503"
+                await sock.close()
+            assert handled == []
+            assert resources.stats.causes == {"accounting-fault": 1}
+            sock = await start_body(server.port, b"Content-Length: 1", 1)
+            assert (await sock.recv(1000))[9:12] == b"200"
+            await sock.close()
+
+    curio.run(main)
+
+
+# Guards against outgoing connections that use up all descriptors, and against
+# counts that are not given back.
+def test_outgoing_connections_are_bounded():
+    async def main():
+        async with open_limited([]) as (server, resources):
+            pools = PoolRegistry(CLOCK, resources=resources)
+            pool = pools.get(Address(LOOPBACK_HOST, server.port))
+            async with curio.TaskGroup() as group:
+                for _ in range(resources.max_outgoing):
+                    resources.try_open_outgoing()
+                with pytest.raises(NotSentError):
+                    await pool.exchange(REQUEST, LONG_ENOUGH_S)
+                for _ in range(resources.max_outgoing):
+                    resources.close_outgoing()
+                await group.spawn(pool.exchange, REQUEST, LONG_ENOUGH_S)
+            assert resources.outgoing == 1
+            await pools.close()
+            assert resources.outgoing == 0
+
+    curio.run(main)
+
+
+# Guards against responses that are held without an account, and against ones
+# that keep it after their exchange.
+def test_response_is_charged_until_it_is_dropped():
+    async def main():
+        resources = make_resources(CFG, CLOCK)
+        pools = PoolRegistry(CLOCK, resources=resources)
+        body = bytes(BODY)
+
+        async def handle(_request):
+            return HttpResponse(200, [], body)
+
+        async with open_server(LOOPBACK_HOST, 0, handle, CLOCK) as server:
+            pool = pools.get(Address(LOOPBACK_HOST, server.port))
+            held = [
+                await pool.exchange(REQUEST, LONG_ENOUGH_S) for _ in range(2)
+            ]
+            assert resources.budget.used_bytes >= 2 * BODY
+            with pytest.raises(RefusedMessageError):
+                await pool.exchange(REQUEST, LONG_ENOUGH_S)
+            for response in held:
+                response.account.release()
+            assert resources.budget.used_bytes == 0
+            await pools.close()
+
+    curio.run(main)
--- a/libs/node/auburnjunction/node/components.py
+++ b/libs/node/auburnjunction/node/components.py
@@ -16,11 +16,12 @@
 from auburnjunction.distribution.holders import SnapshotHolder
 from auburnjunction.distribution.sources import CommittedHead, HeadSource
 from auburnjunction.http.clients import Address, PoolRegistry, parse_address
+from auburnjunction.http.resources import ProcessResources, make_resources
 from auburnjunction.http.servers import Handler
 from auburnjunction.membership.memberships import Membership, open_membership
 from auburnjunction.model.services import Service
 from auburnjunction.node.instances import LocalInstanceRegistry
-from auburnjunction.node.meters import ControlPlaneMetrics
+from auburnjunction.node.meters import ControlPlaneMetrics, ResourceMetrics
 from auburnjunction.node.readiness_gates import ReadinessGate
 from auburnjunction.node.settings import NodeSettings
 from auburnjunction.storage.clients import HttpObjectStore, HttpTable
@@ -81,6 +82,9 @@
     readiness_gate: ReadinessGate
     lifetime: NodeLifetime
     answer_limits: AnswerLimitSender
+    # None without a memory limit.
+    resources: ProcessResources | None = None
+    names: HeaderNames = DEFAULT_HEADER_NAMES
 
 
 def connect_platform(cfg: NodeSettings, clock: Clock) -> PlatformAdapters:
@@ -115,7 +119,8 @@
     )
     holder = SnapshotHolder()
     owner_metrics = OwnerMetrics(metrics)
-    pool_options = (cfg.routing, clock, cfg.translations)
+    resources = make_resources(cfg.resources, clock)
+    pool_options = (cfg.routing, clock, cfg.translations, resources)
     async with (
         open_pools(*pool_options) as control_pools,
         open_pools(*pool_options) as call_pools,
@@ -178,6 +183,8 @@
             forwarded,
         )
         ControlPlaneMetrics(metrics, membership.stats, distributor.stats)
+        if resources is not None:
+            ResourceMetrics(metrics, resources)
         commits = CommitLog(platform.table, platform.objects, clock)
         yield NodeComponents(
             membership,
@@ -190,4 +197,6 @@
             readiness_gate,
             lifetime,
             AnswerLimitSender(forwarded, lifetime, control_pools, clock),
+            resources,
+            platform.names,
         )
--- a/libs/node/auburnjunction/node/endpoints.py
+++ b/libs/node/auburnjunction/node/endpoints.py
@@ -90,5 +90,7 @@
             handle_control is not None
             and request.header(b"auburn-call") is None
         ):
+            # Generated code parses bytes only.
+            request.body = bytes(request.body)
             return await handle_control(request)
         return await self._forward_call(request)
--- a/libs/node/auburnjunction/node/listeners.py
+++ b/libs/node/auburnjunction/node/listeners.py
@@ -2,13 +2,18 @@
 
 from collections.abc import Sequence
 from contextlib import AsyncExitStack, asynccontextmanager
+from functools import partial
 
 import attrs
 
 from auburnjunction.base.clocks import Clock
 from auburnjunction.distribution.holders import SnapshotHolder
 from auburnjunction.http.messages import MessageLimits
-from auburnjunction.http.servers import HttpServer, open_server
+from auburnjunction.http.servers import (
+    HttpServer,
+    ServerOptions,
+    open_server,
+)
 from auburnjunction.model.services import InstanceState
 from auburnjunction.model.snapshots import CallerLimits, RevisedSnapshot
 from auburnjunction.node.administrations import MeshDirectory, MeshDrainer
@@ -30,6 +35,11 @@
     make_peer_limits,
     make_pools,
 )
+from auburnjunction.traffic.refusals import (
+    find_caller_request_id,
+    find_forwarded_request_id,
+    make_refusal,
+)
 
 MILLISECONDS_PER_SECOND = 1000
 
@@ -43,6 +53,42 @@
     admin: HttpServer
 
 
+@attrs.frozen
+class ListenerOptions:
+    """Options of the listeners by who uses them."""
+
+    callers: ServerOptions = ServerOptions()
+    peers: ServerOptions = ServerOptions()
+    local: ServerOptions = ServerOptions()
+
+    @property
+    def has_budget(self) -> bool:
+        """Whether the process has a memory limit."""
+        return self.callers.resources is not None
+
+
+def make_server_options(components: NodeComponents) -> ListenerOptions:
+    """Return what each listener may use of the process's resources."""
+    resources, names = components.resources, components.names
+    if resources is None:
+        return ListenerOptions()
+    return ListenerOptions(
+        callers=ServerOptions(
+            resources,
+            resources.callers,
+            partial(find_caller_request_id, names=names),
+            partial(make_refusal, names=names),
+        ),
+        peers=ServerOptions(
+            resources,
+            resources.peers,
+            find_forwarded_request_id,
+            make_refusal,
+        ),
+        local=ServerOptions(resources, resources.local),
+    )
+
+
 def make_admin_handler(
     components: NodeComponents, registry: LocalInstanceRegistry
 ) -> AdminHandler:
@@ -100,13 +146,15 @@
     dispatcher = make_peer_dispatcher(components, drainer, clock)
     admin_handler = make_admin_handler(components, registry)
     entry = components.entry
+    options = make_server_options(components)
     async with (
         open_server(
             cfg.host,
             cfg.peer_port,
             dispatcher.handle,
             clock,
-            make_peer_limits(cfg.limits),
+            make_peer_limits(cfg.limits, options.has_budget),
+            options=options.peers,
         ) as peers,
         open_server(
             cfg.host,
@@ -114,6 +162,7 @@
             admin_handler.handle,
             clock,
             cfg.limits,
+            options=options.local,
         ) as admin,
         open_server(
             cfg.host,
@@ -122,6 +171,7 @@
             clock,
             cfg.limits,
             entry.may_overlap,
+            options.callers,
         ) as callers,
         AsyncExitStack() as stack,
     ):
@@ -129,7 +179,12 @@
             handler = listener.make_handler(components, registry)
             await stack.enter_async_context(
                 open_server(
-                    cfg.host, listener.port, handler, clock, cfg.limits
+                    cfg.host,
+                    listener.port,
+                    handler,
+                    clock,
+                    cfg.limits,
+                    options=options.local,
                 )
             )
         if cfg.operators_port:
--- a/libs/node/auburnjunction/node/meters.py
+++ b/libs/node/auburnjunction/node/meters.py
@@ -6,7 +6,9 @@
 
 from auburnjunction.base.metrics import MetricRegistry
 from auburnjunction.distribution.statistics import DistributionStats
+from auburnjunction.http.budgets import Share
 from auburnjunction.http.pipelines import PipelineStats
+from auburnjunction.http.resources import ProcessResources
 from auburnjunction.membership.stats import MembershipStats
 
 BYTES_PER_KIB = 1024
@@ -75,3 +77,38 @@
         self._pipelined.set({}, self._stats.pipelined)
         self._discarded.set({}, self._stats.discarded)
         self._blocked.set({}, self._stats.blocked_s)
+
+
+class ResourceMetrics:
+    """Exports the byte budget and what was refused or closed for it."""
+
+    def __init__(self, registry: MetricRegistry, resources: ProcessResources):
+        self._resources = resources
+        self._causes = registry.make_counter(
+            "auburn_resource_limits_total",
+            "Requests and connections refused, paused or closed, by cause",
+        )
+        self._dropped = registry.make_counter(
+            "auburn_resource_dropped_total",
+            "Messages dropped before their bytes were released",
+        )
+        self._used = registry.make_gauge(
+            "auburn_resource_used_bytes", "Bytes of messages held"
+        )
+        self._peak = registry.make_gauge(
+            "auburn_resource_peak_bytes", "Highest bytes of messages held"
+        )
+        self._limit = registry.make_gauge(
+            "auburn_resource_limit_bytes", "Bytes of messages that may be held"
+        )
+        registry.add_collector(self.collect)
+
+    def collect(self) -> None:
+        """Copy the current figures into the metrics."""
+        budget = self._resources.budget
+        for cause, count in budget.stats.causes.items():
+            self._causes.set({"cause": cause}, count)
+        self._dropped.set({}, budget.stats.dropped)
+        self._used.set({}, budget.used_bytes)
+        self._peak.set({}, budget.stats.peak_bytes)
+        self._limit.set({}, budget.limits[Share.CONTROL])
--- a/libs/node/auburnjunction/node/nodes.py
+++ b/libs/node/auburnjunction/node/nodes.py
@@ -11,6 +11,7 @@
 from auburnjunction.base.logs import log_event
 from auburnjunction.base.signals import catch_stop_signals, ignore_reload
 from auburnjunction.base.tasks import open_task_group, run_forever
+from auburnjunction.node.allocators import return_freed_memory
 from auburnjunction.node.components import (
     NodeComponents,
     PlatformAdapters,
@@ -143,6 +144,8 @@
     Call on_reload at SIGHUP. Return the number of calls that are still in
     flight at the drain limit.
     """
+    if cfg.resources.memory_mb:
+        return_freed_memory()
     with catch_stop_signals() as stop:
         async with open_node(cfg, clock, platform) as node:
             await stop.wait(on_reload)
--- a/libs/node/auburnjunction/node/settings.py
+++ b/libs/node/auburnjunction/node/settings.py
@@ -14,6 +14,7 @@
     read_values,
 )
 from auburnjunction.distribution.settings import DistributionSettings
+from auburnjunction.http.budgets import ResourceSettings
 from auburnjunction.http.clients import Address, parse_address
 from auburnjunction.http.messages import MessageLimits
 from auburnjunction.membership.settings import MembershipSettings
@@ -80,6 +81,7 @@
     )
     admission: AdmissionSettings = attrs.field(factory=AdmissionSettings)
     routing: RoutingSettings = attrs.field(factory=RoutingSettings)
+    resources: ResourceSettings = attrs.field(factory=ResourceSettings)
 
     @property
     def translations(self) -> dict[Address, Address]:
--- a/libs/traffic/auburnjunction/traffic/call_forwarders.py
+++ b/libs/traffic/auburnjunction/traffic/call_forwarders.py
@@ -29,6 +29,7 @@
     HttpResponse,
     MessageLimits,
 )
+from auburnjunction.http.resources import ProcessResources
 from auburnjunction.model.services import Instance
 from auburnjunction.traffic.calls import (
     Answer,
@@ -69,6 +70,8 @@
 MILLISECONDS_PER_SECOND = 1000
 # Space for the headers that nodes add to a caller's request.
 NODE_HEADER_BYTES = 4096
+# The largest body that configurations allow callers.
+MAX_FORWARDED_BODY_BYTES = 64 * 1024 * 1024
 POOL_SWEEP_INTERVAL_S = 5.0
 # HTTP requires a Host header; that of the caller is among the packed ones.
 PLACEHOLDER_HOST = (b"host", b"node")
@@ -252,6 +255,7 @@
     settings: RoutingSettings,
     clock: Clock,
     translations: dict[Address, Address] | None = None,
+    resources: ProcessResources | None = None,
 ) -> PoolRegistry:
     """Return the connection pools for other nodes."""
     return PoolRegistry(
@@ -260,6 +264,7 @@
         max_connections=settings.pool_connections,
         idle_limit_s=settings.pool_idle_ms / 1000,
         connect_timeout_s=settings.connect_timeout_ms / 1000,
+        resources=resources,
     )
 
 
@@ -268,9 +273,10 @@
     settings: RoutingSettings,
     clock: Clock,
     translations: dict[Address, Address] | None = None,
+    resources: ProcessResources | None = None,
 ):
     """Yield pools that are swept periodically, and close them at the end."""
-    pools = make_pools(settings, clock, translations)
+    pools = make_pools(settings, clock, translations, resources)
     try:
         async with open_task_group() as group:
             await group.spawn(
@@ -281,14 +287,22 @@
         await pools.close()
 
 
-def make_peer_limits(limits: MessageLimits) -> MessageLimits:
+def make_peer_limits(
+    limits: MessageLimits, has_budget: bool = False
+) -> MessageLimits:
     """Return limits for the peer listener, given those for callers.
 
     A request head of the maximum size must still fit after an entry node
-    has added its headers.
+    has added its headers. Entry nodes apply the configuration's limit on
+    bodies; where a budget bounds the bodies, the owner node takes each.
     """
+    body_bytes = limits.body_bytes
+    if has_budget:
+        body_bytes = max(body_bytes, MAX_FORWARDED_BODY_BYTES)
     return attrs.evolve(
-        limits, head_bytes=limits.head_bytes + NODE_HEADER_BYTES
+        limits,
+        head_bytes=limits.head_bytes + NODE_HEADER_BYTES,
+        body_bytes=body_bytes,
     )
 
 
