Free the bodies of requests with their exchange

The reference ends with the reading of the request, and a large body is cleared when its exchange ends, also if an error of the call still refers to it.

The new test fails without the change of connections.py.

--- a/libs/http/auburnjunction/http/connections.py
+++ b/libs/http/auburnjunction/http/connections.py
@@ -214,6 +214,7 @@
         if self._state.resources is not None:
             await stream.reserve_request(request)
         await stream.read_request_body(request)
+        self._request = None
         if not self._pipeline.is_closing:
             await self._pipeline.run(stream, request)
 
--- a/libs/http/auburnjunction/http/pipelines.py
+++ b/libs/http/auburnjunction/http/pipelines.py
@@ -7,6 +7,7 @@
 import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 
 import attrs
 import curio
@@ -301,6 +302,7 @@
         self._exchanges.remove(exchange)
         exchange.previous = None
         if self._state.resources is not None:
+            _free_body(exchange.request)
             release_account(exchange.stream.account)
             if exchange.response is not None:
                 release_account(exchange.response.account)
@@ -308,6 +310,14 @@
         await exchange.ended.set()
 
 
+def _free_body(request: HttpRequest | None) -> None:
+    """Free a large body, to which errors of a failed call may still refer."""
+    if request is not None and isinstance(request.body, bytearray):
+        # A buffer that is in use can't be cleared.
+        with suppress(BufferError):
+            request.body.clear()
+
+
 def release_account(account: Account | None) -> None:
     """Release an account; a fault in it must not end the connection."""
     try:
--- a/libs/http/auburnjunction/http/tests/test_client_limits.py
+++ b/libs/http/auburnjunction/http/tests/test_client_limits.py
@@ -1,5 +1,7 @@
 """Tests of servers and clients whose process has a byte budget."""
 
+import gc
+import weakref
 from contextlib import asynccontextmanager
 
 import curio
@@ -130,6 +132,37 @@
     curio.run(main)
 
 
+# Guards against bodies that stay in memory, in a reference cycle, after
+# their bytes were given back.
+@pytest.mark.parametrize("size", [70_000, 1])
+def test_request_is_freed_with_its_connection(size):
+    async def main():
+        requests = []
+
+        async def handle(request):
+            requests.append(weakref.ref(request))
+            return HttpResponse(200)
+
+        resources = make_resources(CFG, CLOCK)
+        options = ServerOptions(resources, resources.callers)
+        async with open_server(
+            LOOPBACK_HOST, 0, handle, CLOCK, options=options
+        ) as server:
+            head = b"Content-Length: %d" % size
+            sock = await start_body(server.port, head, size)
+            assert (await sock.recv(1000))[9:12] == b"200"
+            await sock.close()
+            async with curio.timeout_after(LONG_ENOUGH_S):
+                while server.connection_count or requests[0]() is not None:
+                    await curio.sleep(0.01)
+
+    gc.disable()
+    try:
+        curio.run(main)
+    finally:
+        gc.enable()
+
+
 # Guards against a fault of the accounting that ends the process or lets a
 # request run without an account.
 def test_accounting_fault_ends_the_request_only(monkeypatch):
