--- a/libs/node/auburnjunction/node/components.py
+++ b/libs/node/auburnjunction/node/components.py
@@ -16,11 +16,12 @@
 from auburnjunction.distribution.holders import SnapshotHolder
 from auburnjunction.distribution.sources import CommittedHead, HeadSource
 from auburnjunction.http.clients import Address, PoolRegistry, parse_address
+from auburnjunction.http.resources import ProcessResources, make_resources
 from auburnjunction.http.servers import Handler
 from auburnjunction.membership.memberships import Membership, open_membership
 from auburnjunction.model.services import Service
 from auburnjunction.node.instances import LocalInstanceRegistry
-from auburnjunction.node.meters import ControlPlaneMetrics
+from auburnjunction.node.meters import ControlPlaneMetrics, ResourceMetrics
 from auburnjunction.node.readiness_gates import ReadinessGate
 from auburnjunction.node.settings import NodeSettings
 from auburnjunction.rollouts.coordinators import (
@@ -91,6 +92,9 @@
     answer_limits: AnswerLimitSender
     # None if roll-outs are not in force.
     rollouts: RolloutCoordinator | None = None
+    # None without a memory limit.
+    resources: ProcessResources | None = None
+    names: HeaderNames = DEFAULT_HEADER_NAMES
 
 
 def connect_platform(cfg: NodeSettings, clock: Clock) -> PlatformAdapters:
@@ -125,7 +129,8 @@
     )
     holder = SnapshotHolder()
     owner_metrics = OwnerMetrics(metrics)
-    pool_options = (cfg.routing, clock, cfg.translations)
+    resources = make_resources(cfg.resources, clock)
+    pool_options = (cfg.routing, clock, cfg.translations, resources)
     async with (
         open_pools(*pool_options) as control_pools,
         open_pools(*pool_options) as call_pools,
@@ -213,6 +218,8 @@
             versions=rollouts.selector if rollouts is not None else None,
         )
         ControlPlaneMetrics(metrics, membership.stats, distributor.stats)
+        if resources is not None:
+            ResourceMetrics(metrics, resources)
         commits = CommitLog(platform.table, platform.objects, clock)
         yield NodeComponents(
             membership,
@@ -226,4 +233,6 @@
             lifetime,
             AnswerLimitSender(forwarded, lifetime, control_pools, clock),
             rollouts,
+            resources,
+            platform.names,
         )
--- a/libs/node/auburnjunction/node/settings.py
+++ b/libs/node/auburnjunction/node/settings.py
@@ -14,6 +14,7 @@
     read_values,
 )
 from auburnjunction.distribution.settings import DistributionSettings
+from auburnjunction.http.budgets import ResourceSettings
 from auburnjunction.http.clients import Address, parse_address
 from auburnjunction.http.messages import MessageLimits
 from auburnjunction.membership.settings import MembershipSettings
@@ -86,6 +87,7 @@
         factory=OrganisationSettings
     )
     rollouts: RolloutSettings = attrs.field(factory=RolloutSettings)
+    resources: ResourceSettings = attrs.field(factory=ResourceSettings)
 
     @property
     def translations(self) -> dict[Address, Address]:
