--- a/libs/traffic/auburnjunction/traffic/headers.py
+++ b/libs/traffic/auburnjunction/traffic/headers.py
@@ -56,6 +56,8 @@
 
 # Seconds after which a refused call should be retried.
 RETRY_AFTER_HEADER = b"retry-after"
+# HTTP requires it of each response with status 401.
+CHALLENGE = (b"www-authenticate", b"Bearer")
 
 # Number of fields in the value of the call header.
 CALL_FIELD_COUNT = 12
@@ -285,6 +287,8 @@
         (names.request_id, request_id.encode("latin-1")),
         (b"content-type", b"text/plain; charset=utf-8"),
     ]
+    if error.code is ErrorCode.UNAUTHORISED:
+        headers.append(CHALLENGE)
     if error.retry_after_s:
         value = f"{error.retry_after_s:.3f}".encode()
         headers.append((RETRY_AFTER_HEADER, value))
--- a/libs/traffic/auburnjunction/traffic/key_checks.py
+++ b/libs/traffic/auburnjunction/traffic/key_checks.py
@@ -97,6 +97,7 @@
                 ("arrival", "route"),
                 "",
                 age_s,
+                self._cfg.apply_s,
             )
 
     def find_attempt_refusal(self, call: Call) -> NotRunError | None:
@@ -146,6 +147,7 @@
         else:
             code, message = ErrorCode.UNAUTHORISED, str(found.problem)
         cause = found.problem or found.verdict
+        is_stale = found.verdict is Verdict.STALE
         return self._refuse(
             message,
             code,
@@ -153,6 +155,7 @@
             (place, cause.value),
             found.fingerprint,
             age_s,
+            self._cfg.stale_after_s if is_stale else self._cfg.apply_s,
         )
 
     def _refuse(
@@ -163,6 +166,7 @@
         cause: tuple[str, str],
         fingerprint: str,
         age_s: float,
+        limit_s: float,
     ) -> NotRunError:
         """Count and log a refusal; return its error."""
         self.refusals[cause] += 1
@@ -178,15 +182,11 @@
             key_fingerprint=fingerprint,
             # JSON has no infinity.
             proof_age_s=round(age_s, 3) if age_s < math.inf else None,
-            limit_s=self._find_limit(code),
+            limit_s=limit_s,
             retry_after_s=round(retry_after_s, 3),
         )
         return NotRunError(message, code, retry_after_s)
 
-    def _find_limit(self, code: ErrorCode) -> float:
-        is_strict = self._cfg.strict and code is ErrorCode.STALE
-        return self._cfg.stale_after_s if is_strict else self._cfg.apply_s
-
     def _add_metrics(self, metrics: MetricRegistry) -> None:
         refused = metrics.make_counter(
             "auburn_key_refusals_total",
