Count a proof that came by gossip as a known read of the head

Cause: nodes that got proofs by gossip did not pull, so that their last known read became older than silence_s, and they read the head themselves.

Change: a peer's proof is also recorded as a read.

--- a/libs/distribution/auburnjunction/distribution/distributors.py
+++ b/libs/distribution/auburnjunction/distribution/distributors.py
@@ -1,5 +1,6 @@
 """Wiring of the revision distribution of one node."""
 
+import math
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from random import Random
@@ -175,6 +176,19 @@
             return None
         return self.proof.age_ms
 
+    def record_peer_proof(
+        self, mark: RevisionMark, age_ms: int, request_s: float
+    ) -> None:
+        """Record the proof in a peer's response; see HeadProof.
+
+        It tells of a read of the head like the response to a pull, without
+        which nodes that get proofs by gossip would begin to read.
+        """
+        self.proof.record_peer_proof(mark, age_ms, request_s)
+        if self.proof.age_s < math.inf:
+            read_s = self._clock.monotonic() - self.proof.age_s
+            self._freshness.record_read(read_s)
+
     async def start_up(self) -> None:
         """Adopt the highest revision of the platform and several peers.
 
--- a/libs/node/auburnjunction/node/components.py
+++ b/libs/node/auburnjunction/node/components.py
@@ -150,7 +150,7 @@
         )
         membership.exchange_proofs(
             lambda: distributor.shared_proof_age_ms,
-            distributor.proof.record_peer_proof,
+            distributor.record_peer_proof,
         )
         lifetime = NodeLifetime(clock)
         forwarded = ForwardedCalls()
