--- a/libs/http/auburnjunction/http/budgets.py
+++ b/libs/http/auburnjunction/http/budgets.py
@@ -20,6 +20,9 @@
 EXCHANGE_BYTES = 8 * 1024
 # Steps in which the account of a chunked body grows.
 GROWTH_BYTES = 64 * 1024
+# Part of the memory that is for messages at least: a process whose limit is
+# below own_memory_mb must still answer.
+MIN_ROOM_SHARE = 0.25
 # Bodies that wait for room at one time; further ones are refused at once.
 MAX_WAITING = 32
 # Between two checks of progress; after a longer time the process was stopped,
@@ -237,7 +240,10 @@
         self._reading: WeakSet[Account] = WeakSet()
         self._checked_s = clock.monotonic()
         self._denied_s = float("-inf")
-        room_mb = max(0.0, settings.memory_mb - settings.own_memory_mb)
+        room_mb = max(
+            settings.memory_mb - settings.own_memory_mb,
+            settings.memory_mb * MIN_ROOM_SHARE,
+        )
         room_bytes = int(room_mb * BYTES_PER_MB)
         self.connection_bytes = int(room_bytes * settings.connection_share)
         total_bytes = room_bytes - self.connection_bytes
--- a/libs/http/auburnjunction/http/client_connections.py
+++ b/libs/http/auburnjunction/http/client_connections.py
@@ -53,7 +53,8 @@
         self._stream = stream
         self._clock = clock
         self._is_broken = False
-        self._is_closed = False
+        # Whether it counts among the connections to other nodes.
+        self.is_counted = False
         self._is_request_truncated = False
         self._stray_count = 0
         self.last_used_s = clock.monotonic()
@@ -173,15 +174,11 @@
 
     async def close(self) -> None:
         """Close the connection."""
-        self._release_descriptor()
+        if self.is_counted:
+            self.is_counted = False
+            self._stream.resources.close_outgoing()
         await self._stream.close()
 
-    def _release_descriptor(self) -> None:
-        resources = self._stream.resources
-        if resources is not None and not self._is_closed:
-            resources.close_outgoing()
-        self._is_closed = True
-
 
 def _read_keep_alive(response: HttpResponse) -> float:
     """Return how long in seconds the peer keeps an idle connection.
@@ -202,22 +199,26 @@
     timeout_s: float,
     limits: MessageLimits | None = None,
     resources: ProcessResources | None = None,
+    is_local: bool = False,
 ) -> ClientConnection:
     """Open a connection; raise NotSentError on failure.
 
-    With resources, it counts among the outgoing connections of the process.
+    With resources, it counts among the connections to other nodes unless it
+    is local, to a backend server of this host.
     """
-    if resources is None:
-        return await _connect(address, clock, timeout_s, limits, None)
+    if resources is None or is_local:
+        return await _connect(address, clock, timeout_s, limits, resources)
     if not resources.try_open_outgoing():
         raise NotSentError(
             f"all {resources.max_outgoing} outgoing connections are in use"
         )
     try:
-        return await _connect(address, clock, timeout_s, limits, resources)
+        conn = await _connect(address, clock, timeout_s, limits, resources)
     except BaseException:
         resources.close_outgoing()
         raise
+    conn.is_counted = True
+    return conn
 
 
 async def _connect(
--- a/libs/http/auburnjunction/http/clients.py
+++ b/libs/http/auburnjunction/http/clients.py
@@ -50,8 +50,10 @@
         connect_timeout_s: float = 1.0,
         limits: MessageLimits | None = None,
         resources: ProcessResources | None = None,
+        is_local: bool = False,
     ):
         self._resources = resources
+        self._is_local = is_local
         self.address = address
         self._clock = clock
         self._idle_limit_s = idle_limit_s
@@ -173,6 +175,7 @@
             connect_s,
             self._limits,
             self._resources,
+            self._is_local,
         )
 
     def _is_usable(self, conn: ClientConnection, idle_limit_s: float) -> bool:
--- a/libs/http/auburnjunction/http/resources.py
+++ b/libs/http/auburnjunction/http/resources.py
@@ -126,6 +126,11 @@
         """
         length = int(request.header(b"content-length") or 0)
         size = request.size + EXCHANGE_BYTES + length
+        cfg = self.settings
+        if account.share is Share.CONTROL and length > cfg.small_bytes:
+            # Connections between nodes have no part of the memory set aside
+            # for their unread bytes.
+            size += 2 * cfg.peer_buffer_bytes
         if not account.try_charge(size, length):
             await self._wait_for_room(
                 account, size, lambda: account.try_charge(size, length)
--- a/libs/http/auburnjunction/http/servers.py
+++ b/libs/http/auburnjunction/http/servers.py
@@ -9,6 +9,7 @@
 from absl import logging
 
 from auburnjunction.base.clocks import Clock
+from auburnjunction.base.logs import log_event
 from auburnjunction.base.tasks import open_task_group, run_forever
 from auburnjunction.http.connections import ServerConnection
 from auburnjunction.http.errors import AddressInUseError
@@ -127,7 +128,7 @@
                 continue
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             if self._bounds is not None and self._is_over_share(address[0]):
-                self._resources.stats.count("address-share")
+                self._refuse_address(address[0])
                 await sock.close()
                 continue
             conn = ServerConnection(sock, self._state, address[0])
@@ -141,11 +142,29 @@
     async def _wait_for_descriptor(self) -> None:
         """Wait until another connection may be accepted."""
         bound = self._bounds.max_connections
-        while len(self._connections) >= bound:
+        if len(self._connections) >= bound:
             self._resources.stats.count("connections-full")
+            log_event(
+                "connections at their bound; idle ones are closed first",
+                logging.WARNING,
+                port=self.port,
+                value=len(self._connections),
+                limit=bound,
+            )
+        while len(self._connections) >= bound:
             await self._close_idle(choose_idle(self._list_holders()))
             await self._clock.sleep(SWEEP_INTERVAL_S)
 
+    def _refuse_address(self, address: str) -> None:
+        self._resources.stats.count("address-share")
+        log_event(
+            "connection closed; its address holds too many",
+            logging.WARNING,
+            port=self.port,
+            address=address,
+            limit=self._bounds.max_per_address,
+        )
+
     def _is_over_share(self, address: str) -> bool:
         """Return whether an address holds all that it may hold."""
         if len(self._connections) < self._bounds.max_per_address:
--- a/libs/http/auburnjunction/http/tests/test_budgets.py
+++ b/libs/http/auburnjunction/http/tests/test_budgets.py
@@ -175,6 +175,14 @@
     assert make_resources(ResourceSettings(max_fds=100), ManualClock()) is None
 
 
+# Guards against a small limit that leaves no room for any request.
+def test_small_limit_leaves_room_for_small_requests():
+    cfg = ResourceSettings(memory_mb=40)
+    budget = ByteBudget(cfg, ManualClock())
+    assert budget.limits[Share.SMALL] > 100 * cfg.small_bytes
+
+
+# Guards against bounds that add up to more than the process has.
 @pytest.mark.parametrize(
     ("memory_mb", "max_fds"), [(200, 4100), (552, 4100), (200, 400), (300, 0)]
 )
--- a/libs/node/auburnjunction/node/components.py
+++ b/libs/node/auburnjunction/node/components.py
@@ -159,6 +159,7 @@
             platform.names,
             membership.crashes,
             lifetime,
+            resources,
         )
         membership.mark_source = lambda: holder.mark
         membership.on_mark = distributor.on_mark
--- a/libs/traffic/auburnjunction/traffic/backends.py
+++ b/libs/traffic/auburnjunction/traffic/backends.py
@@ -13,6 +13,7 @@
     NotSentError,
 )
 from auburnjunction.http.messages import HttpRequest, HttpResponse
+from auburnjunction.http.resources import ProcessResources
 from auburnjunction.model.services import DEFAULT_HEALTH_PATH
 from auburnjunction.traffic.admissions import AdmissionSettings
 from auburnjunction.traffic.calls import Call, NotRunError, UnknownRunError
@@ -72,6 +73,7 @@
         clock: Clock,
         instance: str = "",
         names: HeaderNames = DEFAULT_HEADER_NAMES,
+        resources: ProcessResources | None = None,
     ):
         self.address = address
         self.health_target = DEFAULT_HEALTH_PATH.encode()
@@ -88,6 +90,8 @@
             max_connections=connections,
             idle_limit_s=cfg.idle_limit_s,
             connect_timeout_s=cfg.connect_timeout_s,
+            resources=resources,
+            is_local=True,
         )
         self._suspect = False
         self._probing = False
--- a/libs/traffic/auburnjunction/traffic/instances.py
+++ b/libs/traffic/auburnjunction/traffic/instances.py
@@ -9,6 +9,7 @@
 from auburnjunction.base.errors import ErrorCode
 from auburnjunction.http.clients import Address
 from auburnjunction.http.messages import HttpResponse
+from auburnjunction.http.resources import ProcessResources
 from auburnjunction.membership.crashes import CrashLog
 from auburnjunction.model.services import Service
 from auburnjunction.traffic.admissions import AdmissionSettings
@@ -70,6 +71,7 @@
         crashes: CrashLog | None = None,
         on_crash: CrashObserver = ignore_crashes,
         lifetime: NodeLifetime | None = None,
+        resources: ProcessResources | None = None,
     ):
         self.instance = instance
         # Incarnation that announced itself last; 0 if it is not known.
@@ -92,7 +94,7 @@
             lifetime,
         )
         self._backend = BackendClient(
-            cfg, address, connections, clock, instance, names
+            cfg, address, connections, clock, instance, names, resources
         )
         self._backend.health_target = service.health_path.encode()
         self._is_misplaced = False
--- a/libs/traffic/auburnjunction/traffic/owners.py
+++ b/libs/traffic/auburnjunction/traffic/owners.py
@@ -5,6 +5,7 @@
 from auburnjunction.base.clocks import Clock
 from auburnjunction.base.errors import ErrorCode
 from auburnjunction.http.clients import Address, parse_address
+from auburnjunction.http.resources import ProcessResources
 from auburnjunction.membership.announcements import Announcement
 from auburnjunction.membership.crashes import Crash, CrashLog
 from auburnjunction.model.services import Service
@@ -41,7 +42,9 @@
         names: HeaderNames = DEFAULT_HEADER_NAMES,
         crashes: CrashLog | None = None,
         lifetime: NodeLifetime | None = None,
+        resources: ProcessResources | None = None,
     ):
+        self._resources = resources
         self.on_departure: DepartureObserver = ignore_departure
         self.on_crash: CrashObserver = ignore_crashes
         self._crashes = crashes or CrashLog(clock)
@@ -233,6 +236,7 @@
             self._crashes,
             self._handle_crash,
             self._lifetime,
+            self._resources,
         )
 
 
--- a/tools/bench_hops.py
+++ b/tools/bench_hops.py
@@ -26,10 +26,12 @@
 
 from auburnjunction.base.clocks import SystemClock
 from auburnjunction.base.metrics import MetricRegistry
+from auburnjunction.http.budgets import ResourceSettings
 from auburnjunction.http.clients import Address, PoolRegistry
 from auburnjunction.http.messages import HttpRequest, HttpResponse
+from auburnjunction.http.resources import make_resources
 from auburnjunction.http.selectors import RetainingSelector
-from auburnjunction.http.servers import open_server
+from auburnjunction.http.servers import ServerOptions, open_server
 from auburnjunction.model.routes import Route
 from auburnjunction.model.services import Instance, InstanceState, Service
 from auburnjunction.model.snapshots import (
@@ -72,9 +74,10 @@
 class BackendRunner:
     """Sends calls directly to one backend server."""
 
-    def __init__(self, port: int, clock: SystemClock):
+    def __init__(self, port: int, clock: SystemClock, resources):
         self._clock = clock
-        self._pool = PoolRegistry(clock).get(Address(HOST, port))
+        pools = PoolRegistry(clock, resources=resources)
+        self._pool = pools.get(Address(HOST, port))
 
     async def run_call(self, call, _instance: str) -> Answer:
         """Return the backend server's response."""
@@ -96,7 +99,9 @@
     return HttpResponse(200, headers, request.body)
 
 
-def make_entry(node: str, instance_node: str, peer_port: int, runner, clock):
+def make_entry(
+    node: str, instance_node: str, peer_port: int, runner, clock, resources
+):
     """Return the handler of an entry node."""
     settings = RoutingSettings(access_log_share=0)
     route = Route("calendar", "/calendar", SERVICE, repeatable=True)
@@ -123,32 +128,41 @@
         source,
         source,
         runner,
-        make_pools(settings, clock),
+        make_pools(settings, clock, resources=resources),
         MetricRegistry(),
         random.Random(1),
     )
 
 
-def make_handler(role: str, port: int, clock: SystemClock):
+def make_handler(role: str, port: int, clock: SystemClock, resources):
     """Return the request handler of a process."""
     if role == "backend":
         return echo
-    runner = BackendRunner(port, clock)
+    runner = BackendRunner(port, clock, resources)
     if role == "owner":
         return PeerHandler(runner, clock).handle
     instance_node = role if role == "one_node" else "owner"
-    return make_entry(role, instance_node, port, runner, clock).handle
+    entry = make_entry(role, instance_node, port, runner, clock, resources)
+    return entry.handle
 
 
-def run_server(role: str, port: int, pipe) -> None:
+def run_server(role: str, port: int, memory_mb: float, pipe) -> None:
     """Serve until the parent sends a message or closes the pipe."""
     gc.collect()
     gc.freeze()
 
     async def main():
         clock = SystemClock()
-        handler = make_handler(role, port, clock)
-        async with open_server(HOST, 0, handler, clock) as server:
+        limit_mb = 0 if role == "backend" else memory_mb
+        cfg = ResourceSettings(memory_mb=limit_mb)
+        resources = make_resources(cfg, clock)
+        options = None
+        if resources is not None:
+            options = ServerOptions(resources, resources.callers)
+        handler = make_handler(role, port, clock, resources)
+        async with open_server(
+            HOST, 0, handler, clock, options=options
+        ) as server:
             pipe.send(server.port)
             await curio.run_in_thread(_wait_for_stop, pipe)
 
@@ -177,17 +191,21 @@
         return ticks / os.sysconf("SC_CLK_TCK")
 
 
-def start_server(role: str, port: int, context, pipes: list) -> Server:
+def start_server(
+    role: str, port: int, memory_mb: float, context, pipes: list
+) -> Server:
     """Start a process and wait until it listens."""
     parent_end, child_end = context.Pipe()
-    process = context.Process(target=run_server, args=(role, port, child_end))
+    process = context.Process(
+        target=run_server, args=(role, port, memory_mb, child_end)
+    )
     process.start()
     pipes.append(parent_end)
     return Server(process, parent_end.recv())
 
 
 @asynccontextmanager
-async def open_servers():
+async def open_servers(memory_mb: float):
     """Yield the servers by role."""
     context = multiprocessing.get_context("spawn")
     pipes: list = []
@@ -200,7 +218,7 @@
             ("two_nodes", "owner"),
         ):
             port = servers[upstream].port if upstream else 0
-            servers[role] = start_server(role, port, context, pipes)
+            servers[role] = start_server(role, port, memory_mb, context, pipes)
         yield servers
     finally:
         for pipe in pipes:
@@ -315,9 +333,11 @@
     return result
 
 
-async def run_bench(calls: int, connections: int, duration_s: float) -> dict:
+async def run_bench(
+    calls: int, connections: int, duration_s: float, memory_mb: float
+) -> dict:
     """Run all measurements and return the result."""
-    async with open_servers() as servers:
+    async with open_servers(memory_mb) as servers:
         ports = {"direct": servers["backend"].port}
         ports |= {path: servers[path].port for path in PATHS[1:]}
         latencies = partial(measure_latencies, ports, calls)
@@ -339,9 +359,15 @@
     parser.add_argument("--calls", type=int, default=3000)
     parser.add_argument("--connections", type=int, default=16)
     parser.add_argument("--duration-s", type=float, default=2.0)
+    # Memory limit of the nodes; 0 means none.
+    parser.add_argument("--memory-mb", type=float, default=0.0)
     options = parser.parse_args()
     result = curio.run(
-        run_bench, options.calls, options.connections, options.duration_s
+        run_bench,
+        options.calls,
+        options.connections,
+        options.duration_s,
+        options.memory_mb,
     )
     print(orjson.dumps(result, option=orjson.OPT_INDENT_2).decode())
 
