--- a/libs/node/auburnjunction/node/components.py
+++ b/libs/node/auburnjunction/node/components.py
@@ -191,6 +191,7 @@
             membership.crashes,
             lifetime,
             keys.find_start_refusal,
+            resources,
         )
         membership.mark_source = lambda: holder.mark
         membership.on_mark = distributor.on_mark
--- a/libs/traffic/auburnjunction/traffic/owners.py
+++ b/libs/traffic/auburnjunction/traffic/owners.py
@@ -7,6 +7,7 @@
 from auburnjunction.base.clocks import Clock
 from auburnjunction.base.errors import ErrorCode
 from auburnjunction.http.clients import Address, parse_address
+from auburnjunction.http.resources import ProcessResources
 from auburnjunction.membership.announcements import Announcement
 from auburnjunction.membership.crashes import Crash, CrashLog
 from auburnjunction.model.services import Service
@@ -55,8 +56,10 @@
         crashes: CrashLog | None = None,
         lifetime: NodeLifetime | None = None,
         find_refusal: RefusalFinder = find_no_refusal,
+        resources: ProcessResources | None = None,
     ):
         self._find_refusal = find_refusal
+        self._resources = resources
         self.on_departure: DepartureObserver = ignore_departure
         self.on_crash: CrashObserver = ignore_crashes
         self._crashes = crashes or CrashLog(clock)
@@ -278,6 +281,7 @@
             self._handle_crash,
             self._lifetime,
             self._find_refusal,
+            self._resources,
         )
 
 
