--- a/libs/rollouts/auburnjunction/rollouts/baselines.py
+++ b/libs/rollouts/auburnjunction/rollouts/baselines.py
@@ -1,6 +1,5 @@
 """The version in force of a service without a completed roll-out."""
 
-import statistics
 from collections.abc import Iterable
 
 import attrs
@@ -37,10 +36,7 @@
             groups.setdefault(instance.version, []).append(instance.born_ms)
     if not groups:
         return None
-    starts = {
-        version: statistics.median_low(born)
-        for version, born in groups.items()
-    }
+    starts = {version: _find_median(born) for version, born in groups.items()}
     limit_ms = min(starts.values()) + START_DIFFERENCE_MS
     first = [v for v, start_ms in starts.items() if start_ms <= limit_ms]
     return max(first, key=lambda version: (len(groups[version]), version))
@@ -51,3 +47,8 @@
     if held is None or received.since_s < held.since_s:
         return received
     return held
+
+
+def _find_median(values: list[int]) -> int:
+    # The module statistics takes 1.6 MB of each node with its imports.
+    return sorted(values)[(len(values) - 1) // 2]
--- a/libs/rollouts/auburnjunction/rollouts/contacts.py
+++ b/libs/rollouts/auburnjunction/rollouts/contacts.py
@@ -10,6 +10,9 @@
 # Time for which the highest number of nodes known stays in force, so that
 # those of a partition are not taken for all.
 PEAK_HOLD_S = 30.0
+# Time after its start in which a node that knows no other is taken to be cut
+# off, so that it judges nothing alone.
+ALONE_S = 10.0
 # Interval at which the nodes are counted.
 COUNT_INTERVAL_S = 0.5
 
@@ -21,16 +24,18 @@
     heard: Mapping[str, bool]
     # Highest number of nodes known lately.
     peak: int
+    # Whether this node is the only one for good.
+    is_alone: bool = False
 
     @property
     def has_others(self) -> bool:
         """Whether any other node is heard from, if there is one."""
-        return len(self.heard) > 1 or self.peak == 1
+        return len(self.heard) > 1 or self.is_alone
 
     @property
     def has_majority(self) -> bool:
         """Whether most of the nodes known lately are heard from."""
-        return 2 * len(self.heard) > self.peak
+        return self.has_others and 2 * len(self.heard) > self.peak
 
     @property
     def has_unheard(self) -> bool:
@@ -54,6 +59,7 @@
     ):
         self._count_nodes = count_nodes
         self._contact_s = contact_s
+        self._started_s = now_s
         self._peak, self._peak_s = 1, now_s
         self._observed_s = -math.inf
 
@@ -69,4 +75,6 @@
     def find(self, book: EvidenceBook, now_s: float) -> Contact:
         """Return the contact; nodes silent for contact_s are not heard."""
         self.observe(now_s)
-        return Contact(book.find_nodes(now_s - self._contact_s), self._peak)
+        is_alone = self._peak == 1 and now_s - self._started_s >= ALONE_S
+        heard = book.find_nodes(now_s - self._contact_s)
+        return Contact(heard, self._peak, is_alone)
--- a/libs/rollouts/auburnjunction/rollouts/tests/test_counters.py
+++ b/libs/rollouts/auburnjunction/rollouts/tests/test_counters.py
@@ -4,6 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from auburnjunction.rollouts.contacts import FleetContacts
 from auburnjunction.rollouts.counters import (
     BUCKET_COUNT,
     EvidenceBook,
@@ -100,3 +101,23 @@
     OwnCounters(book, 3, "n2").publish(20.0, False)
     assert book.find_nodes(15.0) == {"n2": False}
     assert book.find_nodes(5.0) == {"n1": True, "n2": False}
+
+
+# Guards against a restarted node that knows no other yet and judges alone.
+@pytest.mark.parametrize(
+    "age_s, known, heard, has_majority",
+    [
+        (1.0, 1, 1, False),
+        (20.0, 1, 1, True),
+        (1.0, 4, 2, False),
+        (1.0, 4, 3, True),
+    ],
+)
+def test_majority_of_the_nodes(age_s, known, heard, has_majority):
+    contacts = FleetContacts(lambda: known, 3.0, 100.0)
+    book = EvidenceBook()
+    for i in range(heard):
+        OwnCounters(book, i + 1, f"n{i}").publish(100.0 + age_s, False)
+    contact = contacts.find(book, 100.0 + age_s)
+    assert contact.has_majority is has_majority
+    assert contact.has_unheard is (heard < known)
