Accept versions from 0.66 of the ramp on

Cause: versions that turn bad after 0.85 of the ramp got more than their limit when the share was raised from 0.6 on.

Change: acceptance from 0.66 on, and a raise within 0.25 of the ramp.

--- a/libs/rollouts/auburnjunction/rollouts/schedules.py
+++ b/libs/rollouts/auburnjunction/rollouts/schedules.py
@@ -10,10 +10,10 @@
 # Progress (share of the ramp) from which a version may be accepted. A later
 # acceptance finds more versions that turn bad late, and leaves less time to
 # raise the share; see docs/design/rollouts.md.
-ACCEPTANCE_PROGRESS = 0.6
+ACCEPTANCE_PROGRESS = 0.66
 # Progress from which a version without suspicion is accepted though some
 # route has too few answers: its service has few requests.
-FORCED_PROGRESS = 0.75
+FORCED_PROGRESS = 0.78
 # Progress from which suspicion that has not led to a verdict no longer
 # keeps the roll-out from its end.
 DECISION_PROGRESS = 1.0
@@ -22,8 +22,8 @@
 MIN_FORCED_REQUESTS = 100
 # Progress that the raise from the first shares to 1 takes, and the progress
 # by which it ends.
-RAISE_PROGRESS = 0.3
-FULL_PROGRESS = 0.95
+RAISE_PROGRESS = 0.25
+FULL_PROGRESS = 0.94
 MIN_RAISE_PROGRESS = 0.1
 # Shares before acceptance as parts of exposure_share: until enough answers
 # were good, after that, and if answers are too few.
