Place calls by expected completion, with prices of boundaries

Cause: the choice of instances knows one load figure and treats another region like another data centre.

Change: the library placements holds the model of the time until an answer, the costs and the shares for other data centres. Owner nodes read the load header of backend servers, correct its speed by measured durations and add a report of six numbers to answers and refusals; entry nodes choose by it. Without it no header is added.

--- a/libs/node/auburnjunction/node/components.py
+++ b/libs/node/auburnjunction/node/components.py
@@ -154,6 +154,7 @@
             platform.names,
             membership.crashes,
             lifetime,
+            reports_load=cfg.placement.is_enabled,
         )
         membership.mark_source = lambda: holder.mark
         membership.on_mark = distributor.on_mark
@@ -176,6 +177,7 @@
             membership.crashes,
             lifetime,
             forwarded,
+            placement=cfg.placement,
         )
         ControlPlaneMetrics(metrics, membership.stats, distributor.stats)
         commits = CommitLog(platform.table, platform.objects, clock)
--- a/libs/node/auburnjunction/node/settings.py
+++ b/libs/node/auburnjunction/node/settings.py
@@ -17,6 +17,7 @@
 from auburnjunction.http.clients import Address, parse_address
 from auburnjunction.http.messages import MessageLimits
 from auburnjunction.membership.settings import MembershipSettings
+from auburnjunction.placements.settings import PlacementSettings
 from auburnjunction.traffic.admissions import AdmissionSettings
 from auburnjunction.traffic.routing_settings import RoutingSettings
 
@@ -80,6 +81,7 @@
     )
     admission: AdmissionSettings = attrs.field(factory=AdmissionSettings)
     routing: RoutingSettings = attrs.field(factory=RoutingSettings)
+    placement: PlacementSettings = attrs.field(factory=PlacementSettings)
 
     @property
     def translations(self) -> dict[Address, Address]:
--- a/libs/traffic/auburnjunction/traffic/attempts.py
+++ b/libs/traffic/auburnjunction/traffic/attempts.py
@@ -123,7 +123,6 @@
         self._balancer = balancer
         self._local_prompts = settings.prompt_attempts
         self._remote_prompts = settings.remote_prompt_attempts
-        self._wait_share = settings.remote_prompt_wait_share
         self._max_attempts = settings.max_attempts
 
     def start(
@@ -135,9 +134,15 @@
             self._max_attempts,
             refusal_budget,
             self._local_prompts,
-            self._remote_prompts if routed.call.nested else 0,
+            self._count_remote_prompts(routed),
         )
 
+    def _count_remote_prompts(self, routed: RoutedCall) -> int:
+        if routed.call.nested:
+            return self._remote_prompts
+        # A call that would be late here is offered to one other instance.
+        return min(1, self._remote_prompts) if self._balancer.is_placing else 0
+
     def plan(
         self, routed: RoutedCall, state: AttemptState, now_s: float
     ) -> PlannedAttempt | None:
@@ -172,10 +177,9 @@
             )
         if not state.busy or state.remote_prompts_left <= 0:
             return None
-        left_s = max(0.0, routed.call.deadline_s - now_s)
-        if state.least_wait_s <= self._wait_share * left_s:
-            return None
-        instance = self._balancer.choose_free_remote(routed, candidates, now_s)
+        instance = self._balancer.choose_after_wait(
+            routed, candidates, state.least_wait_s, now_s
+        )
         if instance is None:
             return None
         state.remote_prompts_left -= 1
--- a/libs/traffic/auburnjunction/traffic/balancers.py
+++ b/libs/traffic/auburnjunction/traffic/balancers.py
@@ -9,6 +9,7 @@
 from auburnjunction.traffic.call_forwarders import InstanceSource
 from auburnjunction.traffic.ejections import OutlierTracker
 from auburnjunction.traffic.instance_trackers import InstanceTracker
+from auburnjunction.traffic.placed_choices import PlacedChooser
 from auburnjunction.traffic.routers import RoutedCall
 from auburnjunction.traffic.routing_settings import RoutingSettings
 
@@ -36,6 +37,8 @@
     local_exists: bool = False
     # Ejected instance that this call is to probe.
     probe: Instance | None = None
+    # Whether the call has tried no instance yet.
+    is_first: bool = True
 
 
 class Balancer:
@@ -59,13 +62,27 @@
         self._instance_tracker = instance_tracker
         self._settings = settings
         self._random = rng.random
+        # Chooses by expected completion; None if that is off.
+        self._placed: PlacedChooser | None = None
+        if instance_tracker.placer is not None:
+            self._placed = PlacedChooser(
+                location.node,
+                instance_tracker.placer,
+                outlier_tracker.count_failures,
+                rng,
+            )
+
+    @property
+    def is_placing(self) -> bool:
+        """Whether calls are placed by expected completion."""
+        return self._placed is not None
 
     def list_candidates(
         self, routed: RoutedCall, tried: Set[str], now_s: float
     ) -> Candidates:
         """Return the untried instances of the call's service."""
         instances = self._find_reachable(routed, now_s)
-        candidates = Candidates([], [])
+        candidates = Candidates([], [], is_first=not tried)
         if not tried:
             candidates.probe = self._take_probe(
                 instances, routed.call.repeatable, now_s
@@ -85,6 +102,8 @@
         if candidates.probe is not None:
             return candidates.probe
         if candidates.local:
+            if self._uses_placement(routed, now_s):
+                return self._choose_placed(routed, candidates, now_s)
             return self._choose_local(
                 routed, candidates.local, candidates.remote, now_s
             )
@@ -100,8 +119,34 @@
     ) -> Instance | None:
         """Return an instance of another data centre that may take it."""
         remote = self._find_spill_targets(routed, candidates.remote, now_s)
+        if remote and self._uses_placement(routed, now_s):
+            return self._placed.choose_after_refusal(
+                routed, remote, candidates.local_exists, now_s
+            )
         return self._choose_by_two_samples(remote, now_s) if remote else None
 
+    def choose_after_wait(
+        self,
+        routed: RoutedCall,
+        candidates: Candidates,
+        wait_s: float,
+        now_s: float,
+    ) -> Instance | None:
+        """Return a remote instance for a call that must wait locally.
+
+        wait_s is the shortest expected wait.
+        """
+        if self._uses_placement(routed, now_s):
+            remote = self._find_spill_targets(routed, candidates.remote, now_s)
+            return self._placed.choose_after_wait(
+                routed, remote, wait_s, now_s
+            )
+        left_s = max(0.0, routed.call.deadline_s - now_s)
+        limit_s = self._settings.remote_prompt_wait_share * left_s
+        if not routed.call.nested or wait_s <= limit_s:
+            return None
+        return self.choose_free_remote(routed, candidates, now_s)
+
     def choose_free_remote(
         self, routed: RoutedCall, candidates: Candidates, now_s: float
     ) -> Instance | None:
@@ -113,6 +158,23 @@
         ]
         return self._choose_by_two_samples(free, now_s) if free else None
 
+    def _uses_placement(self, routed: RoutedCall, now_s: float) -> bool:
+        if self._placed is None:
+            return False
+        return self._placed.has_figures(routed, now_s)
+
+    def _choose_placed(
+        self, routed: RoutedCall, candidates: Candidates, now_s: float
+    ) -> Instance:
+        """Return an instance of the data centre that the placement draws."""
+
+        def find_remote() -> list[Instance]:
+            return self._find_spill_targets(routed, candidates.remote, now_s)
+
+        return self._placed.choose(
+            routed, candidates.local, find_remote, candidates.is_first, now_s
+        )
+
     def _exclude_cooldowns(
         self, instances: Sequence[Instance], now_s: float
     ) -> Sequence[Instance]:
--- a/libs/traffic/auburnjunction/traffic/call_forwarders.py
+++ b/libs/traffic/auburnjunction/traffic/call_forwarders.py
@@ -30,6 +30,7 @@
     MessageLimits,
 )
 from auburnjunction.model.services import Instance
+from auburnjunction.placements.reports import format_report, parse_report
 from auburnjunction.traffic.calls import (
     Answer,
     Call,
@@ -49,6 +50,7 @@
     OUTCOME_HEADER,
     OWNER_DURATION_HEADER,
     RATE_LIMIT_HEADER,
+    REPORT_HEADER,
     REQUEST_ID_HEADER,
     RETRY_AFTER_HEADER,
     format_answer_limit,
@@ -220,13 +222,17 @@
             owner_duration_s,
             leaving=response.header(LEAVING_HEADER) == LEAVING_VALUE,
             rate_limit_per_s=parse_rate(response.header(RATE_LIMIT_HEADER)),
+            report=parse_report(response.header(REPORT_HEADER)),
         )
     message = response.body.decode(errors="replace").strip()
     code = _read_code(response)
     if outcome == NOT_RUN_VALUE:
         retry_after_s = _read_number(response, RETRY_AFTER_HEADER)
-        raise NotRunError(message, code, retry_after_s)
-    raise UnknownRunError(message, code)
+        error = NotRunError(message, code, retry_after_s)
+    else:
+        error = UnknownRunError(message, code)
+    error.report = parse_report(response.header(REPORT_HEADER))
+    raise error
 
 
 def _read_number(response: HttpResponse, name: bytes) -> float:
@@ -312,7 +318,11 @@
         try:
             answer = await self._runner.run_call(call, instance)
         except TrafficError as exc:
-            return make_error_response(exc, call.request_id)
+            response = make_error_response(exc, call.request_id)
+            if exc.report is not None:
+                report = format_report(exc.report)
+                response.headers.append((REPORT_HEADER, report))
+            return response
         except Exception:
             logging.exception("call %s failed", call.request_id)
             error = UnknownRunError("internal error", ErrorCode.INTERNAL)
@@ -345,4 +355,6 @@
     if answer.rate_limit_per_s is not None:
         rate = format_rate(answer.rate_limit_per_s)
         headers.append((RATE_LIMIT_HEADER, rate))
+    if answer.report is not None:
+        headers.append((REPORT_HEADER, format_report(answer.report)))
     return attrs.evolve(response, headers=pack_headers(headers))
--- a/libs/traffic/auburnjunction/traffic/calls.py
+++ b/libs/traffic/auburnjunction/traffic/calls.py
@@ -9,6 +9,7 @@
 from auburnjunction.base.errors import AuburnError, ErrorCode
 from auburnjunction.http.messages import HttpRequest, HttpResponse
 from auburnjunction.model.priorities import ClaimMode, Priority
+from auburnjunction.placements.reports import LoadReport
 
 FIRST_SERVER_ERROR = 500
 
@@ -25,7 +26,8 @@
     """A call ended without an answer from a backend server.
 
     The caller should retry after retry_after_s seconds at the earliest;
-    0 means that no delay is suggested.
+    0 means that no delay is suggested. The report is that of the owner node
+    on the load of its backend server; None if it sent none.
     """
 
     code = ErrorCode.UNAVAILABLE
@@ -39,6 +41,7 @@
     ):
         super().__init__(message, code)
         self.retry_after_s = retry_after_s
+        self.report: LoadReport | None = None
 
 
 class NotRunError(TrafficError):
@@ -67,6 +70,7 @@
     limit, by the same clock, is when the entry node shuts down; a call that
     would end later is not started. The organisation is that of the API key,
     for a nested call that of the request it is made for; empty without one.
+    run_s is set by the owner node: the time that the backend server took.
     """
 
     request_id: str
@@ -86,6 +90,7 @@
     rate_limit_per_s: float | None = None
     answer_limit_s: float = math.inf
     organisation: str = ""
+    run_s: float = 0.0
 
 
 @attrs.define(slots=True)
@@ -96,7 +101,8 @@
     share of the slots in force. owner_duration_s is the time that the call
     spent at the owner node; the rest of its latency is due to the link.
     leaving means that the response says that the backend server is leaving;
-    the rate limit is the one that it names, in calls per second.
+    the rate limit is the one that it names, in calls per second. The report
+    is None unless the owner node reports the load of its backend server.
     """
 
     response: HttpResponse
@@ -104,6 +110,7 @@
     owner_duration_s: float = 0.0
     leaving: bool = False
     rate_limit_per_s: float | None = None
+    report: LoadReport | None = None
 
 
 class CallRunner(Protocol):
--- a/libs/traffic/auburnjunction/traffic/entries.py
+++ b/libs/traffic/auburnjunction/traffic/entries.py
@@ -11,6 +11,9 @@
 from auburnjunction.http.clients import PoolRegistry
 from auburnjunction.http.messages import HttpRequest, HttpResponse
 from auburnjunction.membership.crashes import CrashLog
+from auburnjunction.placements.meters import PlacementMetrics
+from auburnjunction.placements.placers import Placer
+from auburnjunction.placements.settings import PlacementSettings
 from auburnjunction.traffic.balancers import Balancer, NodeLocation
 from auburnjunction.traffic.call_forwarders import InstanceSource, PeerRunner
 from auburnjunction.traffic.call_reports import CallReporter
@@ -193,11 +196,20 @@
     crashes: CrashLog | None = None,
     lifetime: NodeLifetime | None = None,
     forwarded: ForwardedCalls | None = None,
+    placement: PlacementSettings | None = None,
 ) -> EntryHandler:
     """Return a node's entry handler with all its components."""
     rng = rng or random.Random()
     outlier_tracker = OutlierTracker(settings)
     instance_tracker = InstanceTracker(outlier_tracker, clock, settings)
+    if placement is not None and placement.is_enabled:
+        instance_tracker.placer = Placer(
+            placement,
+            location.data_centre,
+            rng,
+            instance_tracker.estimate_link_latency_s,
+        )
+        PlacementMetrics(metrics, instance_tracker.placer)
     balancer = Balancer(
         location, instances, outlier_tracker, instance_tracker, settings, rng
     )
--- a/libs/traffic/auburnjunction/traffic/headers.py
+++ b/libs/traffic/auburnjunction/traffic/headers.py
@@ -45,6 +45,11 @@
 # long as its responses say so; between nodes, in calls and answers, the last
 # limit known.
 RATE_LIMIT_HEADER = b"auburn-rate-limit"
+# Figures of a backend server in its responses: running, waiting, slots and
+# present speed (100 is usual, greater is slower), separated by commas.
+SERVER_LOAD_HEADER = b"auburn-server-load"
+# Report of the owner node on them, in answers and refusals between nodes.
+REPORT_HEADER = b"auburn-report"
 # Milliseconds within which an entry node that shuts down needs the answer.
 ANSWER_LIMIT_HEADER = b"auburn-answer-within-ms"
 
@@ -84,6 +89,8 @@
     leaving: bytes = LEAVING_HEADER
     # Calls per second that the backend server takes, a decimal number.
     rate_limit: bytes = RATE_LIMIT_HEADER
+    # Load and present speed of the backend server, on its responses.
+    server_load: bytes = SERVER_LOAD_HEADER
     # Target instance of a request; other instances answer 421.
     instance: bytes = b""
     # Service of the host on which the call was made.
--- a/libs/traffic/auburnjunction/traffic/instance_trackers.py
+++ b/libs/traffic/auburnjunction/traffic/instance_trackers.py
@@ -8,6 +8,7 @@
 from auburnjunction.base.errors import ErrorCode
 from auburnjunction.membership.departures import Departure, DepartureLog
 from auburnjunction.model.services import Instance
+from auburnjunction.placements.placers import Outcome, Placer
 from auburnjunction.traffic.call_forwarders import (
     NodeConnectTimeoutError,
     ReusedConnectionError,
@@ -58,6 +59,17 @@
         ErrorCode.UNRESPONSIVE,
     }
 )
+# Codes of failures after which a data centre counts as full for calls of
+# others: refusals by load, and losses on the way there.
+LOST_CODES = frozenset(
+    {
+        ErrorCode.OVERLOADED,
+        ErrorCode.SHED,
+        ErrorCode.TIMEOUT,
+        ErrorCode.UNREACHABLE,
+        ErrorCode.UNRESPONSIVE,
+    }
+)
 # Costs within this ratio count as equal, so that an insignificant difference
 # does not send every call to one instance.
 COST_TOLERANCE_RATIO = 1.1
@@ -94,9 +106,13 @@
         self._records: dict[str, InstanceRecord] = {}
         self._link_tracker = LinkTracker(settings)
         self._departures = DepartureLog(MAX_RECORDS)
+        # Places calls by expected completion; None if that is off.
+        self.placer: Placer | None = None
 
-    def start_call(self, instance: Instance) -> None:
+    def start_call(self, instance: Instance, body_bytes: int = 0) -> None:
         """Record a call that is about to be sent to the instance."""
+        if self.placer is not None:
+            self.placer.record_start(instance, body_bytes)
         now_s = self._clock.monotonic()
         self._link_tracker.record_call(instance.data_centre, now_s)
         self._find_record(instance.instance).in_flight += 1
@@ -104,9 +120,15 @@
     def end_call(self, instance: Instance) -> None:
         """Record the end of a call with any outcome."""
         self._find_record(instance.instance).in_flight -= 1
+        if self.placer is not None:
+            self.placer.record_end(instance)
 
     def record_answer(
-        self, instance: Instance, answer: Answer, latency_s: float
+        self,
+        instance: Instance,
+        answer: Answer,
+        latency_s: float,
+        route: str = "",
     ) -> None:
         """Update the statistics from a complete answer."""
         now_s = self._clock.monotonic()
@@ -128,6 +150,18 @@
         if 0.0 <= answer.load < float("inf"):
             record.load = min(answer.load, MAX_LOAD_REPORT)
             record.load_reported_s = now_s
+        if self.placer is not None:
+            self.placer.record_answer(
+                instance,
+                route,
+                Outcome(
+                    answer.report,
+                    # An instance of this node answers without a link.
+                    answer.owner_duration_s or latency_s,
+                    len(answer.response.body),
+                ),
+                now_s,
+            )
         link_latency_s = max(0.0, latency_s - answer.owner_duration_s)
         self._link_tracker.record_latency(instance.data_centre, link_latency_s)
 
@@ -136,6 +170,11 @@
         now_s = self._clock.monotonic()
         name = instance.instance
         self._record_link_error(instance, error, now_s)
+        is_lost = error.code in LOST_CODES
+        if self.placer is not None and (
+            is_lost or error.code is ErrorCode.BUSY
+        ):
+            self.placer.record_refusal(instance, error.report, now_s, is_lost)
         if error.code in NEUTRAL_CODES:
             self._outlier_tracker.release_probe(name)
             return
--- a/libs/traffic/auburnjunction/traffic/instances.py
+++ b/libs/traffic/auburnjunction/traffic/instances.py
@@ -11,6 +11,8 @@
 from auburnjunction.http.messages import HttpResponse
 from auburnjunction.membership.crashes import CrashLog
 from auburnjunction.model.services import Service
+from auburnjunction.placements.measurements import SpeedMeter
+from auburnjunction.placements.reports import LoadReport, parse_server_load
 from auburnjunction.traffic.admissions import AdmissionSettings
 from auburnjunction.traffic.backends import (
     BackendClient,
@@ -18,6 +20,7 @@
     ShedError,
 )
 from auburnjunction.traffic.calls import (
+    FIRST_SERVER_ERROR,
     Answer,
     Call,
     NotRunError,
@@ -70,8 +73,10 @@
         crashes: CrashLog | None = None,
         on_crash: CrashObserver = ignore_crashes,
         lifetime: NodeLifetime | None = None,
+        reports_load: bool = False,
     ):
         self.instance = instance
+        self._speed_meter = SpeedMeter() if reports_load else None
         # Incarnation that announced itself last; 0 if it is not known.
         self.born_ms = 0
         self._leaving = False
@@ -164,6 +169,7 @@
                     response = await self._send(call)
         except TrafficError as exc:
             self._metrics.count_error(call, exc)
+            exc.report = self._make_report()
             raise
         except curio.CancelledError:
             self._metrics.count_abandoned(call)
@@ -174,6 +180,16 @@
             self.load,
             leaving=self._leaving,
             rate_limit_per_s=self.rate_limit_per_s,
+            report=self._make_report(call.run_s),
+        )
+
+    def _make_report(self, run_s: float = 0.0) -> LoadReport | None:
+        """Return the report for entry nodes; None if none are sent."""
+        if self._speed_meter is None:
+            return None
+        now_s = self._clock.monotonic()
+        return self._speed_meter.make_report(
+            self.running, self.waiting, self.limit, now_s, run_s
         )
 
     def set_incarnation(self, born_ms: int) -> None:
@@ -181,6 +197,8 @@
         if born_ms != self.born_ms:
             self.born_ms = born_ms
             self._rate_limiter.reset()
+            if self._speed_meter is not None:
+                self._speed_meter = SpeedMeter()
 
     def set_capacity(self, slots: int, connections: int) -> None:
         """Set the announced slots and connections."""
@@ -275,6 +293,7 @@
             self._crash_watch.end_call(call)
         self._crash_watch.record_answer(call, response.status)
         self._record_duration(call, start_s)
+        self._record_run(call, response, start_s)
         return response
 
     async def _has_crashed(
@@ -302,6 +321,10 @@
         if born_ms != self.born_ms:
             return
         now_s = self._clock.monotonic()
+        if self._speed_meter is not None:
+            load = parse_server_load(notice.load)
+            if load is not None:
+                self._speed_meter.record_load(load, now_s)
         self._rate_limiter.update(notice.rate_limit_per_s, sent_s, now_s)
         if notice.leaving and not self._leaving:
             self._start_leaving(born_ms)
@@ -315,6 +338,15 @@
         duration_s = self._clock.monotonic() - start_s
         self._limit.add_sample(call.route, duration_s, self.running)
 
+    def _record_run(
+        self, call: Call, response: HttpResponse, start_s: float
+    ) -> None:
+        """Measure the speed of the backend server by a success."""
+        if self._speed_meter is None or response.status >= FIRST_SERVER_ERROR:
+            return
+        call.run_s = self._clock.monotonic() - start_s
+        self._speed_meter.record_run(call.route, call.run_s)
+
     async def probe(self) -> None:
         """Probe the backend server if it is suspect."""
         await self._backend.probe()
--- a/libs/traffic/auburnjunction/traffic/notices.py
+++ b/libs/traffic/auburnjunction/traffic/notices.py
@@ -19,6 +19,8 @@
     # Calls per second that it takes from all nodes together; None if it
     # names no limit.
     rate_limit_per_s: float | None = None
+    # Its load header as it was sent; None if there is none.
+    load: bytes | None = None
 
 
 NoticeObserver = Callable[[ServerNotice], None]
@@ -33,4 +35,5 @@
     return ServerNotice(
         leaving=response.header(names.leaving) == LEAVING_VALUE,
         rate_limit_per_s=parse_rate(response.header(names.rate_limit)),
+        load=response.header(names.server_load),
     )
--- a/libs/traffic/auburnjunction/traffic/owners.py
+++ b/libs/traffic/auburnjunction/traffic/owners.py
@@ -41,7 +41,9 @@
         names: HeaderNames = DEFAULT_HEADER_NAMES,
         crashes: CrashLog | None = None,
         lifetime: NodeLifetime | None = None,
+        reports_load: bool = False,
     ):
+        self._reports_load = reports_load
         self.on_departure: DepartureObserver = ignore_departure
         self.on_crash: CrashObserver = ignore_crashes
         self._crashes = crashes or CrashLog(clock)
@@ -233,6 +235,7 @@
             self._crashes,
             self._handle_crash,
             self._lifetime,
+            self._reports_load,
         )
 
 
--- a/libs/traffic/auburnjunction/traffic/senders.py
+++ b/libs/traffic/auburnjunction/traffic/senders.py
@@ -200,7 +200,7 @@
                 rate_limit_per_s=rate_limit_per_s,
                 answer_limit_s=self._lifetime.end_s,
             )
-        instance_tracker.start_call(instance)
+        instance_tracker.start_call(instance, len(call.request.body))
         try:
             answer = await self._run(call, instance)
         except TrafficError as exc:
@@ -212,7 +212,7 @@
         finally:
             instance_tracker.end_call(instance)
         latency_s = self._clock.monotonic() - now_s
-        instance_tracker.record_answer(instance, answer, latency_s)
+        instance_tracker.record_answer(instance, answer, latency_s, call.route)
         return answer
 
     async def _run(self, call: Call, instance: Instance) -> Answer:
