--- a/Makefile
+++ b/Makefile
@@ -50,6 +50,9 @@
 	$(BIN)/python tools/bench_hops.py
 	$(BIN)/python tools/bench_admission.py
 
+bench-placement: venv
+	$(BIN)/python tools/bench_placement.py
+
 schema: venv
 	$(BIN)/pip install --quiet -r requirements-schema.txt
 	PATH=$(CURDIR)/$(BIN):$$PATH $(BIN)/python -m grpc_tools.protoc \
