--- a/libs/node/auburnjunction/node/components.py
+++ b/libs/node/auburnjunction/node/components.py
@@ -192,6 +192,7 @@
             lifetime,
             keys.find_start_refusal,
             resources,
+            reports_load=cfg.placement.is_enabled,
         )
         membership.mark_source = lambda: holder.mark
         membership.on_mark = distributor.on_mark
@@ -217,6 +218,7 @@
             keys,
             owners.has_abandoned_parent,
             versions=rollouts.selector if rollouts is not None else None,
+            placement=cfg.placement,
         )
         ControlPlaneMetrics(metrics, membership.stats, distributor.stats)
         if resources is not None:
--- a/libs/node/auburnjunction/node/settings.py
+++ b/libs/node/auburnjunction/node/settings.py
@@ -19,6 +19,7 @@
 from auburnjunction.http.messages import MessageLimits
 from auburnjunction.membership.settings import MembershipSettings
 from auburnjunction.organisations.settings import OrganisationSettings
+from auburnjunction.placements.settings import PlacementSettings
 from auburnjunction.rollouts.settings import RolloutSettings
 from auburnjunction.traffic.admissions import AdmissionSettings
 from auburnjunction.traffic.routing_settings import RoutingSettings
@@ -88,6 +89,7 @@
     )
     rollouts: RolloutSettings = attrs.field(factory=RolloutSettings)
     resources: ResourceSettings = attrs.field(factory=ResourceSettings)
+    placement: PlacementSettings = attrs.field(factory=PlacementSettings)
 
     @property
     def translations(self) -> dict[Address, Address]:
--- a/libs/traffic/auburnjunction/traffic/entries.py
+++ b/libs/traffic/auburnjunction/traffic/entries.py
@@ -13,6 +13,9 @@
 from auburnjunction.http.messages import HttpRequest, HttpResponse
 from auburnjunction.membership.crashes import CrashLog
 from auburnjunction.organisations.settings import OrganisationSettings
+from auburnjunction.placements.meters import PlacementMetrics
+from auburnjunction.placements.placers import Placer
+from auburnjunction.placements.settings import PlacementSettings
 from auburnjunction.rollouts.selectors import VersionSelector
 from auburnjunction.traffic.balancers import Balancer, NodeLocation
 from auburnjunction.traffic.call_forwarders import InstanceSource, PeerRunner
@@ -202,12 +205,21 @@
     keys: KeyChecker | None = None,
     has_abandoned_parent: Callable[[str], bool] = has_no_parent,
     versions: VersionSelector | None = None,
+    placement: PlacementSettings | None = None,
 ) -> EntryHandler:
     """Return a node's entry handler with all its components."""
     rng = rng or random.Random()
     keys = keys or KeyChecker(OrganisationSettings(), snapshots)
     outlier_tracker = OutlierTracker(settings)
     instance_tracker = InstanceTracker(outlier_tracker, clock, settings)
+    if placement is not None and placement.is_enabled:
+        instance_tracker.placer = Placer(
+            placement,
+            location.data_centre,
+            rng,
+            instance_tracker.estimate_link_latency_s,
+        )
+        PlacementMetrics(metrics, instance_tracker.placer)
     balancer = Balancer(
         location,
         instances,
--- a/libs/traffic/auburnjunction/traffic/owners.py
+++ b/libs/traffic/auburnjunction/traffic/owners.py
@@ -57,9 +57,11 @@
         lifetime: NodeLifetime | None = None,
         find_refusal: RefusalFinder = find_no_refusal,
         resources: ProcessResources | None = None,
+        reports_load: bool = False,
     ):
         self._find_refusal = find_refusal
         self._resources = resources
+        self._reports_load = reports_load
         self.on_departure: DepartureObserver = ignore_departure
         self.on_crash: CrashObserver = ignore_crashes
         self._crashes = crashes or CrashLog(clock)
@@ -282,6 +284,7 @@
             self._lifetime,
             self._find_refusal,
             self._resources,
+            self._reports_load,
         )
 
 
--- a/libs/traffic/auburnjunction/traffic/senders.py
+++ b/libs/traffic/auburnjunction/traffic/senders.py
@@ -238,7 +238,7 @@
                 rate_limit_per_s=rate_limit_per_s,
                 answer_limit_s=self._lifetime.end_s,
             )
-        instance_tracker.start_call(instance)
+        instance_tracker.start_call(instance, len(call.request.body))
         try:
             if self._version_observer is None:
                 answer = await self._run(call, instance)
@@ -255,7 +255,7 @@
         finally:
             instance_tracker.end_call(instance)
         latency_s = self._clock.monotonic() - now_s
-        instance_tracker.record_answer(instance, answer, latency_s)
+        instance_tracker.record_answer(instance, answer, latency_s, call.route)
         return answer
 
     async def _run(self, call: Call, instance: Instance) -> Answer:
