Admit requests by the room of the services that they call

Requests ran until a nested call was refused or came too late, after they had held a slot for up to half a second; callers that were refused came back at times without room and were refused again.

Nodes tally the nested calls of each request and report them with its answer; entry nodes admit a share of the requests by called service and priority, and promise refused callers times spread over the drain rate. Organisations share a queue by deficit round robin. All of it is off by default. Waits of nested calls are estimated apart from those of the first attempts that they overtake, whose correction refused them.

--- a/libs/base/auburnjunction/base/errors.py
+++ b/libs/base/auburnjunction/base/errors.py
@@ -29,6 +29,8 @@
     CRASHED = "crashed"
     # Backend servers have crashed under the request, so it is not sent.
     QUARANTINED = "quarantined"
+    # A service that the request calls has no room for its calls.
+    NO_ROOM = "no-room"
     TOO_LARGE = "too-large"
     PROTOCOL = "protocol"
     INTERNAL = "internal"
--- a/libs/node/auburnjunction/node/components.py
+++ b/libs/node/auburnjunction/node/components.py
@@ -35,6 +35,7 @@
 from auburnjunction.traffic.headers import DEFAULT_HEADER_NAMES, HeaderNames
 from auburnjunction.traffic.lifetimes import NodeLifetime
 from auburnjunction.traffic.meters import OwnerMetrics
+from auburnjunction.traffic.nested_calls import NestedCallTracker
 from auburnjunction.traffic.owners import OwnerRegistry
 from auburnjunction.traffic.routers import ServiceSource, no_service
 
@@ -143,6 +144,9 @@
     ):
         lifetime = NodeLifetime(clock)
         forwarded = ForwardedCalls()
+        nested_calls = None
+        if cfg.routing.room_checks:
+            nested_calls = NestedCallTracker()
         owners = OwnerRegistry(
             cfg.admission,
             clock,
@@ -154,6 +158,7 @@
             platform.names,
             membership.crashes,
             lifetime,
+            nested_calls,
         )
         membership.mark_source = lambda: holder.mark
         membership.on_mark = distributor.on_mark
@@ -176,6 +181,7 @@
             membership.crashes,
             lifetime,
             forwarded,
+            nested_calls,
         )
         ControlPlaneMetrics(metrics, membership.stats, distributor.stats)
         commits = CommitLog(platform.table, platform.objects, clock)
--- a/libs/traffic/auburnjunction/traffic/admissions.py
+++ b/libs/traffic/auburnjunction/traffic/admissions.py
@@ -82,6 +82,11 @@
     objective_deviations: float = attrs.field(
         default=0.0, validator=check_range(0, 10)
     )
+    # Whether waits of nested calls and of returning callers are estimated
+    # apart from those of first attempts, which they overtake.
+    separate_waits: bool = False
+    # Whether organisations share the slots evenly within a priority.
+    fair_shares: bool = False
     adaptive_limit: bool = True
     # Lower bound of the adaptive limit, as a share of the slots.
     limit_floor_share: float = attrs.field(
--- a/libs/traffic/auburnjunction/traffic/call_forwarders.py
+++ b/libs/traffic/auburnjunction/traffic/call_forwarders.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 from contextlib import asynccontextmanager
 from typing import Protocol
+from urllib.parse import quote
 
 import attrs
 from absl import logging
@@ -46,6 +47,8 @@
     ERROR_HEADER,
     LEAVING_HEADER,
     LOAD_HEADER,
+    NESTED_HEADER,
+    ORGANISATION_HEADER,
     OUTCOME_HEADER,
     OWNER_DURATION_HEADER,
     RATE_LIMIT_HEADER,
@@ -59,6 +62,11 @@
     parse_rate,
     strip_headers,
 )
+from auburnjunction.traffic.nested_calls import (
+    NestedReport,
+    format_report,
+    parse_report,
+)
 from auburnjunction.traffic.notices import LEAVING_VALUE
 from auburnjunction.traffic.packed_headers import (
     pack_headers,
@@ -180,6 +188,9 @@
         if call.answer_limit_s < math.inf:
             limit = format_answer_limit(call, now_s)
             own_headers = [*own_headers, (ANSWER_LIMIT_HEADER, limit)]
+        if call.organisation:
+            name = quote(call.organisation, safe="").encode()
+            own_headers = [*own_headers, (ORGANISATION_HEADER, name)]
         packed = pack_headers(own_headers)
         headers = [(CALL_HEADER, value), *packed]
         if packed is not own_headers:
@@ -220,13 +231,21 @@
             owner_duration_s,
             leaving=response.header(LEAVING_HEADER) == LEAVING_VALUE,
             rate_limit_per_s=parse_rate(response.header(RATE_LIMIT_HEADER)),
+            nested=_read_report(response),
         )
     message = response.body.decode(errors="replace").strip()
     code = _read_code(response)
     if outcome == NOT_RUN_VALUE:
         retry_after_s = _read_number(response, RETRY_AFTER_HEADER)
         raise NotRunError(message, code, retry_after_s)
-    raise UnknownRunError(message, code)
+    error = UnknownRunError(message, code)
+    error.nested = _read_report(response)
+    raise error
+
+
+def _read_report(response: HttpResponse) -> NestedReport | None:
+    value = response.header(NESTED_HEADER)
+    return None if value is None else parse_report(value)
 
 
 def _read_number(response: HttpResponse, name: bytes) -> float:
@@ -312,7 +331,11 @@
         try:
             answer = await self._runner.run_call(call, instance)
         except TrafficError as exc:
-            return make_error_response(exc, call.request_id)
+            response = make_error_response(exc, call.request_id)
+            if exc.nested is not None:
+                report = format_report(exc.nested)
+                response.headers.append((NESTED_HEADER, report))
+            return response
         except Exception:
             logging.exception("call %s failed", call.request_id)
             error = UnknownRunError("internal error", ErrorCode.INTERNAL)
@@ -345,4 +368,6 @@
     if answer.rate_limit_per_s is not None:
         rate = format_rate(answer.rate_limit_per_s)
         headers.append((RATE_LIMIT_HEADER, rate))
+    if answer.nested is not None:
+        headers.append((NESTED_HEADER, format_report(answer.nested)))
     return attrs.evolve(response, headers=pack_headers(headers))
--- a/libs/traffic/auburnjunction/traffic/calls.py
+++ b/libs/traffic/auburnjunction/traffic/calls.py
@@ -1,8 +1,9 @@
 """Calls, their answers and the errors that end them."""
 
 import math
+from collections.abc import Mapping
 from enum import StrEnum
-from typing import Protocol
+from typing import Any, Protocol
 
 import attrs
 
@@ -39,6 +40,8 @@
     ):
         super().__init__(message, code)
         self.retry_after_s = retry_after_s
+        # Nested calls of the request, as in Answer.
+        self.nested: Mapping[str, Any] | None = None
 
 
 class NotRunError(TrafficError):
@@ -67,7 +70,9 @@
     limit, by the same clock, is when the entry node shuts down; a call that
     would end later is not started. The organisation is that of the API key,
     for a nested call that of the request it is made for; empty without one.
-    A probe runs a request under which backend servers have crashed.
+    A probe runs a request under which backend servers have crashed. A
+    returning call takes a place that its caller was promised when it was
+    refused.
     """
 
     request_id: str
@@ -88,6 +93,7 @@
     answer_limit_s: float = math.inf
     organisation: str = ""
     probe: bool = False
+    returning: bool = False
 
 
 @attrs.define(slots=True)
@@ -98,7 +104,9 @@
     share of the slots in force. owner_duration_s is the time that the call
     spent at the owner node; the rest of its latency is due to the link.
     leaving means that the response says that the backend server is leaving;
-    the rate limit is the one that it names, in calls per second.
+    the rate limit is the one that it names, in calls per second. nested
+    reports the nested calls of the request (see nested_calls), None if its
+    node does not count them.
     """
 
     response: HttpResponse
@@ -106,6 +114,7 @@
     owner_duration_s: float = 0.0
     leaving: bool = False
     rate_limit_per_s: float | None = None
+    nested: Mapping[str, Any] | None = None
 
 
 class CallRunner(Protocol):
--- a/libs/traffic/auburnjunction/traffic/entries.py
+++ b/libs/traffic/auburnjunction/traffic/entries.py
@@ -34,8 +34,12 @@
 )
 from auburnjunction.traffic.instance_trackers import InstanceTracker
 from auburnjunction.traffic.lifetimes import NodeLifetime
+from auburnjunction.traffic.nested_calls import NestedCallTracker
 from auburnjunction.traffic.quarantines import Quarantine
 from auburnjunction.traffic.retries import NodeCounter, count_one
+from auburnjunction.traffic.return_ledgers import ReturnLedgers
+from auburnjunction.traffic.room_gates import RoomGate
+from auburnjunction.traffic.room_senders import RoomSender
 from auburnjunction.traffic.routers import (
     ParentFinder,
     ReadinessSource,
@@ -47,7 +51,7 @@
     no_service,
 )
 from auburnjunction.traffic.routing_settings import RoutingSettings
-from auburnjunction.traffic.senders import CallSender, CallTrace
+from auburnjunction.traffic.senders import CallSender, CallTrace, Sender
 
 # Minimum Retry-After, in seconds, of calls whose refusal gave none: the time
 # in which a change reaches every node. It is jittered up to twice this time.
@@ -61,7 +65,7 @@
     def __init__(
         self,
         router: Router,
-        sender: CallSender,
+        sender: Sender,
         reporter: CallReporter,
         clock: Clock,
         names: HeaderNames = DEFAULT_HEADER_NAMES,
@@ -193,6 +197,7 @@
     crashes: CrashLog | None = None,
     lifetime: NodeLifetime | None = None,
     forwarded: ForwardedCalls | None = None,
+    nested_calls: NestedCallTracker | None = None,
 ) -> EntryHandler:
     """Return a node's entry handler with all its components."""
     rng = rng or random.Random()
@@ -202,7 +207,7 @@
         location, instances, outlier_tracker, instance_tracker, settings, rng
     )
     peer_runner = PeerRunner(instances, pools, clock, settings, forwarded)
-    sender = CallSender(
+    sender: Sender = CallSender(
         location,
         balancer,
         instance_tracker,
@@ -215,6 +220,16 @@
         Quarantine(crashes or CrashLog(clock), names),
         lifetime,
     )
+    if settings.room_checks or settings.return_places:
+        sender = RoomSender(
+            sender,
+            clock,
+            metrics,
+            RoomGate(rng) if settings.room_checks else None,
+            ReturnLedgers() if settings.return_places else None,
+            nested_calls,
+            names.parent_id_separator,
+        )
     reporter = CallReporter(metrics, outlier_tracker, settings)
     router = Router(
         snapshots,
--- a/libs/traffic/auburnjunction/traffic/headers.py
+++ b/libs/traffic/auburnjunction/traffic/headers.py
@@ -45,6 +45,11 @@
 # long as its responses say so; between nodes, in calls and answers, the last
 # limit known.
 RATE_LIMIT_HEADER = b"auburn-rate-limit"
+# Nested calls that the request has made, by called service, and how many of
+# them found no room.
+NESTED_HEADER = b"auburn-nested"
+# Organisation of a forwarded call.
+ORGANISATION_HEADER = b"auburn-organisation"
 # Milliseconds within which an entry node that shuts down needs the answer.
 ANSWER_LIMIT_HEADER = b"auburn-answer-within-ms"
 
@@ -59,6 +64,7 @@
 NESTED_FLAG = 1
 REPEATED_FLAG = 2
 PROBE_FLAG = 4
+RETURNING_FLAG = 8
 # Values of the Connection header that list no other header.
 PLAIN_CONNECTIONS = frozenset({b"keep-alive", b"close"})
 
@@ -176,6 +182,7 @@
         NESTED_FLAG * call.nested
         + REPEATED_FLAG * call.repeated
         + PROBE_FLAG * call.probe
+        + RETURNING_FLAG * call.returning
     )
 
 
@@ -215,6 +222,8 @@
             nested=bool(int(fields[10]) & NESTED_FLAG),
             repeated=bool(int(fields[10]) & REPEATED_FLAG),
             probe=bool(int(fields[10]) & PROBE_FLAG),
+            returning=bool(int(fields[10]) & RETURNING_FLAG),
+            organisation=_parse_organisation(request),
             fail_fast=fields[11] == "1",
             rate_limit_per_s=parse_rate(request.header(RATE_LIMIT_HEADER)),
             answer_limit_s=_parse_answer_limit(request, now_s),
@@ -234,6 +243,10 @@
     return math.inf if value is None else now_s + int(value) / 1000
 
 
+def _parse_organisation(request: HttpRequest) -> str:
+    return unquote((request.header(ORGANISATION_HEADER) or b"").decode())
+
+
 STATUS_BY_CODE = {
     ErrorCode.NOT_FOUND: 404,
     ErrorCode.INVALID: 400,
@@ -249,6 +262,7 @@
     ErrorCode.UNRESPONSIVE: 503,
     ErrorCode.UNAVAILABLE: 503,
     ErrorCode.QUARANTINED: 503,
+    ErrorCode.NO_ROOM: 503,
     ErrorCode.TIMEOUT: 504,
     ErrorCode.UNKNOWN: 502,
     ErrorCode.CRASHED: 502,
--- a/libs/traffic/auburnjunction/traffic/owners.py
+++ b/libs/traffic/auburnjunction/traffic/owners.py
@@ -10,7 +10,12 @@
 from auburnjunction.model.services import Service
 from auburnjunction.model.validators import MAX_TIMEOUT_MS
 from auburnjunction.traffic.admissions import AdmissionSettings
-from auburnjunction.traffic.calls import Answer, Call, NotRunError
+from auburnjunction.traffic.calls import (
+    Answer,
+    Call,
+    NotRunError,
+    UnknownRunError,
+)
 from auburnjunction.traffic.claims import ClaimStore
 from auburnjunction.traffic.crash_watches import CrashObserver, ignore_crashes
 from auburnjunction.traffic.headers import DEFAULT_HEADER_NAMES, HeaderNames
@@ -22,6 +27,7 @@
 )
 from auburnjunction.traffic.lifetimes import NodeLifetime
 from auburnjunction.traffic.meters import OwnerMetrics
+from auburnjunction.traffic.nested_calls import NestedCallTracker
 
 REFUSED_STATES = ("starting", "leaving", "gone")
 
@@ -41,7 +47,9 @@
         names: HeaderNames = DEFAULT_HEADER_NAMES,
         crashes: CrashLog | None = None,
         lifetime: NodeLifetime | None = None,
+        nested_calls: NestedCallTracker | None = None,
     ):
+        self._nested_calls = nested_calls
         self.on_departure: DepartureObserver = ignore_departure
         self.on_crash: CrashObserver = ignore_crashes
         self._crashes = crashes or CrashLog(clock)
@@ -104,10 +112,28 @@
             owner.set_service(service)
         self._calls[call.request_id] = call
         try:
+            if self._nested_calls is not None:
+                return await self._run_tallied(owner, call, self._nested_calls)
             return await owner.run_call(call)
         finally:
             self._calls.pop(call.request_id, None)
 
+    async def _run_tallied(
+        self, owner: InstanceOwner, call: Call, tracker: NestedCallTracker
+    ) -> Answer:
+        """Run a call; report its nested calls with the result."""
+        due_s = min(call.target_s, call.deadline_s)
+        tracker.start_request(call.request_id, due_s)
+        try:
+            answer = await owner.run_call(call)
+            answer.nested = tracker.end_request(call.request_id)
+            return answer
+        except UnknownRunError as exc:
+            exc.nested = tracker.end_request(call.request_id)
+            raise
+        finally:
+            tracker.end_request(call.request_id)
+
     def find_parent(self, request_id: str) -> Call | None:
         """Return the call that a nested call is made for.
 
--- a/libs/traffic/auburnjunction/traffic/queues.py
+++ b/libs/traffic/auburnjunction/traffic/queues.py
@@ -17,6 +17,11 @@
     PriorityShares,
 )
 from auburnjunction.traffic.calls import Call, NotRunError
+from auburnjunction.traffic.fair_queues import (
+    ArrivalOrder,
+    FairOrder,
+    TicketOrder,
+)
 
 # Upper bound of a priority's credit, which it also accumulates while none of
 # its tickets wait.
@@ -53,6 +58,11 @@
     # When the call was queued, and the wait estimated from the queue then.
     queued_s: float = 0.0
     expected_wait_s: float = 0.0
+    # Whether the caller returns at the time that it was promised.
+    returning: bool = False
+    # The organisation and the expected duration of the call.
+    organisation: str = ""
+    work_s: float = 0.0
     call: Call | None = None
     state: TicketState = TicketState.WAITING
     error: NotRunError | None = None
@@ -134,56 +144,82 @@
 class Lane:
     """Tickets of one priority.
 
-    Nested calls precede top-level calls, and late ones come last: a slot
-    that serves them is lost for an answer that is still in time.
+    Nested calls precede top-level calls, those of callers that return at the
+    time that they were promised precede first attempts, and late ones come
+    last: a slot that serves them is lost for an answer that is still in time.
     """
 
-    def __init__(self):
-        self._nested: OrderedDict[Ticket, None] = OrderedDict()
-        self._top_level: OrderedDict[Ticket, None] = OrderedDict()
-        self._late: OrderedDict[Ticket, None] = OrderedDict()
+    def __init__(self, fair: bool = False):
+        self._nested = ArrivalOrder()
+        self._returning = ArrivalOrder()
+        self._top_level: TicketOrder = FairOrder() if fair else ArrivalOrder()
+        self._late = ArrivalOrder()
+        self._kinds: tuple[TicketOrder, ...] = (
+            self._nested,
+            self._returning,
+            self._top_level,
+            self._late,
+        )
+        self._size = 0
 
     def __len__(self) -> int:
-        return len(self._nested) + len(self._top_level) + len(self._late)
+        return self._size
 
     def __iter__(self) -> Iterator[Ticket]:
-        return chain(self._nested, self._top_level, self._late)
-
-    @property
-    def has_top_level(self) -> bool:
-        """Whether any top-level call waits."""
-        return bool(self._top_level or self._late)
+        return chain.from_iterable(self._kinds)
 
     def push(self, ticket: Ticket) -> None:
-        """Add a ticket behind the others of its kind."""
-        self._tickets_like(ticket)[ticket] = None
+        """Add a ticket to the others of its kind."""
+        self._size += 1
+        self._tickets_like(ticket).push(ticket)
 
     def pop_first(self) -> Ticket:
         """Remove and return the next ticket."""
-        tickets = self._nested or self._top_level or self._late
-        return tickets.popitem(last=False)[0]
+        self._size -= 1
+        return next(kind for kind in self._kinds if kind).pop_first()
 
     def pop_last(self) -> Ticket:
         """Remove and return the ticket to evict first."""
-        tickets = self._late or self._top_level or self._nested
-        return tickets.popitem(last=True)[0]
+        self._size -= 1
+        return next(kind for kind in reversed(self._kinds) if kind).pop_last()
 
     def remove(self, ticket: Ticket) -> None:
         """Remove a ticket."""
-        del self._tickets_like(ticket)[ticket]
+        self._size -= 1
+        self._tickets_like(ticket).remove(ticket)
 
-    def count_ahead(self, ticket: Ticket) -> int:
+    def count_ahead(self, ticket: Ticket) -> float:
         """Return how many tickets of the lane precede a new ticket."""
+        own = self._tickets_like(ticket)
+        earlier = self._kinds[: self._kinds.index(own)]
+        return sum(map(len, earlier)) + own.count_ahead(ticket)
+
+    def evict_for(self, ticket: Ticket) -> Ticket | None:
+        """Remove and return a ticket that a new one replaces, if any.
+
+        Nested calls and returning callers replace first attempts and late
+        ones. Of first attempts, one replaces another of an organisation that
+        has more work queued.
+        """
+        replaced = 0
         if ticket.nested:
-            return len(self._nested)
-        if ticket.late:
-            return len(self)
-        return len(self._nested) + len(self._top_level)
+            replaced = len(self) - len(self._nested)
+        elif ticket.returning and not ticket.late:
+            replaced = len(self._top_level) + len(self._late)
+        if replaced:
+            return self.pop_last()
+        own = self._tickets_like(ticket)
+        if own is self._top_level and own.exceeds_share(ticket):
+            self._size -= 1
+            return own.pop_last()
+        return None
 
-    def _tickets_like(self, ticket: Ticket) -> OrderedDict[Ticket, None]:
+    def _tickets_like(self, ticket: Ticket) -> TicketOrder:
         if ticket.nested:
             return self._nested
-        return self._late if ticket.late else self._top_level
+        if ticket.late:
+            return self._late
+        return self._returning if ticket.returning else self._top_level
 
 
 class PriorityQueue:
@@ -195,8 +231,11 @@
     urgent calls would evict all others before they could start.
     """
 
-    def __init__(self, limit: int, shares: PriorityShares | None):
-        self._lanes = {priority: Lane() for priority in Priority}
+    def __init__(
+        self, limit: int, shares: PriorityShares | None, fair: bool = False
+    ):
+        self._fair = fair
+        self._lanes = {priority: Lane(fair) for priority in Priority}
         self._shares = {
             priority: shares.of(priority) if shares else 0.0
             for priority in Priority
@@ -251,11 +290,14 @@
             for other, lane in self._lanes.items()
             if other < priority
         )
-        ahead += self._lanes[priority].count_ahead(ticket)
+        lane = self._lanes[priority]
+        ahead_in_lane = lane.count_ahead(ticket)
+        ahead += ahead_in_lane
         share = self._shares[priority]
         if not share:
             return ahead
-        return min(ahead, (len(self._lanes[priority]) + 1) / share)
+        place = ahead_in_lane if self._fair else len(lane)
+        return min(ahead, (place + 1) / share)
 
     def count(self, priority: Priority) -> int:
         """Return the number of waiting tickets of a priority."""
@@ -286,9 +328,10 @@
                 ticket = self._lanes[other].pop_last()
                 self._size -= 1
                 return ticket
-        if ticket.nested and self._lanes[priority].has_top_level:
+        evicted = self._lanes[priority].evict_for(ticket)
+        if evicted is not None:
             self._size -= 1
-            return self._lanes[priority].pop_last()
+            return evicted
         raise QueueFullError(f"the queue is full (limit {self._limit})")
 
     def _excess_over_reserved(self, priority: Priority) -> int:
@@ -307,6 +350,6 @@
         case Discipline.FIFO:
             return FifoQueue(limit)
         case Discipline.STRICT:
-            return PriorityQueue(limit, None)
+            return PriorityQueue(limit, None, cfg.fair_shares)
         case _:
-            return PriorityQueue(limit, cfg.shares)
+            return PriorityQueue(limit, cfg.shares, cfg.fair_shares)
--- a/libs/traffic/auburnjunction/traffic/routers.py
+++ b/libs/traffic/auburnjunction/traffic/routers.py
@@ -26,6 +26,9 @@
 from auburnjunction.traffic.timeouts import ElapsedTimeEstimator
 
 MAX_KEY_LENGTH = 255
+# Time elapsed since the first attempt from which a call is a return. Less is
+# due to rounding and to callers that are late themselves.
+MIN_RETURN_MS = 10
 ID_PREFIX_BYTES = 4
 DEADLINE_PATTERN = re.compile(rb"[0-9]{1,9}\Z")
 KEY_PATTERN = re.compile(rb"[\x21-\x7e]+\Z")
@@ -75,6 +78,8 @@
     call: Call
     route: Route
     service: Service
+    # Whether the caller returns after a refusal, by its shortened timeout.
+    is_return: bool = False
 
 
 class RequestIdGenerator:
@@ -127,6 +132,9 @@
         service = revised.snapshot.services_by_name[name]
         timeout_ms = _read_timeout(request, route, self._names.deadline)
         parent = self._find_parent(request_id)
+        elapsed_ms = 0
+        if self._elapsed is not None and parent is None:
+            elapsed_ms = self._elapsed.estimate_ms(route.name, timeout_ms)
         call = Call(
             request_id=request_id,
             route=route.name,
@@ -135,9 +143,7 @@
             priority=route.priority if parent is None else parent.priority,
             nested=parent is not None,
             repeated=parent is not None and parent.repeated,
-            target_s=self._compute_target(
-                route, timeout_ms, parent is not None, now_s
-            ),
+            target_s=_compute_target(route, elapsed_ms, now_s),
             repeatable=route.repeatable,
             claims=route.claims,
             deadline_s=now_s + timeout_ms / 1000,
@@ -150,22 +156,7 @@
             ),
             idempotency_key=_read_idempotency_key(request),
         )
-        return RoutedCall(call, route, service)
-
-    def _compute_target(
-        self, route: Route, timeout_ms: int, nested: bool, now_s: float
-    ) -> float:
-        """Return the time until which an answer meets the objective.
-
-        The objective counts from the caller's first attempt. Timeouts of
-        nested calls are those that their parents have left.
-        """
-        if not route.target_latency_ms:
-            return math.inf
-        elapsed_ms = 0
-        if self._elapsed is not None and not nested:
-            elapsed_ms = self._elapsed.estimate_ms(route.name, timeout_ms)
-        return now_s + (route.target_latency_ms - elapsed_ms) / 1000
+        return RoutedCall(call, route, service, elapsed_ms >= MIN_RETURN_MS)
 
     def is_repeatable(self, request: HttpRequest) -> bool:
         """Return whether the route of a request allows repetition.
@@ -200,6 +191,17 @@
         return revised
 
 
+def _compute_target(route: Route, elapsed_ms: int, now_s: float) -> float:
+    """Return the time until which an answer meets the objective.
+
+    The objective counts from the caller's first attempt. Timeouts of nested
+    calls are those that their parents have left.
+    """
+    if not route.target_latency_ms:
+        return math.inf
+    return now_s + (route.target_latency_ms - elapsed_ms) / 1000
+
+
 def _find_route(revised: RevisedSnapshot, request: HttpRequest) -> Route:
     path = request.path
     if not path.startswith("/") or AMBIGUOUS_PATH.search(path):
--- a/libs/traffic/auburnjunction/traffic/routing_settings.py
+++ b/libs/traffic/auburnjunction/traffic/routing_settings.py
@@ -122,6 +122,12 @@
     # Whether callers send the same timeout with each first attempt on a
     # route, so that a shorter one yields the time elapsed since then.
     uniform_timeouts: bool = False
+    # Whether requests are refused before they run if the services that they
+    # call refuse nested calls (docs/design/room.md).
+    room_checks: bool = False
+    # Whether refused callers are promised times at which there is room. Takes
+    # uniform_timeouts to recognise their return.
+    return_places: bool = False
     # Share of successful calls that are written to the access log; 0 turns it
     # off.
     access_log_share: float = attrs.field(
--- a/libs/traffic/auburnjunction/traffic/senders.py
+++ b/libs/traffic/auburnjunction/traffic/senders.py
@@ -1,6 +1,7 @@
 """Sending of calls: attempts at instances, retries and backoff."""
 
 import random
+from typing import Protocol
 
 import attrs
 
@@ -57,6 +58,15 @@
 )
 
 
+class Sender(Protocol):
+    """Sends calls, under whatever conditions."""
+
+    async def send_call(
+        self, routed: RoutedCall, trace: "CallTrace"
+    ) -> Answer:
+        """Return a complete answer; raise NotRunError or UnknownRunError."""
+
+
 @attrs.define(slots=True)
 class CallTrace:
     """Record of one call for the access log and the metrics."""
--- a/libs/traffic/auburnjunction/traffic/slots.py
+++ b/libs/traffic/auburnjunction/traffic/slots.py
@@ -49,6 +49,9 @@
         )
         self._random = random.Random()
         self._wait_estimator = WaitEstimator()
+        self._overtaking_estimator = (
+            WaitEstimator() if cfg.separate_waits else None
+        )
 
     @property
     def waiting(self) -> int:
@@ -135,6 +138,8 @@
             call.priority,
             self._find_latest_start(call, duration_s),
             call.nested,
+            returning=call.returning,
+            organisation=call.organisation,
             call=call,
         )
         if now_s > ticket.latest_start_s:
@@ -146,6 +151,9 @@
         if not self._queue and self._may_start(now_s):
             self._start_call(now_s)
             return
+        if self._cfg.fair_shares:
+            duration_s = self._limit.times.find_duration(call.route, 0.0)
+            ticket.work_s = duration_s or self._limit.times.mean_s
         if call.fail_fast:
             raise NotRunError(*_BUSY, self._estimate_wait(ticket, now_s))
         self._check_wait(call, ticket, now_s)
@@ -231,14 +239,35 @@
         ticket.expected_wait_s = max(
             (ahead + 1) * slot_interval_s, rate_wait_s
         )
-        correction = self._wait_estimator.correction(now_s)
+        correction = self._find_estimator(ticket).correction(now_s)
         # No call can start sooner than the rate limit lets it.
         return max(ticket.expected_wait_s * correction, rate_wait_s)
 
+    def _find_estimator(self, ticket: Ticket) -> WaitEstimator:
+        """Return the estimator of the ticket's waits.
+
+        The calls that overtake first attempts prolong the waits of these. A
+        correction from such waits would refuse nested calls that find room.
+        """
+        if self._overtaking_estimator is None:
+            return self._wait_estimator
+        if ticket.nested or ticket.returning:
+            return self._overtaking_estimator
+        return self._wait_estimator
+
+    def _record_wait(self, ticket: Ticket, now_s: float) -> None:
+        estimator = self._find_estimator(ticket)
+        if ticket.late:
+            return
+        if ticket.nested and estimator is self._wait_estimator:
+            return
+        waited_s = now_s - ticket.queued_s
+        estimator.record_wait(ticket.expected_wait_s, waited_s, now_s)
+
     def _find_remaining_wait(self, ticket: Ticket, now_s: float) -> float:
         """Return the expected rest of a ticket's wait; 0 if it is overdue."""
         wait_s = ticket.expected_wait_s
-        wait_s *= self._wait_estimator.correction(now_s)
+        wait_s *= self._find_estimator(ticket).correction(now_s)
         return max(0.0, ticket.queued_s + wait_s - now_s)
 
     def _find_retry_after(self, excess_s: float) -> float:
@@ -298,11 +327,7 @@
         now_s = self._clock.monotonic()
         while self._queue and self._may_start(now_s):
             ticket = self._queue.pop()
-            if not ticket.nested and not ticket.late:
-                waited_s = now_s - ticket.queued_s
-                self._wait_estimator.record_wait(
-                    ticket.expected_wait_s, waited_s, now_s
-                )
+            self._record_wait(ticket, now_s)
             if now_s > ticket.latest_start_s:
                 await self._refuse(ticket, NotRunError(*_TOO_LATE))
                 continue
