--- a/libs/traffic/auburnjunction/traffic/fair_queues.py
+++ b/libs/traffic/auburnjunction/traffic/fair_queues.py
@@ -8,6 +8,9 @@
 # Work of a ticket whose duration is not known yet; the rounds need an amount
 # above 0.
 MIN_WORK_S = 0.001
+# Organisations without tickets that stay in the round; the state of an
+# instance is bounded by this and by its queue.
+MAX_IDLE = 64
 
 
 class Queued(Protocol):
@@ -86,15 +89,18 @@
     """Deficit round robin among organisations, by estimated work time.
 
     In its turn, an organisation may start tickets for the work that it has
-    earned, the mean of all that wait, and what it has left from before. Only
-    organisations with tickets have any state.
+    earned, the mean of all that wait, and what it has left from before. One
+    that had no tickets comes before those that have had a turn, so that it
+    waits for none that always has tickets queued. To keep it from coming
+    first again and again, it stays in the round when it has no tickets left,
+    until its next turn.
     """
 
     def __init__(self):
-        # In the order of their turns.
-        self._tickets: OrderedDict[str, OrderedDict[Queued, None]] = (
-            OrderedDict()
-        )
+        # Organisations before their first turn, and the others in the order
+        # of their turns.
+        self._new: OrderedDict[str, OrderedDict[Queued, None]] = OrderedDict()
+        self._old: OrderedDict[str, OrderedDict[Queued, None]] = OrderedDict()
         # Work that waits, and that may start.
         self._work_s: dict[str, float] = {}
         self._deficits_s: dict[str, float] = {}
@@ -106,14 +112,20 @@
         return self._size
 
     def __iter__(self) -> Iterator[Queued]:
-        return chain.from_iterable(self._tickets.values())
+        rounds = chain(self._new.values(), self._old.values())
+        return chain.from_iterable(rounds)
+
+    @property
+    def organisations(self) -> set[str]:
+        """Organisations with tickets or state."""
+        return {*self._new, *self._old}
 
     def push(self, ticket: Queued) -> None:
         """Add a ticket behind the others of its organisation."""
         name = ticket.organisation
-        tickets = self._tickets.get(name)
+        tickets = self._find_tickets(name)
         if tickets is None:
-            tickets = self._tickets[name] = OrderedDict()
+            tickets = self._new[name] = OrderedDict()
             self._work_s[name] = self._deficits_s[name] = 0.0
         tickets[ticket] = None
         self._work_s[name] += _find_work(ticket)
@@ -124,42 +136,42 @@
         quantum_s = sum(self._work_s.values()) / self._size
         quantum_s = max(quantum_s, MIN_WORK_S)
         while True:
-            name = next(iter(self._tickets))
+            name, tickets = next(iter((self._new or self._old).items()))
+            if not tickets:
+                self._forget(name)
+                continue
             if name != self._turn:
                 self._turn = name
                 self._deficits_s[name] += quantum_s
-            ticket = next(iter(self._tickets[name]))
+            ticket = next(iter(tickets))
             work_s = _find_work(ticket)
             if work_s <= self._deficits_s[name]:
                 self._deficits_s[name] -= work_s
                 self.remove(ticket)
                 return ticket
-            self._tickets.move_to_end(name)
-            self._turn = None
+            self._end_turn(name)
 
     def pop_last(self) -> Queued:
         """Remove the newest ticket of those with the most work queued."""
-        name = max(self._work_s, key=self._work_s.__getitem__)
-        ticket = next(reversed(self._tickets[name]))
+        name = max(
+            (name for name in self._work_s if self._find_tickets(name)),
+            key=self._work_s.__getitem__,
+        )
+        ticket = next(reversed(self._find_tickets(name)))
         self.remove(ticket)
         return ticket
 
     def remove(self, ticket: Queued) -> None:
-        """Remove a ticket, and the state of its organisation if it has none.
-
-        An organisation that returns earns nothing for the time in between.
-        """
+        """Remove a ticket."""
         name = ticket.organisation
-        tickets = self._tickets[name]
+        tickets = self._find_tickets(name)
         del tickets[ticket]
         self._size -= 1
         self._work_s[name] -= _find_work(ticket)
-        if not tickets:
-            del self._tickets[name]
-            del self._work_s[name]
-            del self._deficits_s[name]
-            if self._turn == name:
-                self._turn = None
+        if not self._size:
+            self._clear()
+        elif not tickets:
+            self._set_idle(name)
 
     def count_ahead(self, ticket: Queued) -> float:
         """Return how many tickets start before a new one.
@@ -168,11 +180,13 @@
         the new ticket, as far as it has any.
         """
         name = ticket.organisation
-        own = self._tickets.get(name, ())
         work_s = self._work_s.get(name, 0.0) + _find_work(ticket)
-        ahead = float(len(own))
-        for other, tickets in self._tickets.items():
-            if other != name:
+        rounds = [self._new]
+        if name in self._old:
+            rounds.append(self._old)
+        ahead = float(len(self._find_tickets(name) or ()))
+        for other, tickets in chain.from_iterable(r.items() for r in rounds):
+            if other != name and tickets:
                 started = min(1.0, work_s / self._work_s[other])
                 ahead += len(tickets) * started
         return ahead
@@ -188,6 +202,40 @@
         work_s += _find_work(ticket)
         return max(self._work_s.values()) > work_s
 
+    def _find_tickets(self, name: str) -> OrderedDict[Queued, None] | None:
+        tickets = self._new.get(name)
+        return self._old.get(name) if tickets is None else tickets
+
+    def _end_turn(self, name: str) -> None:
+        self._turn = None
+        if name in self._new:
+            self._old[name] = self._new.pop(name)
+        else:
+            self._old.move_to_end(name)
+
+    def _set_idle(self, name: str) -> None:
+        """Keep an organisation without tickets in the round."""
+        self._work_s[name] = self._deficits_s[name] = 0.0
+        if name in self._new:
+            self._old[name] = self._new.pop(name)
+        if self._turn == name:
+            self._turn = None
+        idle = [other for other, tickets in self._old.items() if not tickets]
+        if len(idle) > MAX_IDLE:
+            self._forget(idle[0])
+
+    def _forget(self, name: str) -> None:
+        del self._old[name]
+        del self._work_s[name]
+        del self._deficits_s[name]
+
+    def _clear(self) -> None:
+        self._new.clear()
+        self._old.clear()
+        self._work_s.clear()
+        self._deficits_s.clear()
+        self._turn = None
+
 
 def _find_work(ticket: Queued) -> float:
     return max(ticket.work_s, MIN_WORK_S)
--- a/libs/traffic/auburnjunction/traffic/nested_calls.py
+++ b/libs/traffic/auburnjunction/traffic/nested_calls.py
@@ -1,6 +1,7 @@
 """Nested calls of requests: tallies at their node, and reports of them."""
 
 import math
+import re
 from collections.abc import Mapping
 from urllib.parse import quote, unquote
 
@@ -16,6 +17,7 @@
 # until its service counts as congested. Requests make up to two in a row, and
 # work as long themselves.
 CONGESTED_SHARE = 0.3
+COUNTS_PATTERN = re.compile(r"([0-9]{1,6})/([0-9]{1,6})/([0-9]{1,6})")
 # Codes of failed calls that mean that the called service had no room, or not
 # in time.
 NO_ROOM_CODES = frozenset(
@@ -31,10 +33,14 @@
 
 @attrs.define(slots=True)
 class NestedTally:
-    """Calls to one service, and those for which it had no room in time."""
+    """Calls to one service, and those for which it had no room in time.
+
+    Some of the congested ones were refused, or ended without an answer.
+    """
 
     calls: int = 0
     congested: int = 0
+    refused: int = 0
 
 
 NestedReport = Mapping[str, NestedTally]
@@ -75,7 +81,11 @@
         return left_s > 0 and end_s - start_s > left_s * CONGESTED_SHARE
 
     def record_call(
-        self, parent_id: str, service: str, congested: bool
+        self,
+        parent_id: str,
+        service: str,
+        congested: bool,
+        refused: bool = False,
     ) -> None:
         """Count a nested call that has ended.
 
@@ -91,6 +101,7 @@
             tally = tallies[service] = NestedTally()
         tally.calls += 1
         tally.congested += congested
+        tally.refused += refused
 
     def end_request(self, request_id: str) -> NestedReport:
         """Return the tallies of a request by called service."""
@@ -101,7 +112,8 @@
 def format_report(report: NestedReport) -> bytes:
     """Return a report as the value of a header."""
     return ",".join(
-        f"{quote(service, safe='')}={tally.calls}/{tally.congested}"
+        f"{quote(service, safe='')}="
+        f"{tally.calls}/{tally.congested}/{tally.refused}"
         for service, tally in report.items()
     ).encode("ascii")
 
@@ -114,11 +126,10 @@
     entries = value.decode("latin-1").split(",")[:MAX_CALLED_SERVICES]
     for entry in entries:
         service, _, counts = entry.partition("=")
-        calls, _, congested = counts.partition("/")
-        try:
-            tally = NestedTally(int(calls), int(congested))
-        except ValueError:
+        match = COUNTS_PATTERN.fullmatch(counts)
+        if match is None:
             continue
-        if 0 <= tally.congested <= tally.calls:
+        tally = NestedTally(*map(int, match.groups()))
+        if tally.refused <= tally.congested <= tally.calls:
             report[unquote(service)] = tally
     return report
--- a/libs/traffic/auburnjunction/traffic/room_gates.py
+++ b/libs/traffic/auburnjunction/traffic/room_gates.py
@@ -80,10 +80,10 @@
             self._check_room(call, room, 1.0, call.service, now_s, reserved)
 
     def record_report(
-        self, call: Call, report: NestedReport, now_s: float
+        self, call: Call, report: NestedReport, failed: bool, now_s: float
     ) -> None:
         """Record the nested calls of a request that has run."""
-        self.tracker.profiles.record(call.route, report)
+        self.tracker.profiles.record(call.route, report, failed)
         for service, tally in report.items():
             self.tracker.record_results(
                 service, tally.calls, tally.congested, now_s
--- a/libs/traffic/auburnjunction/traffic/room_senders.py
+++ b/libs/traffic/auburnjunction/traffic/room_senders.py
@@ -5,7 +5,12 @@
 from auburnjunction.base.clocks import Clock
 from auburnjunction.base.logs import log_event
 from auburnjunction.base.metrics import MetricRegistry
-from auburnjunction.traffic.calls import Answer, NotRunError, TrafficError
+from auburnjunction.traffic.calls import (
+    FIRST_SERVER_ERROR,
+    Answer,
+    NotRunError,
+    TrafficError,
+)
 from auburnjunction.traffic.nested_calls import (
     NestedCallTracker,
     has_no_room,
@@ -68,7 +73,8 @@
             ledger = self._ledgers.get(call.service, call.priority)
             ledger.record_answer(now_s)
         if self._gate is not None and answer.nested is not None:
-            self._gate.record_report(call, answer.nested, now_s)
+            failed = answer.response.status >= FIRST_SERVER_ERROR
+            self._gate.record_report(call, answer.nested, failed, now_s)
         return answer
 
     async def _send_nested(
@@ -94,7 +100,9 @@
             congested |= self._nested_calls.takes_too_long(
                 parent_id, start_s, now_s
             )
-            self._nested_calls.record_call(parent_id, call.service, congested)
+            self._nested_calls.record_call(
+                parent_id, call.service, congested, refused
+            )
         if self._gate is not None:
             self._gate.record_nested(call.service, congested, now_s)
 
@@ -110,7 +118,7 @@
     def _record_error(self, routed: RoutedCall, exc: TrafficError) -> None:
         now_s = self._clock.monotonic()
         if self._gate is not None and exc.nested is not None:
-            self._gate.record_report(routed.call, exc.nested, now_s)
+            self._gate.record_report(routed.call, exc.nested, True, now_s)
         if isinstance(exc, NotRunError) and has_no_room(exc):
             self._name_return(routed, exc, now_s)
         if isinstance(exc, NoRoomError):
--- a/libs/traffic/auburnjunction/traffic/rooms.py
+++ b/libs/traffic/auburnjunction/traffic/rooms.py
@@ -18,6 +18,10 @@
 
 # Weight of a request in the moving average of the calls that its route makes.
 PROFILE_WEIGHT = 0.05
+# The same for requests with a refused nested call that fail, which are fewer,
+# and the share below which a route does without the calls.
+FAILING_WEIGHT = 0.1
+MIN_FAILING = 0.5
 MAX_ROUTES = 1024
 MAX_SERVICES = 256
 # Organisations with a demand of their own for a service and priority; the
@@ -76,13 +80,38 @@
         return self.find(now_s) * math.log(2) / DEMAND_HALF_LIFE_S
 
 
+@attrs.define(slots=True)
+class RouteProfile:
+    """Nested calls of the requests of one route."""
+
+    # Calls per request by called service.
+    calls: dict[str, float] = attrs.field(factory=dict)
+    # Share of requests that fail if a nested call is refused.
+    failing: float = 1.0
+
+    def record(self, report: NestedReport, failed: bool) -> None:
+        """Record the nested calls of a request that has run."""
+        for service in report:
+            is_new = service not in self.calls
+            if is_new and len(self.calls) < MAX_CALLED_SERVICES:
+                self.calls[service] = float(report[service].calls)
+        for service, calls in self.calls.items():
+            tally = report.get(service)
+            change = (tally.calls if tally else 0) - calls
+            self.calls[service] = calls + PROFILE_WEIGHT * change
+        if any(tally.refused for tally in report.values()):
+            self.failing += FAILING_WEIGHT * (failed - self.failing)
+
+
 class RouteProfiles:
     """Which services the requests of a route call, and how often."""
 
     def __init__(self):
-        self._profiles: OrderedDict[str, dict[str, float]] = OrderedDict()
+        self._profiles: OrderedDict[str, RouteProfile] = OrderedDict()
 
-    def record(self, route: str, report: NestedReport) -> None:
+    def record(
+        self, route: str, report: NestedReport, failed: bool = False
+    ) -> None:
         """Record the nested calls of a request that has run."""
         profile = self._profiles.get(route)
         if profile is None:
@@ -90,18 +119,18 @@
                 return
             if len(self._profiles) >= MAX_ROUTES:
                 self._profiles.popitem(last=False)
-            profile = self._profiles[route] = {}
-        for service in report:
-            if service not in profile and len(profile) < MAX_CALLED_SERVICES:
-                profile[service] = float(report[service].calls)
-        for service, calls in profile.items():
-            tally = report.get(service)
-            change = (tally.calls if tally else 0) - calls
-            profile[service] = calls + PROFILE_WEIGHT * change
+            profile = self._profiles[route] = RouteProfile()
+        profile.record(report, failed)
 
     def find(self, route: str) -> dict[str, float]:
-        """Return the calls per request of a route by called service."""
-        return self._profiles.get(route, {})
+        """Return the calls per request of a route by called service.
+
+        They are none if its requests mostly succeed without these calls.
+        """
+        profile = self._profiles.get(route)
+        if profile is None or profile.failing < MIN_FAILING:
+            return {}
+        return profile.calls
 
 
 @attrs.define(slots=True)
--- a/libs/traffic/auburnjunction/traffic/tests/test_room_senders.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_room_senders.py
@@ -33,7 +33,7 @@
 from auburnjunction.traffic.senders import CallTrace
 from auburnjunction.traffic.tests.owner_support import make_call
 
-REPORT = {"back": NestedTally(2, 1)}
+REPORT = {"back": NestedTally(3, 2, 1)}
 
 
 @attrs.define
@@ -106,7 +106,7 @@
         except TrafficError:
             assert error is not None
         tally = fixture.tracker.end_request("p")
-        assert tally == {"back": NestedTally(1, congested)}
+        assert tally == {"back": NestedTally(1, congested, congested)}
 
     curio.run(main)
 
--- a/libs/traffic/auburnjunction/traffic/tests/test_rooms.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_rooms.py
@@ -55,7 +55,8 @@
 
 
 @pytest.mark.parametrize(
-    "value", [b"a=x/1", b"a=1/2", b"a=-1/-2", b"a", b"=/", b"\xff\xfe=1", b""]
+    "value",
+    [b"a=x/1/1", b"a=1/2/0", b"a=2/1", b"a", b"=/", b"\xff\xfe=1", b""],
 )
 def test_malformed_reports_are_left_out(value):
     """Guards against failed answers after a damaged or foreign header."""
@@ -63,7 +64,7 @@
 
 
 def test_reports_are_read_as_sent():
-    report = {"a,b=/": NestedTally(2, 1), "c": NestedTally(1, 0)}
+    report = {"a,b=/": NestedTally(3, 2, 1), "c": NestedTally(1, 0)}
     assert parse_report(format_report(report)) == report
 
 
@@ -89,6 +90,17 @@
     assert profiles.find("r")["back"] == pytest.approx(1.0, abs=0.1)
 
 
+def test_routes_that_do_without_a_refused_call_are_not_held_back():
+    """Guards against refusals of requests that would succeed."""
+    profiles = RouteProfiles()
+    for number in range(40):
+        refused = {"back": NestedTally(1, 1, 1)}
+        profiles.record("needs", refused, number % 8 > 0)
+        profiles.record("tolerates", refused, number % 8 == 0)
+    assert profiles.find("needs")
+    assert not profiles.find("tolerates")
+
+
 def feed(room, capacity, seconds, start_s=0.0, rate=100):
     """Feed a room with what a service of a capacity in calls a second does.
 
@@ -171,7 +183,7 @@
 def test_requests_that_call_a_full_service_are_refused():
     gate = RoomGate()
     call = make_call()
-    gate.record_report(call, {"back": NestedTally(2, 0)}, 0.0)
+    gate.record_report(call, {"back": NestedTally(2, 0)}, False, 0.0)
     count_admitted(gate, call, start_s=0.0)
     overload(gate)
     assert count_admitted(gate, call) < 60
@@ -186,7 +198,7 @@
     lookup = make_call(priority=Priority.CRITICAL)
     upload = make_call(priority=Priority.LOW)
     upload.service = upload.route = "back"
-    gate.record_report(lookup, {"back": NestedTally(1, 0)}, 0.0)
+    gate.record_report(lookup, {"back": NestedTally(1, 0)}, False, 0.0)
     for step in range(20):
         gate.check(lookup, step / 50)
         count_admitted(gate, upload, 1, step / 50)
