Log the evidence of refusals for lack of room with the call itself

A line of its own for each refusal would double the lines of an overloaded node, which may write 50 a second.

--- a/libs/traffic/auburnjunction/traffic/call_reports.py
+++ b/libs/traffic/auburnjunction/traffic/call_reports.py
@@ -173,4 +173,6 @@
     if trace.reason:
         fields["reason"] = trace.reason
         fields["retry_after_s"] = round(trace.retry_after_s, 3)
+    if trace.details:
+        fields.update(trace.details)
     log_event("call", **fields)
--- a/libs/traffic/auburnjunction/traffic/room_senders.py
+++ b/libs/traffic/auburnjunction/traffic/room_senders.py
@@ -3,7 +3,6 @@
 import math
 
 from auburnjunction.base.clocks import Clock
-from auburnjunction.base.logs import log_event
 from auburnjunction.base.metrics import MetricRegistry
 from auburnjunction.traffic.calls import (
     FIRST_SERVER_ERROR,
@@ -16,7 +15,11 @@
     has_no_room,
 )
 from auburnjunction.traffic.return_ledgers import ReturnLedgers
-from auburnjunction.traffic.room_gates import NoRoomError, RoomGate
+from auburnjunction.traffic.room_gates import (
+    NoRoomError,
+    RoomGate,
+    RoomRefusal,
+)
 from auburnjunction.traffic.routers import RoutedCall
 from auburnjunction.traffic.senders import CallTrace, Sender
 
@@ -66,6 +69,8 @@
                 self._gate.check(call, now_s, call.returning)
             answer = await self._sender.send_call(routed, trace)
         except TrafficError as exc:
+            if isinstance(exc, NoRoomError):
+                trace.details = _list_details(exc.refusal)
             self._record_error(routed, exc)
             raise
         now_s = self._clock.monotonic()
@@ -121,8 +126,6 @@
             self._gate.record_report(routed.call, exc.nested, True, now_s)
         if isinstance(exc, NotRunError) and has_no_room(exc):
             self._name_return(routed, exc, now_s)
-        if isinstance(exc, NoRoomError):
-            _log_refusal(routed, exc)
 
     def _name_return(
         self, routed: RoutedCall, exc: NotRunError, now_s: float
@@ -152,18 +155,12 @@
             self._shares.set({"service": service}, share)
 
 
-def _log_refusal(routed: RoutedCall, exc: NoRoomError) -> None:
-    refusal = exc.refusal
-    log_event(
-        "request refused, no room for its nested calls"
-        if refusal.nested
-        else "request refused, nested calls need the room",
-        request_id=routed.call.request_id,
-        route=routed.call.route,
-        priority=int(routed.call.priority),
-        called_service=refusal.service,
-        value=round(refusal.congested_share, 3),
-        limit=round(refusal.share, 3),
-        evidence_age_s=round(refusal.age_s, 3),
-        retry_after_s=round(exc.retry_after_s, 3),
-    )
+def _list_details(refusal: RoomRefusal) -> dict:
+    """Return the fields of the log line of a refused call."""
+    return {
+        "cause": refusal.cause,
+        "called_service": refusal.service,
+        "value": round(refusal.congested_share, 3),
+        "limit": round(refusal.share, 3),
+        "evidence_age_s": round(refusal.age_s, 3),
+    }
--- a/libs/traffic/auburnjunction/traffic/senders.py
+++ b/libs/traffic/auburnjunction/traffic/senders.py
@@ -85,6 +85,8 @@
     nested: bool = False
     reason: str = ""
     retry_after_s: float = 0.0
+    # Further fields of the access log: the evidence of a refusal.
+    details: dict | None = None
 
 
 class CallSender:
--- a/libs/traffic/auburnjunction/traffic/tests/test_room_senders.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_room_senders.py
@@ -71,10 +71,11 @@
             ".",
         )
 
-    async def send(self, call, is_return=False):
+    async def send(self, call, is_return=False, trace=None):
         route = Route("route", "/", "orders")
         routed = RoutedCall(call, route, Service("orders"), is_return)
-        return await self.sender.send_call(routed, CallTrace("1", 0.0))
+        trace = trace or CallTrace("1", 0.0)
+        return await self.sender.send_call(routed, trace)
 
 
 def nest(parent_id="p", service="back"):
@@ -118,12 +119,15 @@
         fixture = Fixture(FakeSender(report={"back": NestedTally(20, 20)}))
         refused = 0
         for _ in range(60):
+            trace = CallTrace("1", 0.0)
             try:
-                await fixture.send(make_call())
+                await fixture.send(make_call(), trace=trace)
             except NoRoomError as exc:
                 assert exc.code is ErrorCode.NO_ROOM
                 assert exc.retry_after_s > 0
                 refused += 1
+                assert trace.details["cause"] == "nested"
+                assert trace.details["limit"] < 1
             await curio.sleep(0.01)
         assert refused
         assert len(fixture.inner.sent) == 60 - refused
@@ -160,14 +164,15 @@
 class ReportingRunner:
     """Runs calls that have made nested ones."""
 
-    def __init__(self, error=None):
+    def __init__(self, error=None, report=REPORT):
         self.error = error
+        self.report = report
 
     async def run_call(self, _call, _instance):
         if self.error is not None:
             self.error.nested = REPORT
             raise self.error
-        return Answer(HttpResponse(200), nested=REPORT)
+        return Answer(HttpResponse(200), nested=self.report)
 
 
 def forward(runner, call):
@@ -181,8 +186,9 @@
 
 
 def test_reports_reach_entry_nodes_with_answers_and_failures():
-    answer = _read_answer(forward(ReportingRunner(), make_call()))
-    assert answer.nested == REPORT
+    for report in (REPORT, {}):
+        runner = ReportingRunner(report=report)
+        assert _read_answer(forward(runner, make_call())).nested == report
     error = UnknownRunError("late", ErrorCode.TIMEOUT)
     with pytest.raises(UnknownRunError) as failure:
         _read_answer(forward(ReportingRunner(error), make_call()))
