--- a/libs/traffic/auburnjunction/traffic/rooms.py
+++ b/libs/traffic/auburnjunction/traffic/rooms.py
@@ -46,6 +46,9 @@
 MIN_SHARE = 0.1
 # Increase of the admitted share in a second, of the whole demand.
 INCREASE_PER_S = 0.1
+# Time after the last congested window until which the share rises in
+# proportion to itself; otherwise a small share overshoots each time.
+CALM_S = 2.0
 # Evidence after a decrease that is ignored: requests admitted before it still
 # make their nested calls.
 HOLD_S = 0.3
@@ -241,8 +244,10 @@
 
     def _increase(self, now_s: float) -> None:
         if self.share < 1.0:
-            elapsed_s = now_s - self._updated_s
-            self.share = min(1.0, self.share + INCREASE_PER_S * elapsed_s)
+            increase = INCREASE_PER_S * (now_s - self._updated_s)
+            if now_s - self.congested_s < CALM_S:
+                increase *= self.share
+            self.share = min(1.0, self.share + increase)
             self._divide(now_s)
         self._updated_s = now_s
 
