--- a/libs/base/auburnjunction/base/errors.py
+++ b/libs/base/auburnjunction/base/errors.py
@@ -36,6 +36,8 @@
     STALE = "stale"
     # The request's API key was withdrawn before the request was sent on.
     REVOKED = "revoked"
+    # A service that the request calls has no room for its calls.
+    NO_ROOM = "no-room"
     TOO_LARGE = "too-large"
     PROTOCOL = "protocol"
     INTERNAL = "internal"
--- a/libs/node/auburnjunction/node/components.py
+++ b/libs/node/auburnjunction/node/components.py
@@ -42,6 +42,7 @@
 from auburnjunction.traffic.key_checks import KeyChecker
 from auburnjunction.traffic.lifetimes import NodeLifetime
 from auburnjunction.traffic.meters import OwnerMetrics
+from auburnjunction.traffic.nested_calls import NestedCallTracker
 from auburnjunction.traffic.owners import OwnerRegistry
 from auburnjunction.traffic.routers import ServiceSource, no_service
 
@@ -179,6 +180,9 @@
         )
         lifetime = NodeLifetime(clock)
         forwarded = ForwardedCalls()
+        nested_calls = None
+        if cfg.routing.room_checks:
+            nested_calls = NestedCallTracker()
         owners = OwnerRegistry(
             cfg.admission,
             clock,
@@ -193,6 +197,7 @@
             keys.find_start_refusal,
             resources,
             reports_load=cfg.placement.is_enabled,
+            nested_calls=nested_calls,
         )
         membership.mark_source = lambda: holder.mark
         membership.on_mark = distributor.on_mark
@@ -219,6 +224,7 @@
             owners.has_abandoned_parent,
             versions=rollouts.selector if rollouts is not None else None,
             placement=cfg.placement,
+            nested_calls=nested_calls,
         )
         ControlPlaneMetrics(metrics, membership.stats, distributor.stats)
         if resources is not None:
--- a/libs/traffic/auburnjunction/traffic/call_forwarders.py
+++ b/libs/traffic/auburnjunction/traffic/call_forwarders.py
@@ -48,6 +48,7 @@
     ERROR_HEADER,
     LEAVING_HEADER,
     LOAD_HEADER,
+    NESTED_HEADER,
     ORGANISATION_HEADER,
     OUTCOME_HEADER,
     OWNER_DURATION_HEADER,
@@ -64,6 +65,11 @@
     parse_rate,
     strip_headers,
 )
+from auburnjunction.traffic.nested_calls import (
+    NestedReport,
+    format_nested_report,
+    parse_nested_report,
+)
 from auburnjunction.traffic.notices import LEAVING_VALUE
 from auburnjunction.traffic.packed_headers import (
     pack_headers,
@@ -231,6 +237,7 @@
             leaving=response.header(LEAVING_HEADER) == LEAVING_VALUE,
             rate_limit_per_s=parse_rate(response.header(RATE_LIMIT_HEADER)),
             report=parse_report(response.header(REPORT_HEADER)),
+            nested=_read_nested_report(response),
         )
     message = response.body.decode(errors="replace").strip()
     code = _read_code(response)
@@ -239,10 +246,16 @@
         error = NotRunError(message, code, retry_after_s)
     else:
         error = UnknownRunError(message, code)
+        error.nested = _read_nested_report(response)
     error.report = parse_report(response.header(REPORT_HEADER))
     raise error
 
 
+def _read_nested_report(response: HttpResponse) -> NestedReport | None:
+    value = response.header(NESTED_HEADER)
+    return None if value is None else parse_nested_report(value)
+
+
 def _read_number(response: HttpResponse, name: bytes) -> float:
     """Return the number in a header, or 0 if missing or malformed.
 
@@ -341,6 +354,9 @@
             if exc.report is not None:
                 report = format_report(exc.report)
                 response.headers.append((REPORT_HEADER, report))
+            if exc.nested is not None:
+                report = format_nested_report(exc.nested)
+                response.headers.append((NESTED_HEADER, report))
             return response
         except Exception:
             logging.exception("call %s failed", call.request_id)
@@ -376,4 +392,6 @@
         headers.append((RATE_LIMIT_HEADER, rate))
     if answer.report is not None:
         headers.append((REPORT_HEADER, format_report(answer.report)))
+    if answer.nested is not None:
+        headers.append((NESTED_HEADER, format_nested_report(answer.nested)))
     return attrs.evolve(response, headers=pack_headers(headers))
--- a/libs/traffic/auburnjunction/traffic/calls.py
+++ b/libs/traffic/auburnjunction/traffic/calls.py
@@ -1,8 +1,9 @@
 """Calls, their answers and the errors that end them."""
 
 import math
+from collections.abc import Mapping
 from enum import StrEnum
-from typing import Protocol
+from typing import Any, Protocol
 
 import attrs
 
@@ -42,6 +43,8 @@
         super().__init__(message, code)
         self.retry_after_s = retry_after_s
         self.report: LoadReport | None = None
+        # Nested calls of the request, as in Answer.
+        self.nested: Mapping[str, Any] | None = None
 
 
 class NotRunError(TrafficError):
@@ -72,8 +75,9 @@
     for a nested call that of the request it is made for; empty without one.
     A probe runs a request under which backend servers have crashed.
     key_digest is the digest of the API key, empty without one. A started call
-    has been sent to its backend server.
-    run_s is set by the owner node: the time that the backend server took.
+    has been sent to its backend server. run_s is set by the owner node: the
+    time that the backend server took. A returning call takes a place that its
+    caller was promised when it was refused.
     """
 
     request_id: str
@@ -97,6 +101,7 @@
     key_digest: str = ""
     started: bool = False
     run_s: float = 0.0
+    returning: bool = False
 
 
 @attrs.define(slots=True)
@@ -109,6 +114,8 @@
     leaving means that the response says that the backend server is leaving;
     the rate limit is the one that it names, in calls per second. The report
     is None unless the owner node reports the load of its backend server.
+    nested reports the nested calls of the request (see nested_calls), None if
+    its node does not count them.
     """
 
     response: HttpResponse
@@ -117,6 +124,7 @@
     leaving: bool = False
     rate_limit_per_s: float | None = None
     report: LoadReport | None = None
+    nested: Mapping[str, Any] | None = None
 
 
 class CallRunner(Protocol):
--- a/libs/traffic/auburnjunction/traffic/entries.py
+++ b/libs/traffic/auburnjunction/traffic/entries.py
@@ -41,8 +41,12 @@
 from auburnjunction.traffic.instance_trackers import InstanceTracker
 from auburnjunction.traffic.key_checks import KeyChecker
 from auburnjunction.traffic.lifetimes import NodeLifetime
+from auburnjunction.traffic.nested_calls import NestedCallTracker
 from auburnjunction.traffic.quarantines import Quarantine
 from auburnjunction.traffic.retries import NodeCounter, count_one
+from auburnjunction.traffic.return_ledgers import ReturnLedgers
+from auburnjunction.traffic.room_gates import RoomGate
+from auburnjunction.traffic.room_senders import RoomSender
 from auburnjunction.traffic.routers import (
     ParentFinder,
     ReadinessSource,
@@ -55,7 +59,7 @@
     no_service,
 )
 from auburnjunction.traffic.routing_settings import RoutingSettings
-from auburnjunction.traffic.senders import CallSender, CallTrace
+from auburnjunction.traffic.senders import CallSender, CallTrace, Sender
 from auburnjunction.traffic.version_observers import VersionObserver
 
 # Minimum Retry-After, in seconds, of calls whose refusal gave none: the time
@@ -70,7 +74,7 @@
     def __init__(
         self,
         router: Router,
-        sender: CallSender,
+        sender: Sender,
         reporter: CallReporter,
         clock: Clock,
         names: HeaderNames = DEFAULT_HEADER_NAMES,
@@ -206,6 +210,7 @@
     has_abandoned_parent: Callable[[str], bool] = has_no_parent,
     versions: VersionSelector | None = None,
     placement: PlacementSettings | None = None,
+    nested_calls: NestedCallTracker | None = None,
 ) -> EntryHandler:
     """Return a node's entry handler with all its components."""
     rng = rng or random.Random()
@@ -230,7 +235,7 @@
         versions,
     )
     peer_runner = PeerRunner(instances, pools, clock, settings, forwarded)
-    sender = CallSender(
+    sender: Sender = CallSender(
         location,
         balancer,
         instance_tracker,
@@ -245,6 +250,16 @@
         keys.find_attempt_refusal,
         VersionObserver(versions, clock) if versions is not None else None,
     )
+    if settings.room_checks or settings.return_places:
+        sender = RoomSender(
+            sender,
+            clock,
+            metrics,
+            RoomGate(rng) if settings.room_checks else None,
+            ReturnLedgers() if settings.return_places else None,
+            nested_calls,
+            names.parent_id_separator,
+        )
     reporter = CallReporter(metrics, outlier_tracker, settings)
     router = Router(
         snapshots,
--- a/libs/traffic/auburnjunction/traffic/headers.py
+++ b/libs/traffic/auburnjunction/traffic/headers.py
@@ -50,6 +50,9 @@
 SERVER_LOAD_HEADER = b"auburn-server-load"
 # Report of the owner node on them, in answers and refusals between nodes.
 REPORT_HEADER = b"auburn-report"
+# Nested calls that the request has made, by called service, and how many of
+# them found no room.
+NESTED_HEADER = b"auburn-nested"
 # Milliseconds within which an entry node that shuts down needs the answer.
 ANSWER_LIMIT_HEADER = b"auburn-answer-within-ms"
 
@@ -70,6 +73,7 @@
 NESTED_FLAG = 1
 REPEATED_FLAG = 2
 PROBE_FLAG = 4
+RETURNING_FLAG = 8
 # Values of the Connection header that list no other header.
 PLAIN_CONNECTIONS = frozenset({b"keep-alive", b"close"})
 
@@ -192,6 +196,7 @@
         NESTED_FLAG * call.nested
         + REPEATED_FLAG * call.repeated
         + PROBE_FLAG * call.probe
+        + RETURNING_FLAG * call.returning
     )
 
 
@@ -245,6 +250,7 @@
             nested=bool(int(fields[10]) & NESTED_FLAG),
             repeated=bool(int(fields[10]) & REPEATED_FLAG),
             probe=bool(int(fields[10]) & PROBE_FLAG),
+            returning=bool(int(fields[10]) & RETURNING_FLAG),
             fail_fast=fields[11] == "1",
             rate_limit_per_s=parse_rate(request.header(RATE_LIMIT_HEADER)),
             answer_limit_s=_parse_answer_limit(request, now_s),
@@ -284,6 +290,7 @@
     ErrorCode.UNRESPONSIVE: 503,
     ErrorCode.UNAVAILABLE: 503,
     ErrorCode.QUARANTINED: 503,
+    ErrorCode.NO_ROOM: 503,
     ErrorCode.TIMEOUT: 504,
     ErrorCode.UNKNOWN: 502,
     ErrorCode.CRASHED: 502,
--- a/libs/traffic/auburnjunction/traffic/owners.py
+++ b/libs/traffic/auburnjunction/traffic/owners.py
@@ -31,6 +31,7 @@
 from auburnjunction.traffic.key_checks import RefusalFinder, find_no_refusal
 from auburnjunction.traffic.lifetimes import NodeLifetime
 from auburnjunction.traffic.meters import OwnerMetrics
+from auburnjunction.traffic.nested_calls import NestedCallTracker
 
 REFUSED_STATES = ("starting", "leaving", "gone")
 
@@ -58,10 +59,12 @@
         find_refusal: RefusalFinder = find_no_refusal,
         resources: ProcessResources | None = None,
         reports_load: bool = False,
+        nested_calls: NestedCallTracker | None = None,
     ):
         self._find_refusal = find_refusal
         self._resources = resources
         self._reports_load = reports_load
+        self._nested_calls = nested_calls
         self.on_departure: DepartureObserver = ignore_departure
         self.on_crash: CrashObserver = ignore_crashes
         self._crashes = crashes or CrashLog(clock)
@@ -126,6 +129,8 @@
             owner.set_service(service)
         self._calls[call.request_id] = call
         try:
+            if self._nested_calls is not None:
+                return await self._run_tallied(owner, call, self._nested_calls)
             return await owner.run_call(call)
         except (UnknownRunError, curio.CancelledError):
             self._record_abandoned(call)
@@ -148,6 +153,22 @@
             if ended_s > limit_s
         }
 
+    async def _run_tallied(
+        self, owner: InstanceOwner, call: Call, tracker: NestedCallTracker
+    ) -> Answer:
+        """Run a call; report its nested calls with the result."""
+        due_s = min(call.target_s, call.deadline_s)
+        tracker.start_request(call.request_id, due_s)
+        try:
+            answer = await owner.run_call(call)
+            answer.nested = tracker.end_request(call.request_id)
+            return answer
+        except UnknownRunError as exc:
+            exc.nested = tracker.end_request(call.request_id)
+            raise
+        finally:
+            tracker.end_request(call.request_id)
+
     def find_parent(self, request_id: str) -> Call | None:
         """Return the call that a nested call is made for.
 
--- a/libs/traffic/auburnjunction/traffic/routers.py
+++ b/libs/traffic/auburnjunction/traffic/routers.py
@@ -34,6 +34,9 @@
 from auburnjunction.traffic.timeouts import ElapsedTimeEstimator
 
 MAX_KEY_LENGTH = 255
+# Time elapsed since the first attempt from which a call is a return. Less is
+# due to rounding and to callers that are late themselves.
+MIN_RETURN_MS = 10
 ID_PREFIX_BYTES = 4
 DEADLINE_PATTERN = re.compile(rb"[0-9]{1,9}\Z")
 KEY_PATTERN = re.compile(rb"[\x21-\x7e]+\Z")
@@ -80,6 +83,8 @@
     call: Call
     route: Route
     service: Service
+    # Whether the caller returns after a refusal, by its shortened timeout.
+    is_return: bool = False
 
 
 class RequestIdGenerator:
@@ -150,6 +155,9 @@
             )
             headers = drop_headers(headers, self._set_by_keys)
             headers += self._make_organisation_header(access)
+        elapsed_ms = 0
+        if self._elapsed is not None and parent is None:
+            elapsed_ms = self._elapsed.estimate_ms(route.name, timeout_ms)
         call = Call(
             request_id=request_id,
             route=route.name,
@@ -157,9 +165,7 @@
             priority=_find_priority(route, parent, access),
             nested=parent is not None,
             repeated=parent is not None and parent.repeated,
-            target_s=self._compute_target(
-                route, timeout_ms, parent is not None, now_s
-            ),
+            target_s=_compute_target(route, elapsed_ms, now_s),
             repeatable=route.repeatable,
             claims=route.claims,
             deadline_s=now_s + timeout_ms / 1000,
@@ -174,7 +180,7 @@
             organisation=_find_organisation_name(parent, access),
             key_digest=access.key_digest,
         )
-        return RoutedCall(call, route, service)
+        return RoutedCall(call, route, service, elapsed_ms >= MIN_RETURN_MS)
 
     def _find_route(
         self, revised: RevisedSnapshot, request: HttpRequest, request_id: str
@@ -218,21 +224,6 @@
             return []
         return [(name, access.organisation.name.encode())]
 
-    def _compute_target(
-        self, route: Route, timeout_ms: int, nested: bool, now_s: float
-    ) -> float:
-        """Return the time until which an answer meets the objective.
-
-        The objective counts from the caller's first attempt. Timeouts of
-        nested calls are those that their parents have left.
-        """
-        if not route.target_latency_ms:
-            return math.inf
-        elapsed_ms = 0
-        if self._elapsed is not None and not nested:
-            elapsed_ms = self._elapsed.estimate_ms(route.name, timeout_ms)
-        return now_s + (route.target_latency_ms - elapsed_ms) / 1000
-
     def is_repeatable(self, request: HttpRequest) -> bool:
         """Return whether the route of a request allows repetition.
 
@@ -288,6 +279,17 @@
     return parent.organisation if parent is not None else ""
 
 
+def _compute_target(route: Route, elapsed_ms: int, now_s: float) -> float:
+    """Return the time until which an answer meets the objective.
+
+    The objective counts from the caller's first attempt. Timeouts of nested
+    calls are those that their parents have left.
+    """
+    if not route.target_latency_ms:
+        return math.inf
+    return now_s + (route.target_latency_ms - elapsed_ms) / 1000
+
+
 def _find_route(revised: RevisedSnapshot, request: HttpRequest) -> Route:
     path = request.path
     if not path.startswith("/") or AMBIGUOUS_PATH.search(path):
--- a/libs/traffic/auburnjunction/traffic/senders.py
+++ b/libs/traffic/auburnjunction/traffic/senders.py
@@ -1,6 +1,7 @@
 """Sending of calls: attempts at instances, retries and backoff."""
 
 import random
+from typing import Protocol
 
 import attrs
 
@@ -60,6 +61,15 @@
 )
 
 
+class Sender(Protocol):
+    """Sends calls, under whatever conditions."""
+
+    async def send_call(
+        self, routed: RoutedCall, trace: "CallTrace"
+    ) -> Answer:
+        """Return a complete answer; raise NotRunError or UnknownRunError."""
+
+
 @attrs.define(slots=True)
 class CallTrace:
     """Record of one call for the access log and the metrics."""
@@ -78,6 +88,8 @@
     nested: bool = False
     reason: str = ""
     retry_after_s: float = 0.0
+    # Further fields of the access log: the evidence of a refusal.
+    details: dict | None = None
 
 
 class CallSender:
