Move the sliding sum of retry budgets to base

Quotas of organisations count charges over a window in the same way. The number of slots is an argument; retry budgets keep theirs.

--- a/libs/traffic/auburnjunction/traffic/retries.py
+++ b/libs/traffic/auburnjunction/traffic/retries.py
@@ -6,9 +6,9 @@
 
 import math
 import random
-from collections import deque
 from collections.abc import Callable
 
+from auburnjunction.base.sums import SlidingSum
 from auburnjunction.model.priorities import Priority
 from auburnjunction.traffic.routing_settings import RoutingSettings
 
@@ -16,9 +16,6 @@
 
 # Sums of shares may be slightly below a whole retry by rounding.
 MIN_WHOLE_RETRY = 1.0 - 1e-9
-# Parts of a window in which retries and first attempts are counted.
-WINDOW_SLOTS = 10
-
 # Interval at which the number of nodes is read.
 COUNT_INTERVAL_S = 1.0
 # Time for which the highest number of nodes seen stays in force. The nodes of
@@ -51,40 +48,6 @@
         return self._peak
 
 
-class SlidingSum:
-    """Sum of the amounts added within the last window.
-
-    Up to one slot more is included, so that no span of the window's length
-    holds more than the sum at its end.
-    """
-
-    def __init__(self, window_s: float):
-        self._slot_s = window_s / WINDOW_SLOTS
-        self._slots: deque[tuple[int, float]] = deque()
-        self._total = 0.0
-
-    def add(self, amount: float, now_s: float) -> None:
-        """Add an amount."""
-        slot = self._drop_old_slots(now_s)
-        if self._slots and self._slots[-1][0] == slot:
-            self._slots[-1] = (slot, self._slots[-1][1] + amount)
-        else:
-            self._slots.append((slot, amount))
-        self._total += amount
-
-    def find_total(self, now_s: float) -> float:
-        """Return the sum of the window that ends now."""
-        self._drop_old_slots(now_s)
-        return self._total if self._slots else 0.0
-
-    def _drop_old_slots(self, now_s: float) -> int:
-        """Drop the slots before the window; return the current one."""
-        slot = int(now_s / self._slot_s)
-        while self._slots and self._slots[0][0] < slot - WINDOW_SLOTS:
-            self._total -= self._slots.popleft()[1]
-        return slot
-
-
 class Allowance:
     """This node's part of a service's slack within a window."""
 
--- a/libs/traffic/auburnjunction/traffic/tests/test_retries.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_retries.py
@@ -8,10 +8,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from auburnjunction.base.sums import WINDOW_SLOTS
 from auburnjunction.model.priorities import Priority
 from auburnjunction.traffic.retries import (
     PEAK_HOLD_S,
-    WINDOW_SLOTS,
     FleetSize,
     RetryBudgets,
 )
