Enforce quotas of organisations over all nodes

The specification bounds the requests of an organisation that run on all nodes within any window. Each node now spends an equal part of overage and slack by itself. The entry node charges a request once before its first attempt, and refunds it if it has not run. Over the quota, it answers 429 with the time at which there should be room.

--- a/libs/base/auburnjunction/base/errors.py
+++ b/libs/base/auburnjunction/base/errors.py
@@ -29,6 +29,8 @@
     CRASHED = "crashed"
     # Backend servers have crashed under the request, so it is not sent.
     QUARANTINED = "quarantined"
+    # The organisation's quota is spent.
+    QUOTA = "quota"
     TOO_LARGE = "too-large"
     PROTOCOL = "protocol"
     INTERNAL = "internal"
--- a/libs/node/auburnjunction/node/components.py
+++ b/libs/node/auburnjunction/node/components.py
@@ -20,9 +20,10 @@
 from auburnjunction.membership.memberships import Membership, open_membership
 from auburnjunction.model.services import Service
 from auburnjunction.node.instances import LocalInstanceRegistry
-from auburnjunction.node.meters import ControlPlaneMetrics
+from auburnjunction.node.meters import ControlPlaneMetrics, QuotaMetrics
 from auburnjunction.node.readiness_gates import ReadinessGate
 from auburnjunction.node.settings import NodeSettings
+from auburnjunction.organisations.quotas import Quotas, open_quotas
 from auburnjunction.storage.clients import HttpObjectStore, HttpTable
 from auburnjunction.storage.objects import ObjectStore
 from auburnjunction.storage.tables import Table
@@ -81,6 +82,7 @@
     readiness_gate: ReadinessGate
     lifetime: NodeLifetime
     answer_limits: AnswerLimitSender
+    quotas: Quotas
 
 
 def connect_platform(cfg: NodeSettings, clock: Clock) -> PlatformAdapters:
@@ -140,6 +142,15 @@
             control_pools,
             random,
         ) as distributor,
+        open_quotas(
+            cfg.node,
+            cfg.organisations,
+            clock,
+            holder,
+            membership,
+            control_pools,
+            random,
+        ) as quotas,
     ):
         lifetime = NodeLifetime(clock)
         forwarded = ForwardedCalls()
@@ -176,8 +187,11 @@
             membership.crashes,
             lifetime,
             forwarded,
+            quotas,
         )
         ControlPlaneMetrics(metrics, membership.stats, distributor.stats)
+        if cfg.organisations.quota_window_s:
+            QuotaMetrics(metrics, quotas.stats)
         commits = CommitLog(platform.table, platform.objects, clock)
         yield NodeComponents(
             membership,
@@ -190,4 +204,5 @@
             readiness_gate,
             lifetime,
             AnswerLimitSender(forwarded, lifetime, control_pools, clock),
+            quotas,
         )
--- a/libs/node/auburnjunction/node/listeners.py
+++ b/libs/node/auburnjunction/node/listeners.py
@@ -21,6 +21,10 @@
 from auburnjunction.node.instances import LocalInstanceRegistry
 from auburnjunction.node.meters import PipelineMetrics
 from auburnjunction.node.settings import NodeSettings
+from auburnjunction.organisations.exchanges import (
+    LEDGER_TARGET,
+    REPORT_TARGET,
+)
 from auburnjunction.traffic.answer_limits import (
     ANSWER_LIMIT_TARGET,
     AnswerLimitHandler,
@@ -72,6 +76,8 @@
         b"/push": components.distributor.handle_push,
         b"/pull": components.distributor.handle_pull,
         b"/drain": drainer.handle_drain,
+        REPORT_TARGET: components.quotas.handle_reports,
+        LEDGER_TARGET: components.quotas.handle_ledgers,
         ANSWER_LIMIT_TARGET: AnswerLimitHandler(
             components.owners, clock
         ).handle,
--- a/libs/node/auburnjunction/node/meters.py
+++ b/libs/node/auburnjunction/node/meters.py
@@ -8,6 +8,7 @@
 from auburnjunction.distribution.statistics import DistributionStats
 from auburnjunction.http.pipelines import PipelineStats
 from auburnjunction.membership.stats import MembershipStats
+from auburnjunction.organisations.exchanges import QuotaStats
 
 BYTES_PER_KIB = 1024
 
@@ -75,3 +76,23 @@
         self._pipelined.set({}, self._stats.pipelined)
         self._discarded.set({}, self._stats.discarded)
         self._blocked.set({}, self._stats.blocked_s)
+
+
+class QuotaMetrics:
+    """Exports the counters of quotas; one series for each."""
+
+    def __init__(self, registry: MetricRegistry, stats: QuotaStats):
+        self._stats = stats
+        self._counts = {
+            field.name: registry.make_counter(
+                f"auburn_quota_{field.name}_total",
+                f"{field.name.replace('_', ' ').capitalize()} of quotas",
+            )
+            for field in attrs.fields(QuotaStats)
+        }
+        registry.add_collector(self.collect)
+
+    def collect(self) -> None:
+        """Copy the current counts into the metrics."""
+        for name, value in attrs.asdict(self._stats).items():
+            self._counts[name].set({}, value)
--- a/libs/node/auburnjunction/node/settings.py
+++ b/libs/node/auburnjunction/node/settings.py
@@ -17,6 +17,7 @@
 from auburnjunction.http.clients import Address, parse_address
 from auburnjunction.http.messages import MessageLimits
 from auburnjunction.membership.settings import MembershipSettings
+from auburnjunction.organisations.settings import OrganisationSettings
 from auburnjunction.traffic.admissions import AdmissionSettings
 from auburnjunction.traffic.routing_settings import RoutingSettings
 
@@ -80,6 +81,9 @@
     )
     admission: AdmissionSettings = attrs.field(factory=AdmissionSettings)
     routing: RoutingSettings = attrs.field(factory=RoutingSettings)
+    organisations: OrganisationSettings = attrs.field(
+        factory=OrganisationSettings
+    )
 
     @property
     def translations(self) -> dict[Address, Address]:
--- /dev/null
+++ b/libs/organisations/auburnjunction/organisations/settings.py
@@ -0,0 +1,54 @@
+"""Settings of organisations."""
+
+import attrs
+
+from auburnjunction.base.settings import FieldError, check_range
+
+# Leases last 1.5 s, and refunds are taken back within half a window.
+MIN_QUOTA_WINDOW_S = 2.0
+
+
+def _check_window(_instance, attribute, value) -> None:
+    if value and not MIN_QUOTA_WINDOW_S <= value <= 3600:
+        raise FieldError(
+            attribute.name,
+            f"{value} is out of range",
+            f"write 0, or a number from {MIN_QUOTA_WINDOW_S:g} to 3600",
+        )
+
+
+@attrs.frozen
+class OrganisationSettings:
+    """Bounds of the quotas of organisations over all nodes.
+
+    In any span of quota_window_s seconds, the requests of an organisation
+    that run stay at or below (rate_per_s * window + burst) *
+    (1 + quota_overage) + quota_slack.
+    """
+
+    # 0 disables quotas.
+    quota_window_s: float = attrs.field(default=0.0, validator=_check_window)
+    # Part of the quota that is shared equally by all nodes on top of it, so
+    # that each has something to spend while it is cut off.
+    quota_overage: float = attrs.field(
+        default=0.0, validator=check_range(0, 10)
+    )
+    # Requests that are shared equally by all nodes, beyond the overage.
+    quota_slack: float = attrs.field(
+        default=0.0, validator=check_range(0, 1e6)
+    )
+    # Time from the charge until the request reaches its backend server, by
+    # which the accounting exceeds the window: requests that were charged in
+    # the time before the window may run in it. Queues hold most requests for
+    # less than a second.
+    quota_transit_s: float = attrs.field(
+        default=1.0, validator=check_range(0, 60)
+    )
+    # Whether the whole system starts for the first time, so that no earlier
+    # process has spent anything. Unset it afterwards.
+    fresh_start: bool = False
+
+    @property
+    def accounting_s(self) -> float:
+        """Span of time over which charges are summed."""
+        return self.quota_window_s + self.quota_transit_s
--- /dev/null
+++ b/libs/organisations/auburnjunction/organisations/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of organisations."""
--- a/libs/traffic/auburnjunction/traffic/entries.py
+++ b/libs/traffic/auburnjunction/traffic/entries.py
@@ -11,11 +11,15 @@
 from auburnjunction.http.clients import PoolRegistry
 from auburnjunction.http.messages import HttpRequest, HttpResponse
 from auburnjunction.membership.crashes import CrashLog
+from auburnjunction.organisations.errors import QuotaExceededError
+from auburnjunction.organisations.holdings import Charge
+from auburnjunction.organisations.quotas import Quotas
 from auburnjunction.traffic.balancers import Balancer, NodeLocation
 from auburnjunction.traffic.call_forwarders import InstanceSource, PeerRunner
 from auburnjunction.traffic.call_reports import CallReporter
 from auburnjunction.traffic.calls import (
     Answer,
+    Call,
     CallRunner,
     NotRunError,
     Outcome,
@@ -66,7 +70,9 @@
         clock: Clock,
         names: HeaderNames = DEFAULT_HEADER_NAMES,
         lifetime: NodeLifetime | None = None,
+        quotas: Quotas | None = None,
     ):
+        self._quotas = quotas
         self._lifetime = lifetime or NodeLifetime(clock)
         self._names = names
         self._router = router
@@ -132,9 +138,26 @@
         trace.nested = routed.call.nested
         trace.priority = int(routed.call.priority)
         trace.revision = routed.call.revision
-        answer = await self._sender.send_call(routed, trace)
+        charge = await self._charge(routed.call)
+        try:
+            answer = await self._sender.send_call(routed, trace)
+        except NotRunError:
+            if charge is not None:
+                self._quotas.refund(charge)
+            raise
         return self._make_response(answer, trace.request_id)
 
+    async def _charge(self, call: Call) -> Charge | None:
+        """Charge a call to its organisation's quota, if it has one."""
+        if self._quotas is None or not call.organisation or call.nested:
+            return None
+        try:
+            return await self._quotas.charge(call.organisation)
+        except QuotaExceededError as exc:
+            raise NotRunError(
+                exc.message, exc.code, exc.retry_after_s
+            ) from exc
+
     def _get_request_id(self, request: HttpRequest) -> str:
         if self._names.preserves_request_id:
             value = request.header(self._names.request_id)
@@ -193,6 +216,7 @@
     crashes: CrashLog | None = None,
     lifetime: NodeLifetime | None = None,
     forwarded: ForwardedCalls | None = None,
+    quotas: Quotas | None = None,
 ) -> EntryHandler:
     """Return a node's entry handler with all its components."""
     rng = rng or random.Random()
@@ -224,4 +248,6 @@
         find_parent,
         settings.uniform_timeouts,
     )
-    return EntryHandler(router, sender, reporter, clock, names, lifetime)
+    return EntryHandler(
+        router, sender, reporter, clock, names, lifetime, quotas
+    )
--- a/libs/traffic/auburnjunction/traffic/headers.py
+++ b/libs/traffic/auburnjunction/traffic/headers.py
@@ -229,6 +229,7 @@
     ErrorCode.INVALID: 400,
     ErrorCode.CONFLICT: 409,
     ErrorCode.TOO_LARGE: 413,
+    ErrorCode.QUOTA: 429,
     ErrorCode.OVERLOADED: 503,
     ErrorCode.BUSY: 503,
     ErrorCode.SHED: 503,
