--- a/libs/organisations/auburnjunction/organisations/holdings.py
+++ b/libs/organisations/auburnjunction/organisations/holdings.py
@@ -25,8 +25,10 @@
 HORIZON_S = 1.0
 # Part of the wished credit below which more is asked for.
 REFILL_SHARE = 0.6
-# Weight of the last interval in the estimate of the demand.
-RATE_WEIGHT = 0.5
+# Weight of the last interval in the estimate of the demand. With 0.5, twice as
+# many messages were sent for 5 in 100 fewer waits; a rise of the demand shows
+# by requests that wait.
+RATE_WEIGHT = 0.2
 # Time after a refusal by the home node in which requests are refused without
 # another question. Reports ask again at this interval anyway.
 MAX_REFUSING_S = REPORT_INTERVAL_S
@@ -35,6 +37,10 @@
 UNANSWERED_RETRY_S = 0.2
 # Least spread of the Retry-After of requests that are refused together.
 MIN_SPREAD = 1.25
+# Expected requests below which a lease would mostly expire unused. With 0.25,
+# 13 in 100 fewer requests waited in a simulation of 73 organisations at 61
+# nodes, for 1.8 times as many messages.
+MIN_EXPECTED = 0.5
 
 
 @attrs.frozen(slots=True)
@@ -125,8 +131,7 @@
     def wish(self) -> int:
         """Credit that this node expects to need."""
         expected = self.rate_per_s * HORIZON_S
-        # Below one request, a lease would mostly expire unused.
-        if expected < 1.0:
+        if expected < MIN_EXPECTED:
             return self.waiting
         return self.waiting + math.ceil(expected + math.sqrt(expected))
 
--- a/libs/organisations/auburnjunction/organisations/limits.py
+++ b/libs/organisations/auburnjunction/organisations/limits.py
@@ -10,6 +10,12 @@
 # Slots of the sliding sums of charges. Up to one slot more than the window is
 # counted, which costs 2 in 100 of a quota with 48.
 ACCOUNTING_SLOTS = 48
+# Part of overage and slack that all nodes share equally. The rest is leased
+# with the quota: most organisations are so small that most nodes have no whole
+# request of an equal part, and those that have one may see no demand. Without
+# overage and slack in the leases, 1 to 3 in 100 requests of usual demand were
+# refused in a simulation of 73 organisations at 61 nodes.
+SHARED_PART = 0.5
 # Rounding of the product of rate and window must not cost a request.
 ROUNDING = 1e-9
 
@@ -37,10 +43,13 @@
 def find_limits(
     organisation: Organisation, settings: OrganisationSettings
 ) -> QuotaLimits:
-    """Return the limits of an organisation that has a quota."""
+    """Return the limits of an organisation that has a quota.
+
+    Their sum is the bound, rounded down.
+    """
     quota = (
         organisation.rate_per_s * settings.quota_window_s + organisation.burst
     )
     bound = quota * (1 + settings.quota_overage) + settings.quota_slack
-    leased = math.floor(quota + ROUNDING)
-    return QuotaLimits(leased, math.floor(bound + ROUNDING) - leased)
+    shared = math.floor((bound - quota) * SHARED_PART + ROUNDING)
+    return QuotaLimits(math.floor(bound + ROUNDING) - shared, shared)
--- a/libs/organisations/auburnjunction/organisations/tests/fleet_support.py
+++ b/libs/organisations/auburnjunction/organisations/tests/fleet_support.py
@@ -60,14 +60,15 @@
         self.incarnation = 0
         self.is_up = False
         self.paused_until_s = 0.0
-        # Inboxes of a paused node, delivered when it wakes.
         self.ticked_s = 0.0
+        self.has_view = False
 
     def start(self) -> None:
         """Start a new process, which knows nothing of an earlier one."""
         fleet = self.fleet
         self.incarnation += 1
         self.is_up = True
+        self.has_view = False
         self.ticked_s = fleet.now_s
         self.roster = Roster(self.name, self._list_nodes)
         self.contacts = ContactLog(self.name, self.roster)
@@ -103,7 +104,9 @@
         """Read the view, and report and ask for ledgers where it is due."""
         now_s = self.fleet.now_s
         elapsed_s, self.ticked_s = now_s - self.ticked_s, now_s
-        self.roster.refresh(now_s)
+        if self.fleet.has_faults or not self.has_view:
+            self.has_view = True
+            self.roster.refresh(now_s)
         self.home.update(self.fleet.organisations, now_s)
         for name in self.holder.list_due(now_s, elapsed_s):
             self.report(name)
@@ -250,16 +253,14 @@
         self.fleet.post(self, other, None, handle, receive)
 
     def _list_nodes(self) -> list[Node]:
+        fleet = self.fleet
+        if not fleet.has_faults:
+            return fleet.records
         return [
-            Node(
-                node.name,
-                node.data_centre,
-                Address("host", 1),
-                self.fleet.find_state(self, node),
-                incarnation=1,
-                version=1,
+            attrs.evolve(record, state=fleet.find_state(self, node))
+            for record, node in zip(
+                fleet.records, fleet.nodes.values(), strict=True
             )
-            for node in self.fleet.nodes.values()
         ]
 
 
@@ -274,14 +275,19 @@
         data_centres: int = 3,
         settings: OrganisationSettings = SETTINGS,
         is_fresh: bool = True,
+        refused_share: float = 0.02,
     ):
         self.rng = random.Random(seed)
         self.settings = settings
+        # Part of the requests that their instance refuses.
+        self._refused_share = refused_share
         self.organisations = {item.name: item for item in organisations}
         # Late enough for any process to have been started a window ago.
         self.now_s = 1000.0
         self._events: list = []
         self._order = itertools.count()
+        # Whether any process was stopped or cut off so far.
+        self.has_faults = False
         self._cuts: set[frozenset[str]] = set()
         # Times of the last changes of what two nodes can see of each other.
         self._changes: dict[frozenset[str], tuple[float, bool]] = {}
@@ -294,6 +300,17 @@
             )
             for index in range(node_count)
         }
+        self.records = [
+            Node(
+                node.name,
+                node.data_centre,
+                Address("host", 1),
+                NodeState.ALIVE,
+                incarnation=1,
+                version=1,
+            )
+            for node in self.nodes.values()
+        ]
         for node in self.nodes.values():
             node.start()
         if is_fresh:
@@ -322,9 +339,9 @@
     def run(self, node: SimulatedNode, charge) -> None:
         """Run a charged request, up to quota_transit_s later.
 
-        One in 50 is refused by its instance, and its charge taken back.
+        The charge of a request that its instance refuses is taken back.
         """
-        if self.rng.random() < 0.02:
+        if self.rng.random() < self._refused_share:
             node.later(
                 self.rng.uniform(0, 3),
                 lambda: node.holder.refund(charge, self.now_s),
@@ -361,6 +378,7 @@
 
     def cut(self, names: set[str]) -> None:
         """Cut nodes off from all others; an empty set heals the network."""
+        self.has_faults = True
         self._cuts = {
             frozenset((first, second))
             for first in names
@@ -369,12 +387,14 @@
 
     def restart(self, name: str, down_s: float) -> None:
         """Kill a node's process and start another one later."""
+        self.has_faults = True
         node = self.nodes[name]
         node.is_up = False
         self.at(self.now_s + down_s, node.start)
 
     def pause(self, name: str, duration_s: float) -> None:
         """Stop a node's process for a while."""
+        self.has_faults = True
         self.nodes[name].paused_until_s = self.now_s + duration_s
 
     def set_quota(self, name: str, rate_per_s: float, burst: float) -> None:
