--- a/libs/organisations/auburnjunction/organisations/contacts.py
+++ b/libs/organisations/auburnjunction/organisations/contacts.py
@@ -36,16 +36,17 @@
 
         Return -infinity if they never were.
         """
-        counts = self._roster.count_by_data_centre()
+        needed = self._roster.node_count / 2
+        if needed < 1:
+            return now_s
         own = self._roster.find_data_centre(self._node)
+        # This node itself needs no exchange.
         reached = 1
-        counts[own] -= 1
-        if 2 * reached > self._roster.node_count:
-            return now_s
+        counts = self._roster.count_by_data_centre()
         times = sorted(self._contacts.items(), key=lambda item: -item[1])
         for name, time_s in times:
-            reached += counts[name]
-            if 2 * reached > self._roster.node_count:
+            reached += counts[name] - (name == own)
+            if reached > needed:
                 return time_s
         return -math.inf
 
--- a/libs/organisations/auburnjunction/organisations/homes.py
+++ b/libs/organisations/auburnjunction/organisations/homes.py
@@ -12,7 +12,7 @@
 from auburnjunction.organisations.contacts import ContactLog
 from auburnjunction.organisations.holdings import (
     LEASE_S,
-    REPORT_INTERVAL_S,
+    UNANSWERED_RETRY_S,
     Grant,
     Report,
 )
@@ -128,6 +128,10 @@
                     wanted.setdefault(other, []).append(name)
         return wanted
 
+    def has_ledgers_to_hand_over(self) -> bool:
+        """Return whether another node is the home node of a ledger here."""
+        return any(role.lost_s is not None for role in self._roles.values())
+
     def hand_over(
         self, node: str, names: Iterable[str], now_s: float
     ) -> tuple[list[LedgerState], list[str]]:
@@ -184,10 +188,10 @@
         name = report.organisation
         role = self._roles.get(name)
         if role is None or role.lost_s is not None:
-            return make_refusal(report, REPORT_INTERVAL_S)
+            return make_refusal(report, UNANSWERED_RETRY_S)
         organisation = organisations.get(name)
         if organisation is None or not self._contacts.has_majority(now_s):
-            return make_refusal(report, REPORT_INTERVAL_S)
+            return make_refusal(report, UNANSWERED_RETRY_S)
         limit = find_limits(organisation, self._settings).leased
         return role.ledger.handle_report(
             node, incarnation, report, limit, next(self._numbers), now_s
--- a/libs/organisations/auburnjunction/organisations/quotas.py
+++ b/libs/organisations/auburnjunction/organisations/quotas.py
@@ -4,6 +4,7 @@
 from contextlib import asynccontextmanager
 
 import curio
+from absl import logging
 
 from auburnjunction.base.clocks import Clock
 from auburnjunction.base.logs import log_event
@@ -39,6 +40,11 @@
 # A whole system that starts for the first time has no configuration for
 # seconds; a node that restarts gets one sooner.
 MIN_FRESH_S = 1.0
+# Interval of checks for a changed view, and of those for ledgers that a
+# leaving node still has.
+VIEW_INTERVAL_S = 0.1
+# A node that leaves has at least this time before it must end.
+LEAVING_LIMIT_S = 0.5
 
 
 class Quotas:
@@ -74,6 +80,9 @@
             self._started_s + settings.accounting_s,
             rng,
         )
+        self._is_view_new = False
+        if settings.quota_window_s:
+            membership.subscribe(self._note_view)
         self.stats = QuotaStats()
         self._exchanger = QuotaExchanger(
             node,
@@ -95,6 +104,9 @@
             await group.spawn(
                 run_forever, self.tick, self._clock, REPORT_INTERVAL_S
             )
+            await group.spawn(
+                run_forever, self.follow_view, self._clock, VIEW_INTERVAL_S
+            )
 
     async def charge(self, name: str) -> Charge | None:
         """Charge a request to an organisation; None if it has no quota.
@@ -127,22 +139,40 @@
         """Read the view, and report to the home nodes where that is due."""
         now_s = self._clock.monotonic()
         elapsed_s, self._ticked_s = now_s - self._ticked_s, now_s
-        self._roster.refresh(now_s)
-        organisations = self._list_organisations()
-        limited = {
-            name: organisation
-            for name, organisation in organisations.items()
-            if organisation.rate_per_s > 0
-        }
-        self._home.update(limited, now_s)
+        self._update_home(now_s)
         self._check_fresh_start(now_s)
         for name in self._holder.list_due(now_s, elapsed_s):
-            if name in limited:
+            if self._find_organisation(name) is not None:
                 await self._exchanger.start_report(name)
         if self._home.ledger_count:
             await self._exchanger.probe(now_s)
             await self._exchanger.fetch_ledgers(now_s)
 
+    async def follow_view(self) -> None:
+        """Fetch ledgers at once when the view of the nodes has changed.
+
+        The former home node may be about to end.
+        """
+        if self._is_view_new:
+            now_s = self._clock.monotonic()
+            self._update_home(now_s)
+            await self._exchanger.fetch_ledgers(now_s)
+
+    async def leave(self) -> None:
+        """Wait until the ledgers are handed over, at most LEAVING_LIMIT_S.
+
+        Call it once this node has announced that it is leaving.
+        """
+        if not self._settings.quota_window_s:
+            return
+        limit_s = self._clock.monotonic() + LEAVING_LIMIT_S
+        self._update_home(self._clock.monotonic())
+        while self._home.has_ledgers_to_hand_over():
+            if self._clock.monotonic() >= limit_s:
+                log_event("quota ledgers not handed over", logging.WARNING)
+                return
+            await self._clock.sleep(VIEW_INTERVAL_S)
+
     async def handle_reports(self, request: HttpRequest) -> HttpResponse:
         """Handle POST /quota-reports."""
         try:
@@ -181,6 +211,21 @@
             return {}
         return current.snapshot.organisations_by_name
 
+    def _note_view(self) -> None:
+        self._is_view_new = True
+
+    def _update_home(self, now_s: float) -> None:
+        self._is_view_new = False
+        self._roster.refresh(now_s)
+        self._home.update(
+            [
+                name
+                for name, organisation in self._list_organisations().items()
+                if organisation.rate_per_s > 0
+            ],
+            now_s,
+        )
+
     def _find_organisation(self, name: str) -> Organisation | None:
         current = self._snapshots.current
         if not self._settings.quota_window_s or current is None:
--- a/libs/organisations/auburnjunction/organisations/rosters.py
+++ b/libs/organisations/auburnjunction/organisations/rosters.py
@@ -52,6 +52,7 @@
         # Nodes that the membership lists or that count; those that count.
         self._known: dict[str, KnownNode] = {}
         self._counted: tuple[str, ...] = (node,)
+        self._counts: Counter[str] = Counter()
         self._live: tuple[str, ...] = (node,)
         # Highest number of nodes that another node has named, and when.
         self._told_count = 0
@@ -70,11 +71,7 @@
 
     def count_by_data_centre(self) -> Counter[str]:
         """Return the number of nodes that count in each data centre."""
-        return Counter(
-            self._known[name].data_centre
-            for name in self._counted
-            if name in self._known
-        )
+        return self._counts
 
     def list_live(self, data_centre: str) -> list[str]:
         """Return the other live nodes of a data centre."""
@@ -205,6 +202,9 @@
             elif name not in listed:
                 del self._known[name]
         self._counted = tuple(sorted(counted)) or (self._node,)
+        self._counts = Counter(
+            self._known[name].data_centre for name in counted
+        )
         if now_s - self._told_s > LOST_HOLD_S:
             self._told_count = 0
 
