Home nodes start anew after an interruption of their contacts

A home node that was cut off from its start, or restarted while it was cut off, finished its wait out of contact, and granted on its return although another node was the home node.

Change: the wait of a home node starts anew with its contacts, also after 2 s without them; after 4 s a ledger that was in use does.

Two of the cases are examples of the property test; one fails on the former code.

--- a/libs/organisations/auburnjunction/organisations/homes.py
+++ b/libs/organisations/auburnjunction/organisations/homes.py
@@ -9,7 +9,10 @@
 
 from auburnjunction.base.logs import log_event
 from auburnjunction.model.organisations import Organisation
-from auburnjunction.organisations.contacts import ContactLog
+from auburnjunction.organisations.contacts import (
+    CONTACT_HOLD_S,
+    ContactLog,
+)
 from auburnjunction.organisations.holdings import (
     LEASE_S,
     UNANSWERED_RETRY_S,
@@ -25,6 +28,10 @@
 # has seen it fail: until its evidence of a majority is too old, which is
 # CONTACT_HOLD_S.
 FORMER_HOME_S = 2.0
+# Interruption, of the contact with most nodes or of the role in this node's
+# view, after which a home node starts anew. A new home node that was chosen
+# meanwhile is still waiting then, for long enough to see this one return.
+MAX_INTERRUPTION_S = 4.0
 # Account numbers start at random, so that those of a restarted node differ
 # from earlier ones.
 FIRST_NUMBER_BITS = 48
@@ -59,12 +66,10 @@
         self._roster = roster
         self._contacts = contacts
         self._numbers = itertools.count(rng.getrandbits(FIRST_NUMBER_BITS) + 1)
-        # A node whose evidence of a majority is missing for longer may have
-        # been replaced by a new home node that has finished its wait.
-        self._keep_s = settings.accounting_s + LEASE_S
-        self._wait_s = self._keep_s + FORMER_HOME_S
+        self._wait_s = settings.accounting_s + LEASE_S + FORMER_HOME_S
+        # Last contact with most nodes, or last time without any role.
         self._majority_s = -math.inf
-        # Since when this node has not been without a majority for that long.
+        # Since when there was no longer interruption.
         self._steady_from_s = -math.inf
         self._roles: dict[str, Role] = {}
 
@@ -95,7 +100,7 @@
                 self._resume(name, role, now_s)
             elif role.lost_s is None:
                 role.lost_s = now_s
-            elif now_s - role.lost_s >= self._keep_s:
+            elif now_s - role.lost_s >= self._wait_s:
                 del self._roles[name]
 
     def handle_reports(
@@ -213,15 +218,27 @@
     def _resume(self, name: str, role: Role, now_s: float) -> None:
         """Continue as home node, or start anew after a long interruption."""
         lost_s, role.lost_s = role.lost_s, None
-        if lost_s is not None and now_s - lost_s >= self._keep_s:
+        if lost_s is not None and now_s - lost_s >= MAX_INTERRUPTION_S:
             self._restart(name, role, now_s)
 
     def _check_majority(self, now_s: float) -> None:
-        before_s = self._majority_s
-        self._majority_s = self._contacts.find_majority_time(now_s)
-        if math.inf > self._majority_s - before_s >= self._keep_s:
+        """Start the ledgers anew after an interruption of the contact.
+
+        Those that wait do so after a shorter one: others may have been home
+        nodes for all of the wait that was out of contact.
+        """
+        if not self._roles or self._roster.node_count == 1:
+            self._majority_s = now_s
+        majority_s = self._contacts.find_majority_time(now_s)
+        gap_s = majority_s - self._majority_s
+        self._majority_s = max(majority_s, self._majority_s)
+        if gap_s < CONTACT_HOLD_S:
+            return
+        if gap_s >= MAX_INTERRUPTION_S:
             self._steady_from_s = now_s
-            for name, role in self._roles.items():
+        for name, role in self._roles.items():
+            is_waiting = role.ledger.ready_s > majority_s - gap_s
+            if is_waiting or gap_s >= MAX_INTERRUPTION_S:
                 self._restart(name, role, now_s)
 
     def _restart(self, name: str, role: Role, now_s: float) -> None:
--- a/libs/organisations/auburnjunction/organisations/tests/test_fleets.py
+++ b/libs/organisations/auburnjunction/organisations/tests/test_fleets.py
@@ -1,7 +1,7 @@
 """Bounds of quotas over a simulated fleet, under faults."""
 
 import pytest
-from hypothesis import HealthCheck, given, settings
+from hypothesis import HealthCheck, example, given, settings
 from hypothesis import strategies as st
 
 from auburnjunction.model.organisations import Organisation
@@ -70,6 +70,14 @@
     return request
 
 
+# A home node that is cut off from its start grants nothing on its return.
+@example((40.0, 0.0), [("centre cut", 7, 11.5), ("heal", 0, 5.0)], 1)
+# One that was restarted while it was cut off waits from its return on.
+@example(
+    (2.0, 4.0),
+    [("leave", 7, 1.5), ("centre cut", 1, 10.9), ("heal", 0, 9.0)],
+    3,
+)
 @given(st.sampled_from(QUOTAS), STEPS, st.integers(0, 10**6))
 @settings(
     max_examples=40,
