--- a/libs/organisations/auburnjunction/organisations/settings.py
+++ b/libs/organisations/auburnjunction/organisations/settings.py
@@ -28,12 +28,13 @@
 
     # 0 disables quotas.
     quota_window_s: float = attrs.field(default=0.0, validator=_check_window)
-    # Part of the quota that is shared equally by all nodes on top of it, so
-    # that each has something to spend while it is cut off.
+    # Part of a quota by which it may be exceeded. Half of it is divided
+    # equally among the nodes, so that each has something to spend while it is
+    # cut off.
     quota_overage: float = attrs.field(
         default=0.0, validator=check_range(0, 10)
     )
-    # Requests that are shared equally by all nodes, beyond the overage.
+    # Requests by which a quota may be exceeded beyond that, divided likewise.
     quota_slack: float = attrs.field(
         default=0.0, validator=check_range(0, 1e6)
     )
