Do not hand over ledgers whose wait was interrupted

Cause: one of 557 random sequences of faults exceeded the bound (242 of 240 requests). A node that was home node for a moment kept its waiting ledger after it had lost the role, and handed it over while its wait went on; the home node in between had granted leases.

Change: a wait that was interrupted starts anew, and its ledger is handed over only right after the role was lost. Requests wait up to 0.25 s for the home node. The property test changes quotas too.

--- a/libs/organisations/auburnjunction/organisations/homes.py
+++ b/libs/organisations/auburnjunction/organisations/homes.py
@@ -15,6 +15,7 @@
 )
 from auburnjunction.organisations.holdings import (
     LEASE_S,
+    REPORT_INTERVAL_S,
     UNANSWERED_RETRY_S,
     Grant,
     Report,
@@ -152,7 +153,8 @@
                 continue
             if self._roster.find_home(name) == node:
                 del self._roles[name]
-                states.append(role.ledger.hand_over(name, now_s))
+                if not self._is_outdated(role, now_s):
+                    states.append(role.ledger.hand_over(name, now_s))
             elif role.lost_s is None:
                 kept.append(name)
         return states, kept
@@ -215,10 +217,27 @@
             return -math.inf
         return now_s + self._wait_s
 
+    def _is_outdated(self, role: Role, now_s: float) -> bool:
+        """Return whether a ledger is of no use to the next home node.
+
+        One that was still waiting when the role was lost is, unless that was
+        at the latest update: others may have been home nodes since.
+        """
+        lost_s = role.lost_s
+        return (
+            lost_s is not None
+            and role.ledger.ready_s > lost_s
+            and now_s - lost_s > 2 * REPORT_INTERVAL_S
+        )
+
     def _resume(self, name: str, role: Role, now_s: float) -> None:
         """Continue as home node, or start anew after a long interruption."""
         lost_s, role.lost_s = role.lost_s, None
-        if lost_s is not None and now_s - lost_s >= MAX_INTERRUPTION_S:
+        if lost_s is None:
+            return
+        # Others may have been home nodes while a wait was interrupted.
+        was_waiting = role.ledger.ready_s > lost_s
+        if was_waiting or now_s - lost_s >= MAX_INTERRUPTION_S:
             self._restart(name, role, now_s)
 
     def _check_majority(self, now_s: float) -> None:
--- a/libs/organisations/auburnjunction/organisations/quotas.py
+++ b/libs/organisations/auburnjunction/organisations/quotas.py
@@ -34,9 +34,10 @@
 from auburnjunction.organisations.settings import OrganisationSettings
 from auburnjunction.schema import quotas_pb2 as pb
 
-# Time for which a request waits for the answer of the home node: four round
-# trips between regions. Most answers take one.
-MAX_WAIT_S = 0.1
+# Longest wait of a request for the answer of the home node. Most answers take
+# one round trip, but nodes with a share of a core stall for 0.1 s and more. A
+# request that is refused within its quota is lost for its caller.
+MAX_WAIT_S = 0.25
 # A whole system that starts for the first time has no configuration for
 # seconds; a node that restarts gets one sooner.
 MIN_FRESH_S = 1.0
--- a/libs/organisations/auburnjunction/organisations/tests/fleet_support.py
+++ b/libs/organisations/auburnjunction/organisations/tests/fleet_support.py
@@ -30,7 +30,7 @@
 FAILURE_DETECTION_S = (1.0, 6.0)
 RETURN_DETECTION_S = (0.2, 1.5)
 EXCHANGE_TIMEOUT_S = 0.5
-MAX_WAIT_S = 0.1
+MAX_WAIT_S = 0.25
 # Time from the announcement of a leaving node to its end.
 LEAVING_S = 1.0
 ONE_WAY_S = (0.0003, 0.0054)
@@ -286,6 +286,7 @@
         self.settings = settings
         # Part of the requests that their instance refuses.
         self._refused_share = refused_share
+        self._initial = organisations
         self.organisations = {item.name: item for item in organisations}
         # Late enough for any process to have been started a window ago.
         self.now_s = 1000.0
@@ -414,6 +415,13 @@
             name, rate_per_s=rate_per_s, burst=burst
         )
 
+    def scale_quotas(self, factor: float) -> None:
+        """Bring the initial quotas, times a factor, into force."""
+        for item in self._initial:
+            self.set_quota(
+                item.name, item.rate_per_s * factor, item.burst * factor
+            )
+
     def find_state(
         self, viewer: SimulatedNode, node: SimulatedNode
     ) -> NodeState:
--- a/libs/organisations/auburnjunction/organisations/tests/test_fleets.py
+++ b/libs/organisations/auburnjunction/organisations/tests/test_fleets.py
@@ -11,6 +11,8 @@
 QUOTAS = ((2.0, 4.0), (40.0, 0.0))
 CHANGES = st.sampled_from(
     (
+        "lower the quota",
+        "raise the quota",
         "nothing",
         "restart",
         "leave",
@@ -33,6 +35,8 @@
     name, centre = names[index], fleet.nodes[names[index]].data_centre
     changes = {
         "nothing": [],
+        "lower the quota": [(fleet.scale_quotas, 0.5)],
+        "raise the quota": [(fleet.scale_quotas, 1.0)],
         "restart": [(fleet.restart, name, min(span_s, 4.0))],
         "leave": [(fleet.leave, name, min(span_s, 4.0))],
         "herd": [(fleet.restart, name, 0.1) for name in names],
@@ -93,6 +97,7 @@
         change_fleet(fleet, change, index, span_s)
         fleet.advance(span_s)
     fleet.advance(2.0)
+    fleet.scale_quotas(1.0)
     assert fleet.find_peak("acme") <= fleet.find_bound("acme")
 
 
