--- a/libs/base/auburnjunction/base/errors.py
+++ b/libs/base/auburnjunction/base/errors.py
@@ -38,6 +38,8 @@
     REVOKED = "revoked"
     # A service that the request calls has no room for its calls.
     NO_ROOM = "no-room"
+    # The organisation's quota is spent.
+    QUOTA = "quota"
     TOO_LARGE = "too-large"
     PROTOCOL = "protocol"
     INTERNAL = "internal"
--- a/libs/node/auburnjunction/node/components.py
+++ b/libs/node/auburnjunction/node/components.py
@@ -21,9 +21,14 @@
 from auburnjunction.membership.memberships import Membership, open_membership
 from auburnjunction.model.services import Service
 from auburnjunction.node.instances import LocalInstanceRegistry
-from auburnjunction.node.meters import ControlPlaneMetrics, ResourceMetrics
+from auburnjunction.node.meters import (
+    ControlPlaneMetrics,
+    QuotaMetrics,
+    ResourceMetrics,
+)
 from auburnjunction.node.readiness_gates import ReadinessGate
 from auburnjunction.node.settings import NodeSettings
+from auburnjunction.organisations.quotas import Quotas, open_quotas
 from auburnjunction.rollouts.coordinators import (
     RolloutCoordinator,
     open_rollouts,
@@ -91,6 +96,7 @@
     readiness_gate: ReadinessGate
     lifetime: NodeLifetime
     answer_limits: AnswerLimitSender
+    quotas: Quotas
     # None if roll-outs are not in force.
     rollouts: RolloutCoordinator | None = None
     # None without a memory limit.
@@ -167,6 +173,15 @@
             random,
             metrics,
         ) as rollouts,
+        open_quotas(
+            cfg.node,
+            cfg.organisations,
+            clock,
+            holder,
+            membership,
+            control_pools,
+            random,
+        ) as quotas,
     ):
         keys = KeyChecker(
             cfg.organisations,
@@ -225,10 +240,13 @@
             versions=rollouts.selector if rollouts is not None else None,
             placement=cfg.placement,
             nested_calls=nested_calls,
+            quotas=quotas,
         )
         ControlPlaneMetrics(metrics, membership.stats, distributor.stats)
         if resources is not None:
             ResourceMetrics(metrics, resources)
+        if cfg.organisations.quota_window_s:
+            QuotaMetrics(metrics, quotas.stats)
         commits = CommitLog(platform.table, platform.objects, clock)
         yield NodeComponents(
             membership,
@@ -241,6 +259,7 @@
             readiness_gate,
             lifetime,
             AnswerLimitSender(forwarded, lifetime, control_pools, clock),
+            quotas,
             rollouts,
             resources,
             platform.names,
--- a/libs/node/auburnjunction/node/meters.py
+++ b/libs/node/auburnjunction/node/meters.py
@@ -10,6 +10,7 @@
 from auburnjunction.http.pipelines import PipelineStats
 from auburnjunction.http.resources import ProcessResources
 from auburnjunction.membership.stats import MembershipStats
+from auburnjunction.organisations.exchanges import QuotaStats
 
 BYTES_PER_KIB = 1024
 
@@ -112,3 +113,23 @@
         self._used.set({}, budget.used_bytes)
         self._peak.set({}, budget.stats.peak_bytes)
         self._limit.set({}, budget.limits[Share.CONTROL])
+
+
+class QuotaMetrics:
+    """Exports the counters of quotas; one series for each."""
+
+    def __init__(self, registry: MetricRegistry, stats: QuotaStats):
+        self._stats = stats
+        self._counts = {
+            field.name: registry.make_counter(
+                f"auburn_quota_{field.name}_total",
+                f"{field.name.replace('_', ' ').capitalize()} of quotas",
+            )
+            for field in attrs.fields(QuotaStats)
+        }
+        registry.add_collector(self.collect)
+
+    def collect(self) -> None:
+        """Copy the current counts into the metrics."""
+        for name, value in attrs.asdict(self._stats).items():
+            self._counts[name].set({}, value)
--- a/libs/organisations/auburnjunction/organisations/settings.py
+++ b/libs/organisations/auburnjunction/organisations/settings.py
@@ -1,18 +1,55 @@
-"""Settings of organisations and their API keys."""
+"""Settings of organisations: API keys and quotas."""
 
 import attrs
 
-from auburnjunction.base.settings import check_range
+from auburnjunction.base.settings import FieldError, check_range
+
+# Leases last 1.5 s, and refunds are taken back within half a window.
+MIN_QUOTA_WINDOW_S = 2.0
+
+
+def _check_window(_instance, attribute, value) -> None:
+    if value and not MIN_QUOTA_WINDOW_S <= value <= 3600:
+        raise FieldError(
+            attribute.name,
+            f"{value} is out of range",
+            f"write 0, or a number from {MIN_QUOTA_WINDOW_S:g} to 3600",
+        )
 
 
 @attrs.frozen
 class OrganisationSettings:
-    """How long a node may judge API keys without a new proof.
+    """API keys, and bounds of the quotas of organisations over all nodes.
 
-    They have an effect only while a configuration with organisations is in
-    force.
+    Settings of keys tell how long a node may judge them without a new proof,
+    and have an effect only while a configuration with organisations is in
+    force. In any span of quota_window_s seconds, the requests of an
+    organisation that run stay at or below (rate_per_s * window + burst) *
+    (1 + quota_overage) + quota_slack.
     """
 
+    # 0 disables quotas.
+    quota_window_s: float = attrs.field(default=0.0, validator=_check_window)
+    # Part of a quota by which it may be exceeded. Half of it is divided
+    # equally among the nodes, so that each has something to spend while it is
+    # cut off.
+    quota_overage: float = attrs.field(
+        default=0.0, validator=check_range(0, 10)
+    )
+    # Requests by which a quota may be exceeded beyond that, divided likewise.
+    quota_slack: float = attrs.field(
+        default=0.0, validator=check_range(0, 1e6)
+    )
+    # Time from the charge until the request reaches its backend server, by
+    # which the accounting exceeds the window: requests that were charged in
+    # the time before the window may run in it. Queues hold most requests for
+    # less than a second.
+    quota_transit_s: float = attrs.field(
+        default=1.0, validator=check_range(0, 60)
+    )
+    # Whether the whole system starts for the first time, so that no earlier
+    # process has spent anything. Unset it afterwards.
+    fresh_start: bool = False
     # Time from the acknowledgement of a configuration that withdraws a key
     # until no request with the key starts.
     revoke_s: float = attrs.field(
@@ -35,3 +72,8 @@
     def stale_after_s(self) -> float:
         """Age of the proof from which the node is stale; see strict."""
         return self.revoke_s * self.stale_share
+
+    @property
+    def accounting_s(self) -> float:
+        """Span of time over which charges are summed."""
+        return self.quota_window_s + self.quota_transit_s
