--- a/libs/node/auburnjunction/node/nodes.py
+++ b/libs/node/auburnjunction/node/nodes.py
@@ -11,6 +11,7 @@
 from auburnjunction.base.logs import log_event
 from auburnjunction.base.signals import catch_stop_signals, ignore_reload
 from auburnjunction.base.tasks import open_task_group, run_forever
+from auburnjunction.distribution.distributors import Distributor
 from auburnjunction.node.components import (
     NodeComponents,
     PlatformAdapters,
@@ -42,6 +43,11 @@
         self._components = components
         self._servers = servers
 
+    @property
+    def distributor(self) -> Distributor:
+        """Its part in the distribution of configurations."""
+        return self._components.distributor
+
     async def drain(self) -> int:
         """Shut down gracefully: refuse new calls, finish those in flight.
 
