Test which parents of nested calls are remembered

Cause: only the refusal was tested, not what the owner side remembers.

Change: a test of calls with and without an answer.

--- a/libs/traffic/auburnjunction/traffic/tests/test_organisations.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_organisations.py
@@ -1,5 +1,6 @@
 """Organisations on the way of a call: routing, claims, queues and headers."""
 
+import contextlib
 import math
 
 import attrs
@@ -8,6 +9,7 @@
 
 from auburnjunction.base.errors import ErrorCode
 from auburnjunction.http.messages import HttpRequest
+from auburnjunction.membership.announcements import Announcement
 from auburnjunction.model.organisations import Organisation, digest_key
 from auburnjunction.model.priorities import Priority
 from auburnjunction.model.routes import Route
@@ -18,7 +20,8 @@
     Snapshot,
 )
 from auburnjunction.organisations.settings import OrganisationSettings
-from auburnjunction.traffic.calls import NotRunError
+from auburnjunction.traffic.admissions import AdmissionSettings
+from auburnjunction.traffic.calls import NotRunError, UnknownRunError
 from auburnjunction.traffic.claims import format_key
 from auburnjunction.traffic.fingerprints import compute_fingerprint
 from auburnjunction.traffic.headers import (
@@ -30,8 +33,12 @@
     parse_call,
 )
 from auburnjunction.traffic.key_checks import KeyChecker
+from auburnjunction.traffic.meters import OwnerMetrics
+from auburnjunction.traffic.owners import OwnerRegistry
 from auburnjunction.traffic.routers import Router
 from auburnjunction.traffic.tests.owner_support import (
+    CLOCK,
+    HOST,
     make_call,
     make_owner,
     open_backend,
@@ -196,3 +203,28 @@
             assert ("second" in backend.executed) is (code is None)
 
     curio.run(main)
+
+
+@pytest.mark.parametrize("is_answered", [True, False])
+def test_parent_is_remembered_only_if_it_may_still_run(is_answered):
+    """Its nested calls would get 401 from a node that has given it up."""
+
+    async def main():
+        async with open_backend() as backend:
+            if not is_answered:
+                backend.gate = curio.Event()
+            names = HeaderNames(parent_id_separator=".")
+            owners = OwnerRegistry(
+                AdmissionSettings(), CLOCK, OwnerMetrics(), names=names
+            )
+            address = f"{HOST}:{backend.port}"
+            owners.update(Announcement("orders-1", "orders", address, "ready"))
+            call = make_call("p", remaining_s=0.2)
+            with contextlib.suppress(UnknownRunError):
+                await owners.run_call(call, "orders-1")
+            assert call.started
+            assert owners.find_parent("p.1") is None
+            assert owners.has_abandoned_parent("p.1") is not is_answered
+            assert not owners.has_abandoned_parent("other.1")
+
+    curio.run(main)
