--- a/libs/http/auburnjunction/http/budgets.py
+++ b/libs/http/auburnjunction/http/budgets.py
@@ -77,8 +77,8 @@
     # Time for which reading pauses for room before the request is refused.
     pause_s: float = attrs.field(default=0.5, validator=check_range(0, 10))
     # A body that progresses more slowly than min_bytes_per_s for
-    # progress_window_s ends. The window is longer than the idle time-out that
-    # both target systems set, 15 s, less a second.
+    # progress_window_s ends. The window is longer than the idle time-out of
+    # 15 s that configurations set, so a client that pauses for less goes on.
     min_bytes_per_s: float = attrs.field(
         default=256.0, validator=check_range(0, 1e9)
     )
@@ -134,6 +134,7 @@
     __slots__ = (
         "__weakref__",
         "_budget",
+        "_limit_bytes",
         "_mark_bytes",
         "_mark_s",
         "body_bytes",
@@ -146,6 +147,7 @@
 
     def __init__(self, budget: "ByteBudget", share: Share):
         self._budget = budget
+        self._limit_bytes = budget.limits[share]
         self.share = share
         self.charged_bytes = 0
         # The part of charged_bytes that is for the body.
@@ -163,7 +165,10 @@
             total_bytes = self.body_bytes + body_bytes
             if total_bytes > self._budget.settings.small_bytes:
                 self.share = Share.LARGE
-        if self.is_closed or not self._budget._try_take(size, self.share):
+                self._limit_bytes = self._budget.limits[Share.LARGE]
+        if self.is_closed:
+            return False
+        if not self._budget._try_take(size, self._limit_bytes):
             return False
         self.charged_bytes += size
         self.body_bytes += body_bytes
@@ -293,17 +298,16 @@
         if stall_s > cfg.pressure_window_s:
             worst.must_end = True
 
-    def _try_take(self, size: int, share: Share) -> bool:
-        if self.used_bytes + size > self.limits[share]:
-            return False
-        self._take(size)
-        return True
-
-    def _take(self, size: int) -> None:
+    def _try_take(self, size: int, limit_bytes: int) -> bool:
         if size < 0:
             raise ValueError(f"{size} bytes charged")
-        self.used_bytes += size
-        self.stats.peak_bytes = max(self.stats.peak_bytes, self.used_bytes)
+        used_bytes = self.used_bytes + size
+        if used_bytes > limit_bytes:
+            return False
+        self.used_bytes = used_bytes
+        if used_bytes > self.stats.peak_bytes:
+            self.stats.peak_bytes = used_bytes
+        return True
 
     def _give_back(self, size: int) -> None:
         self.used_bytes -= size
