Spread the writes of readers over half a second

Cause: readers that learned of an order together wrote its status together; 12 nodes in three data centres sent 8 transactions for a completed roll-out.

Change: readers write after up to 0.5 s, others after 1 to 2.5 s.

--- a/libs/rollouts/auburnjunction/rollouts/writers.py
+++ b/libs/rollouts/auburnjunction/rollouts/writers.py
@@ -20,8 +20,8 @@
 STORE_TIMEOUT_S = 1.5
 # Delays before a write, so that one of the readers usually writes and the
 # others learn of it: the news of a write takes about 0.3 s to all nodes.
-READER_DELAY_S = (0.0, 0.15)
-OTHER_DELAY_S = (0.7, 2.0)
+READER_DELAY_S = (0.0, 0.5)
+OTHER_DELAY_S = (1.0, 2.5)
 # Delays before the next attempt after a failed one. Those of other nodes than
 # readers, of which there are many, spare a store that is overloaded.
 READER_RETRY_DELAY_S = (0.5, 1.5)
