Accept a target at once only if it is in force already

Cause: a restarted node that hears the evidence of most nodes but has not seen the old instances yet took the target for the only version and accepted it.

Change: acceptance without evidence needs the belief that the target is in force.

Result: tests of libs/rollouts pass.

--- a/libs/rollouts/auburnjunction/rollouts/schedules.py
+++ b/libs/rollouts/auburnjunction/rollouts/schedules.py
@@ -54,6 +54,8 @@
     local_targets: int = 0
     # Whether other nodes are heard from.
     has_contact: bool = True
+    # Whether the target is the version in force already.
+    is_in_force: bool = False
 
 
 def find_room(situation: Situation) -> float:
@@ -119,7 +121,7 @@
     is_early = situation.progress < DECISION_PROGRESS
     if assessment.is_suspicious and is_early:
         return False
-    if not situation.old_slots:
+    if situation.is_in_force:
         return True
     if situation.progress < ACCEPTANCE_PROGRESS:
         return False
--- a/libs/rollouts/auburnjunction/rollouts/splits.py
+++ b/libs/rollouts/auburnjunction/rollouts/splits.py
@@ -55,7 +55,7 @@
         self._first_seen_s: dict[tuple[str, int], float] = {}
         self._cached: tuple[object, Split] | None = None
         self.baseline: Baseline | None = None
-        self._is_target_in_force = False
+        self.is_target_in_force = False
 
     def invalidate(self) -> None:
         """Forget the last split, as the roll-out or the share has changed."""
@@ -74,7 +74,7 @@
         if previous is not None and previous.phase is Phase.COMPLETED:
             self.baseline = Baseline(previous.order.target, previous.started_s)
         held = self.baseline
-        self._is_target_in_force = (
+        self.is_target_in_force = (
             held is not None
             and held.version == rollout.order.target
             and (
@@ -119,7 +119,7 @@
             return Split((), target, target)
         rest = [i for i in instances if i.version != target_version]
         old = ()
-        if not (rollout.phase.is_active and self._is_target_in_force):
+        if not (rollout.phase.is_active and self.is_target_in_force):
             old = self._list_old(rest, target_version, now_s)
         if share >= 1.0:
             return Split(old, target, target)
--- a/libs/rollouts/auburnjunction/rollouts/states.py
+++ b/libs/rollouts/auburnjunction/rollouts/states.py
@@ -308,6 +308,7 @@
             sum(i.slots for i in split.old),
             sum(i.data_centre == self.data_centre for i in split.target),
             has_contact,
+            self._splitter.is_target_in_force,
         )
 
     def publish(self, now_s: float) -> None:
--- a/libs/rollouts/auburnjunction/rollouts/tests/test_judgements.py
+++ b/libs/rollouts/auburnjunction/rollouts/tests/test_judgements.py
@@ -105,8 +105,9 @@
     ({"progress": 0.8, "assessment": Assessment(requests=5000)}, False),
     ({"progress": 0.8, "assessment": Assessment(3.0, is_accepted=True)},
      False),
-    # Without others, the target is in force already.
-    ({"old_slots": 0}, True),
+    ({"is_in_force": True}, True),
+    # A restarted node may not see the old instances yet.
+    ({"old_slots": 0}, False),
 ]  # fmt: skip
 
 
