Lower the limit for slow versions at the end of the ramp

Cause: 2 of 40 simulated versions that were 3 times slower were condemned only at the end of a ramp of 12 s, when the share was at 1.

Change: the limit for durations falls to e^6.5 at the end of the ramp.

--- a/libs/rollouts/auburnjunction/rollouts/verdicts.py
+++ b/libs/rollouts/auburnjunction/rollouts/verdicts.py
@@ -24,9 +24,11 @@
 # Logarithm of the ratio at which the target is condemned: 1 in 60,000, as
 # some 10 routes and 8 first slices are looked at in each roll-out.
 CONDEMNING_LOG_RATIO = 11.0
-# The same for failures at the end of the ramp, by when a verdict is due, and
-# the progress between which it falls.
+# The same at the end of the ramp, by when a verdict is due, for failures and
+# for durations, and the progress between which it falls. Durations of good
+# versions differ more.
 LATE_LOG_RATIO = 4.5
+LATE_SLOW_LOG_RATIO = 6.5
 FALLING_PROGRESS = (0.8, 1.0)
 # Logarithm of the ratio from which the share is not raised.
 SUSPICIOUS_LOG_RATIO = 2.5
@@ -157,13 +159,11 @@
 
 def find_condemning_ratio(cause: str, progress: float) -> float:
     """Return the log likelihood ratio at which the target is condemned."""
-    if cause != FAILURES:
-        return CONDEMNING_LOG_RATIO
+    late = LATE_LOG_RATIO if cause == FAILURES else LATE_SLOW_LOG_RATIO
     first, last = FALLING_PROGRESS
     part = min(max((progress - first) / (last - first), 0.0), 1.0)
-    return CONDEMNING_LOG_RATIO + part * (
-        LATE_LOG_RATIO - CONDEMNING_LOG_RATIO
-    )
+    ratio = CONDEMNING_LOG_RATIO
+    return max(late, ratio + part * (LATE_LOG_RATIO - ratio))
 
 
 class Judge:
