--- a/libs/traffic/auburnjunction/traffic/tests/routing_support.py
+++ b/libs/traffic/auburnjunction/traffic/tests/routing_support.py
@@ -124,6 +124,8 @@
         self.before = {}
         self.after = {}
         self.loads = {}
+        # Reports of owner nodes by instance.
+        self.reports = {}
 
     async def run_call(self, call, instance):
         self.history.attempts += 1
@@ -138,7 +140,9 @@
             (b"x-instance", instance.encode()),
         ]
         response = HttpResponse(200, headers, call.request.body)
-        return Answer(response, self.loads.get(instance, 0.1))
+        load = self.loads.get(instance, 0.1)
+        report = self.reports.get(instance)
+        return Answer(response, load, report=report)
 
 
 def refuse(code=ErrorCode.OVERLOADED):
@@ -243,7 +247,10 @@
 
 @asynccontextmanager
 async def open_mesh(
-    data_centres=("dc-1", "dc-1", "dc-1"), entries=1, settings=None
+    data_centres=("dc-1", "dc-1", "dc-1"),
+    entries=1,
+    settings=None,
+    placement=None,
 ):
     """Yield a mesh with one instance on each owner node.
 
@@ -281,6 +288,7 @@
                 pools,
                 metrics if index == 0 else MetricRegistry(),
                 random.Random(index),
+                placement=placement,
             )
             for index in range(entries)
         ]
--- a/libs/traffic/auburnjunction/traffic/tests/test_placed_choices.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_placed_choices.py
@@ -35,6 +35,7 @@
 from auburnjunction.traffic.tests.routing_support import (
     FixedSource,
     make_instance,
+    open_mesh,
 )
 
 SETTINGS = RoutingSettings(
@@ -204,6 +205,33 @@
     assert counts[0] == counts[1]
 
 
+@pytest.mark.parametrize("placement", [ON, OFF], ids=["on", "off"])
+def test_calls_over_sockets_avoid_the_instance_that_reports_slowness(
+    placement,
+):
+    """One of four is five times slower; loads and latencies look the same.
+
+    Metrics name the pairs of data centres only where the part is on.
+    """
+
+    async def main():
+        async with open_mesh(("dc-1",) * 4, placement=placement) as mesh:
+            for n in range(4):
+                speed = 500.0 if n == 0 else 100.0
+                report = LoadReport(1, 0, 3, speed, 0.0, WORK_S * speed / 100)
+                mesh.runner.reports[f"i{n}"] = report
+            for number in range(200):
+                response = await mesh.call(f"c{number}")
+                assert response.status == 200
+            return mesh.history.by_instance, mesh.metrics.render()
+
+    runs, metrics = curio.run(main)
+    name = b"auburn_placement_calls_total{"
+    assert (name in metrics) is placement.is_enabled
+    # The first call to each instance shows its speed.
+    assert (runs.get("i0", 0) <= 10) is placement.is_enabled
+
+
 def exchange(result):
     """Return what PeerHandler sends for a result of its runner."""
 
