--- a/libs/traffic/auburnjunction/traffic/room_senders.py
+++ b/libs/traffic/auburnjunction/traffic/room_senders.py
@@ -11,6 +11,7 @@
     TrafficError,
 )
 from auburnjunction.traffic.nested_calls import (
+    NO_ROOM_CODES,
     NestedCallTracker,
     has_no_room,
 )
@@ -124,7 +125,8 @@
         now_s = self._clock.monotonic()
         if self._gate is not None and exc.nested is not None:
             self._gate.record_report(routed.call, exc.nested, True, now_s)
-        if isinstance(exc, NotRunError) and has_no_room(exc):
+        # When an instance will be available again, the answers don't tell.
+        if isinstance(exc, NotRunError) and exc.code in NO_ROOM_CODES:
             self._name_return(routed, exc, now_s)
 
     def _name_return(
--- a/libs/traffic/auburnjunction/traffic/tests/test_rooms.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_rooms.py
@@ -139,6 +139,22 @@
     assert room.share == 1.0
 
 
+def test_what_exceeds_a_fair_share_is_refused_first():
+    """Guards against refusals that hit all organisations alike."""
+    room = ServiceRoom(0.0)
+    names = [f"o{index}" for index in range(9)]
+    for step in range(40):
+        now_s = step / 100
+        for name in names:
+            room.add_demand(HIGH, name, 1.0, now_s)
+        room.add_demand(HIGH, "large", 7.5, now_s)
+        room.record_results(10, 5 * (step < 30), now_s)
+    assert room.share < 1.0
+    assert room.find_portion(HIGH, "large", 0.4).share < 0.7
+    for name in names:
+        assert room.find_portion(HIGH, name, 0.4).share == 1.0
+
+
 def test_share_recovers_without_evidence():
     """Guards against a route that stays refused as none of it runs."""
     room = ServiceRoom(0.0)
