--- a/libs/traffic/auburnjunction/traffic/room_gates.py
+++ b/libs/traffic/auburnjunction/traffic/room_gates.py
@@ -65,19 +65,33 @@
         self.tracker = RoomTracker()
         self._random = rng or random.Random()
 
-    def check(self, call: Call, now_s: float, reserved: bool = False) -> None:
+    def check(
+        self,
+        call: Call,
+        now_s: float,
+        reserved: bool = False,
+        is_return: bool = False,
+    ) -> None:
         """Raise NoRoomError for a request that should not run now.
 
-        A request with a reserved place is admitted and charged.
+        A request with a reserved place is admitted and charged. Another one
+        that returns too late for its objective would take the room of one
+        that is in time.
         """
+        duration_s = self.tracker.profiles.find_duration(call.route)
+        late = is_return and now_s + duration_s > call.target_s
         profile = self.tracker.profiles.find(call.route)
         for service, calls in profile.items():
             room = self.tracker.find(service)
             if room is not None and calls > 0:
-                self._check_room(call, room, calls, service, now_s, reserved)
+                self._check_room(
+                    call, room, calls, service, now_s, reserved, late
+                )
         room = self.tracker.find(call.service)
         if room is not None and call.service not in profile:
-            self._check_room(call, room, 1.0, call.service, now_s, reserved)
+            self._check_room(
+                call, room, 1.0, call.service, now_s, reserved, late
+            )
 
     def record_report(
         self, call: Call, report: NestedReport, failed: bool, now_s: float
@@ -103,6 +117,7 @@
         service: str,
         now_s: float,
         reserved: bool,
+        late: bool,
     ) -> None:
         priority, organisation = call.priority, call.organisation
         room.add_demand(priority, organisation, calls, now_s)
@@ -112,7 +127,7 @@
         if reserved:
             portion.charge()
             return
-        if portion.admit():
+        if not late and portion.admit():
             return
         refusal = RoomRefusal(
             service,
--- a/libs/traffic/auburnjunction/traffic/room_senders.py
+++ b/libs/traffic/auburnjunction/traffic/room_senders.py
@@ -7,6 +7,7 @@
 from auburnjunction.traffic.calls import (
     FIRST_SERVER_ERROR,
     Answer,
+    Call,
     NotRunError,
     TrafficError,
 )
@@ -67,21 +68,31 @@
         call.returning = self._take_place(routed, now_s)
         try:
             if self._gate is not None:
-                self._gate.check(call, now_s, call.returning)
+                self._gate.check(call, now_s, call.returning, routed.is_return)
             answer = await self._sender.send_call(routed, trace)
         except TrafficError as exc:
             if isinstance(exc, NoRoomError):
                 trace.details = _list_details(exc.refusal)
             self._record_error(routed, exc)
             raise
+        self._record_answer(call, answer, now_s)
+        return answer
+
+    def _record_answer(
+        self, call: Call, answer: Answer, start_s: float
+    ) -> None:
         now_s = self._clock.monotonic()
+        failed = answer.response.status >= FIRST_SERVER_ERROR
         if self._ledgers is not None:
             ledger = self._ledgers.get(call.service, call.priority)
             ledger.record_answer(now_s)
-        if self._gate is not None and answer.nested is not None:
-            failed = answer.response.status >= FIRST_SERVER_ERROR
+        if self._gate is None:
+            return
+        if not failed:
+            profiles = self._gate.tracker.profiles
+            profiles.record_duration(call.route, now_s - start_s)
+        if answer.nested is not None:
             self._gate.record_report(call, answer.nested, failed, now_s)
-        return answer
 
     async def _send_nested(
         self, routed: RoutedCall, trace: CallTrace
--- a/libs/traffic/auburnjunction/traffic/rooms.py
+++ b/libs/traffic/auburnjunction/traffic/rooms.py
@@ -111,6 +111,22 @@
 
     def __init__(self):
         self._profiles: OrderedDict[str, RouteProfile] = OrderedDict()
+        # Mean time to an answer by route.
+        self._durations_s: OrderedDict[str, float] = OrderedDict()
+
+    def record_duration(self, route: str, duration_s: float) -> None:
+        """Record the time from a request to its answer."""
+        mean_s = self._durations_s.get(route)
+        if mean_s is None:
+            if len(self._durations_s) >= MAX_ROUTES:
+                self._durations_s.popitem(last=False)
+            mean_s = duration_s
+        mean_s += PROFILE_WEIGHT * (duration_s - mean_s)
+        self._durations_s[route] = mean_s
+
+    def find_duration(self, route: str) -> float:
+        """Return the mean time to an answer; 0 if it is not known."""
+        return self._durations_s.get(route, 0.0)
 
     def record(
         self, route: str, report: NestedReport, failed: bool = False
--- a/libs/traffic/auburnjunction/traffic/tests/test_rooms.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_rooms.py
@@ -208,6 +208,33 @@
     gate.check(call, 2.2, reserved=True)
 
 
+@pytest.mark.parametrize(
+    ("target_s", "is_return", "admitted"),
+    [(2.4, True, True), (2.1, True, False), (2.1, False, True)],
+)
+def test_late_returns_give_way_while_there_is_little_room(
+    target_s, is_return, admitted
+):
+    """Guards against late answers that cost others theirs in time."""
+    gate = RoomGate()
+    call = make_call()
+    gate.record_report(call, {"back": NestedTally(2, 0)}, False, 0.0)
+    gate.tracker.profiles.record_duration(call.route, 0.2)
+    call.target_s = target_s
+    # While there is room, a late answer is better than none.
+    gate.check(call, 2.0, is_return=is_return)
+    count_admitted(gate, make_call(), start_s=0.0)
+    overload(gate)
+    found = False
+    for _ in range(50):
+        try:
+            gate.check(call, 2.0, is_return=is_return)
+        except NotRunError:
+            continue
+        found = True
+    assert found is admitted
+
+
 def test_direct_requests_give_way_to_more_urgent_nested_calls():
     """Guards against uploads that take the room of nested lookups."""
     gate = RoomGate()
--- a/tools/room_simulations.py
+++ b/tools/room_simulations.py
@@ -201,6 +201,7 @@
     def attempt(self) -> None:
         """Send the request to its entry node."""
         sim, now_s = self.sim, self.sim.events.now_s
+        self.sent_s = now_s
         self.call = call = sim.make_call(
             route=self.service,
             service=self.service,
@@ -212,7 +213,9 @@
             call.returning = self.ledger.take(now_s)
         try:
             if sim.variant.gate:
-                sim.gates[self.node].check(call, now_s, call.returning)
+                sim.gates[self.node].check(
+                    call, now_s, call.returning, self.is_return
+                )
         except NotRunError as exc:
             self._refuse(exc)
             return
@@ -325,6 +328,8 @@
             self.tally.failed += 1
             return
         self.ledger.record_answer(now_s)
+        profiles = sim.gates[self.node].tracker.profiles
+        profiles.record_duration(self.service, now_s - self.sent_s)
         if duration_s <= OBJECTIVE_S:
             self.tally.in_time += 1
         else:
