--- a/libs/node/auburnjunction/node/tests/test_nodes.py
+++ b/libs/node/auburnjunction/node/tests/test_nodes.py
@@ -46,11 +46,23 @@
     return (await read_ready(cfg)).status == 200
 
 
-def test_node_serves_once_a_configuration_is_in_force():
+# Settings of deployments with uneven load.
+UNEVEN_LOAD = {
+    "routing": {
+        "room_checks": True,
+        "return_places": True,
+        "uniform_timeouts": True,
+    },
+    "admission": {"separate_waits": True, "fair_shares": True},
+}
+
+
+@pytest.mark.parametrize("options", [{}, UNEVEN_LOAD])
+def test_node_serves_once_a_configuration_is_in_force(options):
     async def main():
         async with (
             open_backend() as backend,
-            open_test_node(FIRST_PORT) as (cfg, _, platform),
+            open_test_node(FIRST_PORT, **options) as (cfg, _, platform),
         ):
             refused = await send(cfg.caller_port, "GET", "/boxes/1")
             assert refused.status == 503
@@ -72,6 +84,8 @@
             assert (head.body, head.head_length) == (b"", len(b"formula"))
             status = orjson.loads((await read_ready(cfg)).body)
             assert (status["revision"], status["instances"]) == (1, 1)
+            metrics = (await send(cfg.admin_port, "GET", "/metrics")).body
+            assert (b"auburn_return_places_total" in metrics) is bool(options)
 
     curio.run(main)
 
