--- a/libs/traffic/auburnjunction/traffic/room_senders.py
+++ b/libs/traffic/auburnjunction/traffic/room_senders.py
@@ -7,10 +7,12 @@
 from auburnjunction.traffic.calls import (
     FIRST_SERVER_ERROR,
     Answer,
+    Call,
     NotRunError,
     TrafficError,
 )
 from auburnjunction.traffic.nested_calls import (
+    NO_ROOM_CODES,
     NestedCallTracker,
     has_no_room,
 )
@@ -66,21 +68,31 @@
         call.returning = self._take_place(routed, now_s)
         try:
             if self._gate is not None:
-                self._gate.check(call, now_s, call.returning)
+                self._gate.check(call, now_s, call.returning, routed.is_return)
             answer = await self._sender.send_call(routed, trace)
         except TrafficError as exc:
             if isinstance(exc, NoRoomError):
                 trace.details = _list_details(exc.refusal)
             self._record_error(routed, exc)
             raise
+        self._record_answer(call, answer, now_s)
+        return answer
+
+    def _record_answer(
+        self, call: Call, answer: Answer, start_s: float
+    ) -> None:
         now_s = self._clock.monotonic()
+        failed = answer.response.status >= FIRST_SERVER_ERROR
         if self._ledgers is not None:
             ledger = self._ledgers.get(call.service, call.priority)
             ledger.record_answer(now_s)
-        if self._gate is not None and answer.nested is not None:
-            failed = answer.response.status >= FIRST_SERVER_ERROR
+        if self._gate is None:
+            return
+        if not failed:
+            profiles = self._gate.tracker.profiles
+            profiles.record_duration(call.route, now_s - start_s)
+        if answer.nested is not None:
             self._gate.record_report(call, answer.nested, failed, now_s)
-        return answer
 
     async def _send_nested(
         self, routed: RoutedCall, trace: CallTrace
@@ -124,7 +136,8 @@
         now_s = self._clock.monotonic()
         if self._gate is not None and exc.nested is not None:
             self._gate.record_report(routed.call, exc.nested, True, now_s)
-        if isinstance(exc, NotRunError) and has_no_room(exc):
+        # When an instance will be available again, the answers don't tell.
+        if isinstance(exc, NotRunError) and exc.code in NO_ROOM_CODES:
             self._name_return(routed, exc, now_s)
 
     def _name_return(
--- a/libs/traffic/auburnjunction/traffic/tests/test_rooms.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_rooms.py
@@ -139,6 +139,22 @@
     assert room.share == 1.0
 
 
+def test_what_exceeds_a_fair_share_is_refused_first():
+    """Guards against refusals that hit all organisations alike."""
+    room = ServiceRoom(0.0)
+    names = [f"o{index}" for index in range(9)]
+    for step in range(40):
+        now_s = step / 100
+        for name in names:
+            room.add_demand(HIGH, name, 1.0, now_s)
+        room.add_demand(HIGH, "large", 7.5, now_s)
+        room.record_results(10, 5 * (step < 30), now_s)
+    assert room.share < 1.0
+    assert room.find_portion(HIGH, "large", 0.4).share < 0.7
+    for name in names:
+        assert room.find_portion(HIGH, name, 0.4).share == 1.0
+
+
 def test_share_recovers_without_evidence():
     """Guards against a route that stays refused as none of it runs."""
     room = ServiceRoom(0.0)
@@ -192,6 +208,33 @@
     gate.check(call, 2.2, reserved=True)
 
 
+@pytest.mark.parametrize(
+    ("target_s", "is_return", "admitted"),
+    [(2.4, True, True), (2.1, True, False), (2.1, False, True)],
+)
+def test_late_returns_give_way_while_there_is_little_room(
+    target_s, is_return, admitted
+):
+    """Guards against late answers that cost others theirs in time."""
+    gate = RoomGate()
+    call = make_call()
+    gate.record_report(call, {"back": NestedTally(2, 0)}, False, 0.0)
+    gate.tracker.profiles.record_duration(call.route, 0.2)
+    call.target_s = target_s
+    # While there is room, a late answer is better than none.
+    gate.check(call, 2.0, is_return=is_return)
+    count_admitted(gate, make_call(), start_s=0.0)
+    overload(gate)
+    found = False
+    for _ in range(50):
+        try:
+            gate.check(call, 2.0, is_return=is_return)
+        except NotRunError:
+            continue
+        found = True
+    assert found is admitted
+
+
 def test_direct_requests_give_way_to_more_urgent_nested_calls():
     """Guards against uploads that take the room of nested lookups."""
     gate = RoomGate()
