Bound the wait of a leaving node for its ledgers by its drain limit

The wait of up to 0.5 s could begin at the end of the drain limit, beyond which the process may be killed. Tested: three nodes over loopback, whose home node leaves, spend the quota once.

--- a/libs/node/auburnjunction/node/nodes.py
+++ b/libs/node/auburnjunction/node/nodes.py
@@ -71,7 +71,7 @@
             remaining = await self._components.owners.drain(
                 self._remaining_s(deadline_s)
             )
-            await self._components.quotas.leave()
+            await self._components.quotas.leave(self._remaining_s(deadline_s))
             self._components.entry.start_draining()
             remaining += await self._drain_servers(deadline_s)
         self._log_calls_in_flight()
--- a/libs/organisations/auburnjunction/organisations/quotas.py
+++ b/libs/organisations/auburnjunction/organisations/quotas.py
@@ -44,7 +44,8 @@
 # Interval of checks for a changed view, and of those for ledgers that a
 # leaving node still has.
 VIEW_INTERVAL_S = 0.1
-# A node that leaves has at least this time before it must end.
+# Longest wait of a node that leaves for the next home nodes, which see the
+# change and ask for the ledgers within 0.2 s mostly.
 LEAVING_LIMIT_S = 0.5
 
 
@@ -159,17 +160,19 @@
             self._update_home(now_s)
             await self._exchanger.fetch_ledgers(now_s)
 
-    async def leave(self) -> None:
-        """Wait until the ledgers are handed over, at most LEAVING_LIMIT_S.
+    async def leave(self, limit_s: float) -> None:
+        """Wait until the ledgers are handed over.
 
-        Call it once this node has announced that it is leaving.
+        Wait for limit_s, and LEAVING_LIMIT_S, at most. Call it once this node
+        has announced that it is leaving.
         """
         if not self._settings.quota_window_s:
             return
-        limit_s = self._clock.monotonic() + LEAVING_LIMIT_S
-        self._update_home(self._clock.monotonic())
+        now_s = self._clock.monotonic()
+        end_s = now_s + min(limit_s, LEAVING_LIMIT_S)
+        self._update_home(now_s)
         while self._home.has_ledgers_to_hand_over():
-            if self._clock.monotonic() >= limit_s:
+            if self._clock.monotonic() >= end_s:
                 log_event("quota ledgers not handed over", logging.WARNING)
                 return
             await self._clock.sleep(VIEW_INTERVAL_S)
--- a/libs/organisations/auburnjunction/organisations/tests/test_quotas.py
+++ b/libs/organisations/auburnjunction/organisations/tests/test_quotas.py
@@ -45,9 +45,16 @@
     nodes: list[Node]
     current: RevisedSnapshot | None = None
     unreachable_data_centres: frozenset = frozenset()
+    listeners: list = attrs.field(factory=list)
 
-    def subscribe(self, _listener):
-        pass
+    def subscribe(self, listener):
+        self.listeners.append(listener)
+
+    def set_leaving(self, index):
+        node = attrs.evolve(self.nodes[index], state=NodeState.LEAVING)
+        self.nodes[index] = node
+        for listener in self.listeners:
+            listener()
 
     def list_nodes(self):
         return self.nodes
@@ -174,6 +181,22 @@
     run(test)
 
 
+def test_leaving_node_hands_its_ledger_over():
+    """Guards against a second quota from the next home node, and none."""
+
+    async def test(fleet):
+        spent, _ = await charge_all(fleet, 40)
+        index = int(fleet[0]._roster.find_home("acme")[1:])
+        leaving = fleet.pop(index)
+        leaving._snapshots.set_leaving(index)
+        await leaving.leave(5.0)
+        assert leaving.stats.ledgers_handed_over == 1
+        more, _ = await charge_all(fleet, 150)
+        assert LEASED - 5 <= len(spent) + len(more) <= BOUND
+
+    run(test)
+
+
 def test_node_without_the_others_has_its_part_only():
     async def test(fleet):
         charges, errors = await charge_all(fleet[:1], 50)
