Order calls by their routes within the priority of organisations

Cause: an organisation's priority replaced that of the route, so that urgent routes of one organisation waited behind its least urgent ones.

Change: queues, rooms and promised places use the rank of a call: its priority, then that of its route (of the parent's, for a nested call). Without organisations both are the same, and no byte between nodes changes.

--- a/libs/traffic/auburnjunction/traffic/calls.py
+++ b/libs/traffic/auburnjunction/traffic/calls.py
@@ -59,6 +59,10 @@
     code = ErrorCode.UNKNOWN
 
 
+# Calls are served in ascending order of their ranks.
+Rank = tuple[Priority, Priority]
+
+
 @attrs.define(slots=True)
 class Call:
     """A request with the attributes of its route.
@@ -77,7 +81,8 @@
     key_digest is the digest of the API key, empty without one. A started call
     has been sent to its backend server. run_s is set by the owner node: the
     time that the backend server took. A returning call takes a place that its
-    caller was promised when it was refused.
+    caller was promised when it was refused. route_priority orders the calls of
+    one priority where that is the organisation's; None if it is the route's.
     """
 
     request_id: str
@@ -97,12 +102,18 @@
     rate_limit_per_s: float | None = None
     answer_limit_s: float = math.inf
     organisation: str = ""
+    route_priority: Priority | None = None
     probe: bool = False
     key_digest: str = ""
     started: bool = False
     run_s: float = 0.0
     returning: bool = False
 
+    @property
+    def rank(self) -> Rank:
+        """Its priority, and that of its route within the same priority."""
+        return self.priority, self.route_priority or self.priority
+
 
 @attrs.define(slots=True)
 class Answer:
--- a/libs/traffic/auburnjunction/traffic/headers.py
+++ b/libs/traffic/auburnjunction/traffic/headers.py
@@ -74,6 +74,8 @@
 REPEATED_FLAG = 2
 PROBE_FLAG = 4
 RETURNING_FLAG = 8
+# Bits below the priority of the route in that field, 0 if none is sent.
+ROUTE_PRIORITY_SHIFT = 4
 # Values of the Connection header that list no other header.
 PLAIN_CONNECTIONS = frozenset({b"keep-alive", b"close"})
 
@@ -197,9 +199,15 @@
         + REPEATED_FLAG * call.repeated
         + PROBE_FLAG * call.probe
         + RETURNING_FLAG * call.returning
+        + ((call.route_priority or 0) << ROUTE_PRIORITY_SHIFT)
     )
 
 
+def _parse_route_priority(flags: int) -> Priority | None:
+    value = flags >> ROUTE_PRIORITY_SHIFT
+    return Priority(value) if value else None
+
+
 def format_organisation(call: Call) -> bytes:
     """Return the value of the header for the call's organisation."""
     name = quote(call.organisation, safe="")
@@ -251,6 +259,7 @@
             repeated=bool(int(fields[10]) & REPEATED_FLAG),
             probe=bool(int(fields[10]) & PROBE_FLAG),
             returning=bool(int(fields[10]) & RETURNING_FLAG),
+            route_priority=_parse_route_priority(int(fields[10])),
             fail_fast=fields[11] == "1",
             rate_limit_per_s=parse_rate(request.header(RATE_LIMIT_HEADER)),
             answer_limit_s=_parse_answer_limit(request, now_s),
--- a/libs/traffic/auburnjunction/traffic/queues.py
+++ b/libs/traffic/auburnjunction/traffic/queues.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 from collections.abc import Iterator
 from enum import Enum, auto
-from itertools import chain
+from itertools import chain, product
 from typing import Protocol
 
 import attrs
@@ -16,7 +16,7 @@
     Discipline,
     PriorityShares,
 )
-from auburnjunction.traffic.calls import Call, NotRunError
+from auburnjunction.traffic.calls import Call, NotRunError, Rank
 from auburnjunction.traffic.fair_queues import (
     ArrivalOrder,
     FairOrder,
@@ -63,11 +63,18 @@
     # The organisation and the expected duration of the call.
     organisation: str = ""
     work_s: float = 0.0
+    # Priority of its route where the priority is the organisation's.
+    route_priority: Priority | None = None
     call: Call | None = None
     state: TicketState = TicketState.WAITING
     error: NotRunError | None = None
     event: curio.Event = attrs.field(factory=curio.Event)
 
+    @property
+    def rank(self) -> Rank:
+        """Its priority, and that of its route within the same priority."""
+        return self.priority, self.route_priority or self.priority
+
 
 class WaitQueue(Protocol):
     """Waiting tickets in the order in which they are granted slots."""
@@ -142,7 +149,7 @@
 
 
 class Lane:
-    """Tickets of one priority.
+    """Tickets of one rank.
 
     Nested calls precede top-level calls, those of callers that return at the
     time that they were promised precede first attempts, and late ones come
@@ -223,10 +230,12 @@
 
 
 class PriorityQueue:
-    """Tickets by priority, with a guaranteed share for each lower priority.
+    """Tickets by rank, with a guaranteed share for each lower rank.
 
-    While more urgent tickets wait, each start adds a lower priority's share
-    to its credit; a credit of at least 1 is spent on the next start. The
+    Where organisations have priorities, those of routes order the tickets
+    within them. While more urgent tickets wait, each start adds a lower
+    rank's share to its credit; a credit of at least 1 is spent on the next
+    start. The
     share also reserves places in the queue, because otherwise a flood of
     urgent calls would evict all others before they could start.
     """
@@ -235,12 +244,12 @@
         self, limit: int, shares: PriorityShares | None, fair: bool = False
     ):
         self._fair = fair
-        self._lanes = {priority: Lane(fair) for priority in Priority}
+        ranks: list[Rank] = list(product(Priority, Priority))
+        self._lanes = {rank: Lane(fair) for rank in ranks}
         self._shares = {
-            priority: shares.of(priority) if shares else 0.0
-            for priority in Priority
+            rank: shares.of(max(rank)) if shares else 0.0 for rank in ranks
         }
-        self._credits = dict.fromkeys(Priority, 0.0)
+        self._credits = dict.fromkeys(ranks, 0.0)
         self._size = 0
         self.set_limit(limit)
 
@@ -254,8 +263,8 @@
         """Change the queue limit; tickets already waiting are kept."""
         self._limit = limit
         self._reserved_places = {
-            priority: _count_reserved_places(share, limit)
-            for priority, share in self._shares.items()
+            rank: _count_reserved_places(share, limit)
+            for rank, share in self._shares.items()
         }
 
     def push(self, ticket: Ticket) -> Ticket | None:
@@ -266,34 +275,31 @@
         evicted = None
         if self._size >= self._limit:
             evicted = self._evict_for(ticket)
-        self._lanes[ticket.priority].push(ticket)
+        self._lanes[ticket.rank].push(ticket)
         self._size += 1
         return evicted
 
     def pop(self) -> Ticket:
         """Remove and return the next ticket; the queue is not empty."""
-        priority = self._select_priority()
-        ticket = self._lanes[priority].pop_first()
+        ticket = self._lanes[self._select_rank()].pop_first()
         self._size -= 1
         return ticket
 
     def remove(self, ticket: Ticket) -> None:
         """Remove a waiting ticket."""
-        self._lanes[ticket.priority].remove(ticket)
+        self._lanes[ticket.rank].remove(ticket)
         self._size -= 1
 
     def count_ahead(self, ticket: Ticket) -> float:
         """Return how many starts precede a new ticket if none overtakes it."""
-        priority = ticket.priority
+        rank = ticket.rank
         ahead = sum(
-            len(lane)
-            for other, lane in self._lanes.items()
-            if other < priority
+            len(lane) for other, lane in self._lanes.items() if other < rank
         )
-        lane = self._lanes[priority]
+        lane = self._lanes[rank]
         ahead_in_lane = lane.count_ahead(ticket)
         ahead += ahead_in_lane
-        share = self._shares[priority]
+        share = self._shares[rank]
         if not share:
             return ahead
         place = ahead_in_lane if self._fair else len(lane)
@@ -301,15 +307,15 @@
 
     def count(self, priority: Priority) -> int:
         """Return the number of waiting tickets of a priority."""
-        return len(self._lanes[priority])
+        return sum(len(self._lanes[priority, other]) for other in Priority)
 
-    def _select_priority(self) -> Priority:
+    def _select_rank(self) -> Rank:
         waiting = [p for p, lane in self._lanes.items() if lane]
         most_urgent = waiting[0]
-        for priority in Priority:
-            if priority > most_urgent:
-                credit = self._credits[priority] + self._shares[priority]
-                self._credits[priority] = min(credit, MAX_CREDIT_STARTS)
+        for rank, share in self._shares.items():
+            if rank > most_urgent:
+                credit = self._credits[rank] + share
+                self._credits[rank] = min(credit, MAX_CREDIT_STARTS)
         if len(waiting) == 1:
             return most_urgent
         most_credited = max(waiting[1:], key=self._credits.__getitem__)
@@ -319,23 +325,23 @@
         return most_credited
 
     def _evict_for(self, ticket: Ticket) -> Ticket:
-        priority = ticket.priority
-        has_reserved_place = self._excess_over_reserved(priority) < 0
-        for other in reversed(Priority):
-            if other <= priority and not has_reserved_place:
+        rank = ticket.rank
+        has_reserved_place = self._excess_over_reserved(rank) < 0
+        for other in reversed(self._lanes):
+            if other <= rank and not has_reserved_place:
                 break
-            if other is not priority and self._excess_over_reserved(other) > 0:
+            if other != rank and self._excess_over_reserved(other) > 0:
                 ticket = self._lanes[other].pop_last()
                 self._size -= 1
                 return ticket
-        evicted = self._lanes[priority].evict_for(ticket)
+        evicted = self._lanes[rank].evict_for(ticket)
         if evicted is not None:
             self._size -= 1
             return evicted
         raise QueueFullError(f"the queue is full (limit {self._limit})")
 
-    def _excess_over_reserved(self, priority: Priority) -> int:
-        return len(self._lanes[priority]) - self._reserved_places[priority]
+    def _excess_over_reserved(self, rank: Rank) -> int:
+        return len(self._lanes[rank]) - self._reserved_places[rank]
 
 
 def _count_reserved_places(share: float, limit: int) -> int:
--- a/libs/traffic/auburnjunction/traffic/return_ledgers.py
+++ b/libs/traffic/auburnjunction/traffic/return_ledgers.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from auburnjunction.model.priorities import Priority
+from auburnjunction.traffic.calls import Rank
 from auburnjunction.traffic.rooms import DecayingCount
 
 # Callers honour a Retry-After up to this share of the time that they have
@@ -33,7 +33,7 @@
 
 
 class ReturnLedger:
-    """Expected room for returning callers of one service and priority."""
+    """Expected room for returning callers of one service and rank."""
 
     def __init__(self):
         self._answers = DecayingCount()
@@ -84,16 +84,16 @@
 
 
 class ReturnLedgers:
-    """Ledgers by service and priority, as this node sees them."""
+    """Ledgers by service and rank, as this node sees them."""
 
     def __init__(self):
-        self._ledgers: OrderedDict[tuple[str, Priority], ReturnLedger] = (
+        self._ledgers: OrderedDict[tuple[str, Rank], ReturnLedger] = (
             OrderedDict()
         )
 
-    def get(self, service: str, priority: Priority) -> ReturnLedger:
-        """Return the ledger of a service and priority."""
-        key = (service, priority)
+    def get(self, service: str, rank: Rank) -> ReturnLedger:
+        """Return the ledger of a service and rank."""
+        key = (service, rank)
         ledger = self._ledgers.get(key)
         if ledger is None:
             if len(self._ledgers) >= MAX_LEDGERS:
--- a/libs/traffic/auburnjunction/traffic/room_gates.py
+++ b/libs/traffic/auburnjunction/traffic/room_gates.py
@@ -119,9 +119,9 @@
         reserved: bool,
         late: bool,
     ) -> None:
-        priority, organisation = call.priority, call.organisation
-        room.add_demand(priority, organisation, calls, now_s)
-        portion = room.find_portion(priority, organisation, now_s)
+        rank, organisation = call.rank, call.organisation
+        room.add_demand(rank, organisation, calls, now_s)
+        portion = room.find_portion(rank, organisation, now_s)
         if portion is None or portion.share >= 1.0:
             return
         if reserved:
--- a/libs/traffic/auburnjunction/traffic/room_senders.py
+++ b/libs/traffic/auburnjunction/traffic/room_senders.py
@@ -84,7 +84,7 @@
         now_s = self._clock.monotonic()
         failed = answer.response.status >= FIRST_SERVER_ERROR
         if self._ledgers is not None:
-            ledger = self._ledgers.get(call.service, call.priority)
+            ledger = self._ledgers.get(call.service, call.rank)
             ledger.record_answer(now_s)
         if self._gate is None:
             return
@@ -128,7 +128,7 @@
         if self._ledgers is None or not routed.is_return:
             return False
         call = routed.call
-        taken = self._ledgers.get(call.service, call.priority).take(now_s)
+        taken = self._ledgers.get(call.service, call.rank).take(now_s)
         self._places["taken"] += taken
         return taken
 
@@ -147,7 +147,7 @@
         if self._ledgers is None or routed.is_return:
             return
         call = routed.call
-        ledger = self._ledgers.get(call.service, call.priority)
+        ledger = self._ledgers.get(call.service, call.rank)
         # Half of the time to the objective is left for the work.
         latest_s = math.inf
         if call.target_s < math.inf:
--- a/libs/traffic/auburnjunction/traffic/rooms.py
+++ b/libs/traffic/auburnjunction/traffic/rooms.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from auburnjunction.model.priorities import Priority
+from auburnjunction.traffic.calls import Rank
 from auburnjunction.traffic.fair_shares import divide_fairly
 from auburnjunction.traffic.nested_calls import (
     MAX_CALLED_SERVICES,
@@ -24,7 +24,7 @@
 MIN_FAILING = 0.5
 MAX_ROUTES = 1024
 MAX_SERVICES = 256
-# Organisations with a demand of their own for a service and priority; the
+# Organisations with a demand of their own for a service and rank; the
 # others share one.
 MAX_ORGANISATIONS = 128
 OTHER_ORGANISATIONS = "*"
@@ -52,7 +52,7 @@
 # Evidence after a decrease that is ignored: requests admitted before it still
 # make their nested calls.
 HOLD_S = 0.3
-# Share of the demand of each priority and organisation that is admitted in any
+# Share of the demand of each rank and organisation that is admitted in any
 # case, so that none is without service.
 MIN_ADMITTED = 0.05
 
@@ -154,7 +154,7 @@
 
 @attrs.define(slots=True)
 class Portion:
-    """Admitted share of a priority's or organisation's demand."""
+    """Admitted share of a rank's or organisation's demand."""
 
     share: float = 1.0
     # Part of the next request that the share has earned so far.
@@ -177,8 +177,8 @@
     """Admitted share of the demand for one called service.
 
     Additive increase, multiplicative decrease on the share of nested calls
-    that are congested. The share is divided by priority, most urgent first,
-    and within a priority evenly among organisations.
+    that are congested. The share is divided by rank, most urgent first,
+    and within a rank evenly among organisations.
     """
 
     def __init__(self, now_s: float):
@@ -191,8 +191,8 @@
         self._congested = 0
         self._window_s = self._updated_s = now_s
         self._ignored_until_s = now_s
-        self._demand: dict[tuple[Priority, str], DecayingCount] = {}
-        self._portions: dict[tuple[Priority, str], Portion] = {}
+        self._demand: dict[tuple[Rank, str], DecayingCount] = {}
+        self._portions: dict[tuple[Rank, str], Portion] = {}
 
     def record_results(self, calls: int, congested: int, now_s: float) -> None:
         """Record nested calls that have ended."""
@@ -204,42 +204,38 @@
 
     def add_demand(
         self,
-        priority: Priority,
+        rank: Rank,
         organisation: str,
         calls: float,
         now_s: float,
     ) -> None:
         """Record the calls of a request, whether or not it is admitted."""
-        key = self._find_key(priority, organisation)
+        key = self._find_key(rank, organisation)
         count = self._demand.get(key)
         if count is None:
             count = self._demand[key] = DecayingCount()
         count.add(calls, now_s)
 
     def find_portion(
-        self, priority: Priority, organisation: str, now_s: float
+        self, rank: Rank, organisation: str, now_s: float
     ) -> Portion | None:
         """Return the portion in force, or None while all is admitted."""
         if self.share >= 1.0:
             return None
         if now_s - self._updated_s >= WINDOW_S:
             self._increase(now_s)
-        return self._portions.get(self._find_key(priority, organisation))
+        return self._portions.get(self._find_key(rank, organisation))
 
-    def find_rate(
-        self, priority: Priority, organisation: str, now_s: float
-    ) -> float:
+    def find_rate(self, rank: Rank, organisation: str, now_s: float) -> float:
         """Return the calls per second that are demanded."""
-        count = self._demand.get(self._find_key(priority, organisation))
+        count = self._demand.get(self._find_key(rank, organisation))
         return count.find_rate(now_s) if count else 0.0
 
-    def _find_key(
-        self, priority: Priority, organisation: str
-    ) -> tuple[Priority, str]:
-        key = (priority, organisation)
+    def _find_key(self, rank: Rank, organisation: str) -> tuple[Rank, str]:
+        key = (rank, organisation)
         if key in self._demand or len(self._demand) < MAX_ORGANISATIONS:
             return key
-        return (priority, OTHER_ORGANISATIONS)
+        return (rank, OTHER_ORGANISATIONS)
 
     def _end_window(self, now_s: float) -> None:
         if self._calls < MIN_RESULTS or now_s - self._window_s < WINDOW_S:
@@ -269,14 +265,14 @@
 
     def _divide(self, now_s: float) -> None:
         """Divide the admitted share; the least urgent lose first."""
-        demand: dict[Priority, dict[str, float]] = {}
+        demand: dict[Rank, dict[str, float]] = {}
         for key, count in list(self._demand.items()):
             calls = count.find(now_s)
             if calls < MIN_DEMAND:
                 del self._demand[key]
             else:
                 demand.setdefault(key[0], {})[key[1]] = calls
-        shares = divide_by_priority(self.share, demand)
+        shares = divide_by_rank(self.share, demand)
         previous = self._portions
         self._portions = {}
         for key, share in shares.items():
@@ -285,22 +281,22 @@
             self._portions[key] = portion
 
 
-def divide_by_priority(
-    share: float, demand: dict[Priority, dict[str, float]]
-) -> dict[tuple[Priority, str], float]:
-    """Return the admitted share of each priority and organisation.
+def divide_by_rank(
+    share: float, demand: dict[Rank, dict[str, float]]
+) -> dict[tuple[Rank, str], float]:
+    """Return the admitted share of each rank and organisation.
 
     The total is the given share of all demand, apart from MIN_ADMITTED.
     """
     room = share * sum(sum(calls.values()) for calls in demand.values())
     shares = {}
-    for priority in sorted(demand):
-        calls = demand[priority]
+    for rank in sorted(demand):
+        calls = demand[rank]
         taken = min(room, sum(calls.values()))
         room -= taken
         for organisation, part in divide_fairly(taken, calls).items():
             admitted = max(MIN_ADMITTED, part / calls[organisation])
-            shares[priority, organisation] = min(1.0, admitted)
+            shares[rank, organisation] = min(1.0, admitted)
     return shares
 
 
--- a/libs/traffic/auburnjunction/traffic/routers.py
+++ b/libs/traffic/auburnjunction/traffic/routers.py
@@ -155,6 +155,7 @@
             )
             headers = drop_headers(headers, self._set_by_keys)
             headers += self._make_organisation_header(access)
+        priority = _find_priority(route, parent, access)
         elapsed_ms = 0
         if self._elapsed is not None and parent is None:
             elapsed_ms = self._elapsed.estimate_ms(route.name, timeout_ms)
@@ -162,7 +163,8 @@
             request_id=request_id,
             route=route.name,
             service=service.name,
-            priority=_find_priority(route, parent, access),
+            priority=priority,
+            route_priority=_find_route_priority(route, parent, priority),
             nested=parent is not None,
             repeated=parent is not None and parent.repeated,
             target_s=_compute_target(route, elapsed_ms, now_s),
@@ -270,6 +272,15 @@
     return route.priority
 
 
+def _find_route_priority(
+    route: Route, parent: Call | None, priority: Priority
+) -> Priority | None:
+    """Return the priority of the route if another one precedes it."""
+    if parent is not None:
+        return parent.route_priority
+    return None if route.priority is priority else route.priority
+
+
 def _find_organisation_name(
     parent: Call | None, access: Authentication
 ) -> str:
--- a/libs/traffic/auburnjunction/traffic/slots.py
+++ b/libs/traffic/auburnjunction/traffic/slots.py
@@ -155,6 +155,7 @@
             call.nested,
             returning=call.returning,
             organisation=call.organisation,
+            route_priority=call.route_priority,
             call=call,
         )
         if now_s > ticket.latest_start_s:
@@ -239,7 +240,9 @@
             return min(ticket.latest_start_s, objective_s)
         ticket.late = True
         ticket.latest_start_s = call.deadline_s - duration_s
-        if self._queue.count_ahead(Ticket(ticket.priority)):
+        if self._queue.count_ahead(
+            Ticket(ticket.priority, route_priority=ticket.route_priority)
+        ):
             # Calls that can be in time would keep overtaking it.
             return objective_s
         return ticket.latest_start_s
--- a/libs/traffic/auburnjunction/traffic/tests/test_fair_queues.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_fair_queues.py
@@ -249,7 +249,10 @@
     for ticket in waiting:
         queue.push(ticket)
     ticket = Ticket(Priority.NORMAL, **fields)
-    assert queue._lanes[Priority.NORMAL].count_ahead(ticket) == position
+    assert (
+        queue._lanes[Priority.NORMAL, Priority.NORMAL].count_ahead(ticket)
+        == position
+    )
     queue.push(ticket)
     popped = [queue.pop() for _ in range(5)]
     assert popped.index(ticket) == position
--- a/libs/traffic/auburnjunction/traffic/tests/test_queues.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_queues.py
@@ -153,3 +153,29 @@
 TestQueueMachine.settings = settings(
     derandomize=True, max_examples=60, stateful_step_count=60, deadline=None
 )
+
+
+# Guards against a flood of one organisation's less urgent routes that delays
+# its urgent ones, because the organisation's priority replaces the routes'.
+@pytest.mark.parametrize(
+    ("ranks", "expected"),
+    [
+        # Priority of the organisation and of the route.
+        ([(2, 3), (2, 1), (2, 2)], [(2, 1), (2, 2), (2, 3)]),
+        ([(3, 1), (2, 4), (1, 4)], [(1, 4), (2, 4), (3, 1)]),
+        ([(2, None), (2, 1), (2, 4)], [(2, 1), (2, None), (2, 4)]),
+    ],
+)
+def test_routes_order_calls_within_the_priority_of_organisations(
+    ranks, expected
+):
+    queue = PriorityQueue(8, None)
+    for priority, route_priority in ranks:
+        queue.push(
+            Ticket(
+                Priority(priority),
+                route_priority=route_priority and Priority(route_priority),
+            )
+        )
+    popped = [queue.pop() for _ in ranks]
+    assert [(t.priority, t.route_priority) for t in popped] == expected
--- a/libs/traffic/auburnjunction/traffic/tests/test_rooms.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_rooms.py
@@ -17,7 +17,7 @@
     MIN_ADMITTED,
     RouteProfiles,
     ServiceRoom,
-    divide_by_priority,
+    divide_by_rank,
 )
 from auburnjunction.traffic.tests.owner_support import make_call
 
@@ -50,7 +50,7 @@
 )
 def test_the_least_urgent_lose_room_first(share, demand, shares):
     """Guards against urgent requests refused before less urgent ones."""
-    found = divide_by_priority(share, demand)
+    found = divide_by_rank(share, demand)
     assert found == pytest.approx({(p, ""): s for p, s in shares.items()})
 
 
