Simulated fleet: no response reaches a process that was restarted meanwhile

Cause: a random sequence of faults gave a new process the answer to a report of the one before, which connections cannot do; it ended with a KeyError.

--- a/libs/organisations/auburnjunction/organisations/tests/fleet_support.py
+++ b/libs/organisations/auburnjunction/organisations/tests/fleet_support.py
@@ -116,6 +116,7 @@
     def post(self, sender, other: str, message, handle, receive) -> None:
         """Deliver a message and its response, unless the network is cut."""
         receiver = self.nodes[other]
+        incarnation = sender.incarnation
         size = len(message.SerializeToString()) if message else 40
         self.messages += 1
         self.bytes += size + HTTP_BYTES
@@ -124,7 +125,9 @@
             result, response = handle(receiver)
             self.messages += 1
             self.bytes += len(response.SerializeToString()) + HTTP_BYTES
-            if not self.is_cut(sender, receiver):
+            # A process that has ended gets no response.
+            is_same = sender.incarnation == incarnation
+            if is_same and not self.is_cut(sender, receiver):
                 sender.later(
                     self._draw_delay(sender, receiver), receive, result
                 )
