Check the progress of a body from its first wait on

Each small request entered and left the set of bodies that are checked, although nearly all of them come with their head.

--- a/libs/http/auburnjunction/http/message_streams.py
+++ b/libs/http/auburnjunction/http/message_streams.py
@@ -58,6 +58,8 @@
         # Bytes of the message that is being read, if the process has a
         # budget.
         self.account: Account | None = None
+        # The same while the progress of its body is not checked yet.
+        self._unchecked: Account | None = None
         self._body = bytearray()
         # Whether reading of a message has begun.
         self.is_used = False
@@ -186,20 +188,13 @@
             await self._send(
                 h11.InformationalResponse(status_code=100, headers=[])
             )
-        account = self.account
-        if account is None or not self.has_incomplete_body:
-            request.body = await self._read_body()
-            return
-        account.start_reading(self._clock.monotonic())
+        # Checked from the first wait on: most bodies come with their head.
+        self._unchecked = account = self.account
         try:
             request.body = await self._read_body()
         finally:
-            account.stop_reading()
-
-    @property
-    def has_incomplete_body(self) -> bool:
-        """Whether a body follows that has not been read yet."""
-        return self._conn.their_state is h11.SEND_BODY
+            if account is not None and self._unchecked is None:
+                account.stop_reading()
 
     async def write_response(
         self, response: HttpResponse, omit_body: bool = False
@@ -349,6 +344,9 @@
 
     async def _receive_part(self) -> None:
         """Receive more data of a message within its limits."""
+        if self._unchecked is not None:
+            self._unchecked.start_reading(self._clock.monotonic())
+            self._unchecked = None
         await self._receive()
         if self._is_abandoned:
             raise AbandonedMessageError("reading was given up")
