Share most of large organisations' quotas in equal, paced parts

A part that is empty after a restart earns at once, as no window can then exceed it. Leases are for the rest and for small organisations.

The test of a running node uses real keys now.

--- a/libs/node/auburnjunction/node/tests/support.py
+++ b/libs/node/auburnjunction/node/tests/support.py
@@ -9,7 +9,7 @@
 from auburnjunction.base.clocks import SystemClock
 from auburnjunction.distribution.commits import CommitLog
 from auburnjunction.http.clients import Address, connect
-from auburnjunction.http.messages import HttpRequest, HttpResponse
+from auburnjunction.http.messages import Headers, HttpRequest, HttpResponse
 from auburnjunction.http.servers import open_server
 from auburnjunction.http.tests.support import LOOPBACK_HOST
 from auburnjunction.membership.announcements import Announcement
@@ -57,13 +57,20 @@
 
 
 async def send(
-    port: int, method: str, target: str, body: bytes = b""
+    port: int,
+    method: str,
+    target: str,
+    body: bytes = b"",
+    headers: Headers = (),
 ) -> HttpResponse:
-    """Return the response to one request."""
+    """Return the response to one request with further headers."""
     conn = await connect(Address(HOST, port), SystemClock(), TIMEOUT_S)
     try:
         request = HttpRequest(
-            method.encode(), target.encode(), [(b"host", b"test")], body
+            method.encode(),
+            target.encode(),
+            [(b"host", b"test"), *headers],
+            body,
         )
         return await conn.exchange(request, TIMEOUT_S)
     finally:
--- a/libs/node/auburnjunction/node/tests/test_quotas.py
+++ b/libs/node/auburnjunction/node/tests/test_quotas.py
@@ -4,7 +4,7 @@
 import curio
 import pytest
 
-from auburnjunction.model.organisations import Organisation
+from auburnjunction.model.organisations import Organisation, digest_key
 from auburnjunction.node.tests.support import (
     SNAPSHOT,
     announce_slots,
@@ -18,32 +18,29 @@
 FIRST_PORT = 18_950
 # 2 requests a second in a window of 2 s.
 SETTINGS = {"quota_window_s": 2.0, "fresh_start": True}
-ACME = Organisation("acme", rate_per_s=2.0)
+KEY = b"key-of-acme"
+ACME = Organisation("acme", (digest_key(KEY),), rate_per_s=2.0)
 QUOTA = 4
+WITH_KEY = [(b"authorization", b"Bearer " + KEY)]
 
 
-def set_organisation(node, name):
-    """Let each call be one of an organisation."""
-    router = node._components.entry._router
-    route_request = router.route_request
-
-    def route(*args):
-        routed = route_request(*args)
-        call = attrs.evolve(routed.call, organisation=name)
-        return attrs.evolve(routed, call=call)
-
-    router.route_request = route
+def make_snapshot():
+    """Return a snapshot whose routes need no key but accept one."""
+    routes = tuple(
+        attrs.evolve(route, allow_anonymous=True) for route in SNAPSHOT.routes
+    )
+    return attrs.evolve(SNAPSHOT, routes=routes, organisations=(ACME,))
 
 
 @pytest.mark.parametrize(
-    ("settings", "name", "served"),
+    ("settings", "headers", "served"),
     [
-        pytest.param(SETTINGS, "acme", QUOTA, id="over the quota"),
-        pytest.param(SETTINGS, "", 10, id="without an organisation"),
-        pytest.param({}, "acme", 10, id="quotas disabled"),
+        pytest.param(SETTINGS, WITH_KEY, QUOTA, id="over the quota"),
+        pytest.param(SETTINGS, [], 10, id="without an organisation"),
+        pytest.param({}, WITH_KEY, 10, id="quotas disabled"),
     ],
 )
-def test_requests_over_the_quota_are_refused(settings, name, served):
+def test_requests_over_the_quota_are_refused(settings, headers, served):
     async def main():
         async with (
             open_test_node(FIRST_PORT, organisations=settings) as opened,
@@ -51,17 +48,15 @@
             curio.timeout_after(20),
         ):
             cfg, node, platform = opened
-            set_organisation(node, name)
             await announce_slots(cfg.admin_port, "box-1", backend.port, 20)
             await curio.sleep(MIN_FRESH_S + 0.2)
-            snapshot = attrs.evolve(SNAPSHOT, organisations=(ACME,))
-            await commit(platform, snapshot)
+            await commit(platform, make_snapshot())
             while node._components.holder.current is None:
                 await curio.sleep(0.05)
             # Two ticks of quotas.
             await curio.sleep(1.2)
             responses = [
-                await send(cfg.caller_port, "GET", "/boxes/1")
+                await send(cfg.caller_port, "GET", "/boxes/1", b"", headers)
                 for _ in range(10)
             ]
             statuses = [response.status for response in responses]
--- a/libs/organisations/auburnjunction/organisations/exchanges.py
+++ b/libs/organisations/auburnjunction/organisations/exchanges.py
@@ -26,8 +26,9 @@
 
 REPORT_TARGET = b"/quota-reports"
 LEDGER_TARGET = b"/quota-ledgers"
-# Time-out of an exchange; a node with a share of a core may stall for long.
-EXCHANGE_TIMEOUT_S = 0.5
+# Time-out of an exchange; a node with a share of a core may stall for long,
+# and what it has granted in an answer that comes too late is lost.
+EXCHANGE_TIMEOUT_S = 1.0
 INCARNATION_BITS = 63
 
 OrganisationLister = Callable[[], dict[str, Organisation]]
--- a/libs/organisations/auburnjunction/organisations/holdings.py
+++ b/libs/organisations/auburnjunction/organisations/holdings.py
@@ -13,6 +13,10 @@
     QuotaLimits,
     find_limits,
 )
+from auburnjunction.organisations.paced_parts import (
+    MIN_PACED_PART,
+    PacedPart,
+)
 from auburnjunction.organisations.rosters import Roster
 from auburnjunction.organisations.settings import OrganisationSettings
 
@@ -93,6 +97,8 @@
         self.part = 0
         self.roster_version = -1
         self.spent = SlidingSum(window_s, ACCOUNTING_SLOTS)
+        # Instead of the sum, if the part is large enough.
+        self.paced: PacedPart | None = None
         self.home = ""
         self.account = 0
         self.granted = 0
@@ -154,8 +160,9 @@
 class QuotaHolder:
     """Charges requests to this node's equal parts and leases.
 
-    Nothing of the equal parts may be spent before parts_from_s: an earlier
-    process of this node may have spent them within the same window.
+    Nothing of the equal parts may be spent before parts_from_s, unless they
+    are paced: an earlier process of this node may have spent them within the
+    same window.
     """
 
     def __init__(
@@ -180,17 +187,25 @@
         self, organisation: Organisation, now_s: float
     ) -> Charge | None:
         """Charge one request, or return None if nothing is at hand."""
-        holding = self._find_holding(organisation)
-        if now_s >= self._parts_from_s and holding.part > 0:
-            spent = holding.spent.find_total(now_s)
-            if spent + 1 <= holding.part:
-                holding.spent.add(1, now_s)
-                return Charge(organisation.name, now_s)
+        holding = self._find_holding(organisation, now_s)
+        if self._try_take_part(holding, now_s):
+            return Charge(organisation.name, now_s)
         if now_s < holding.expires_s and holding.credit > 0:
             holding.used += 1
             return Charge(organisation.name, now_s, holding.account)
         return None
 
+    def _try_take_part(self, holding: Holding, now_s: float) -> bool:
+        """Charge one request to the equal part, if there is room."""
+        if holding.paced is not None:
+            return holding.paced.try_take(now_s)
+        if now_s < self._parts_from_s or holding.part <= 0:
+            return False
+        if holding.spent.find_total(now_s) + 1 > holding.part:
+            return False
+        holding.spent.add(1, now_s)
+        return True
+
     def count_attempt(self, name: str) -> None:
         """Count a request towards the estimate of the demand."""
         self._holdings[name].attempts += 1
@@ -212,7 +227,10 @@
         if charge.account is None:
             if age_s >= self._window_s:
                 return False
-            holding.spent.remove_oldest(1, now_s)
+            if holding.paced is not None:
+                holding.paced.put_back(now_s)
+            else:
+                holding.spent.remove_oldest(1, now_s)
             return True
         # The home node gets it with a later report. Half of the window is
         # left for that: the home node forgets an account after the time.
@@ -225,7 +243,7 @@
         self, organisation: Organisation, now_s: float
     ) -> float | None:
         """Return the Retry-After of a refusal, or None to ask first."""
-        holding = self._find_holding(organisation)
+        holding = self._find_holding(organisation, now_s)
         if now_s >= holding.refusing_until_s:
             return None
         return self.find_room(organisation, now_s)
@@ -236,17 +254,21 @@
         The times are drawn from the span in which the home node expects to
         have room for all, so that callers do not return at once.
         """
-        holding = self._find_holding(organisation)
+        holding = self._find_holding(organisation, now_s)
         first_s = max(UNANSWERED_RETRY_S, holding.room_s - now_s)
         last_s = max(MIN_SPREAD * first_s, holding.full_room_s - now_s)
         delay_s = self._rng.uniform(first_s, last_s)
         if holding.part > 0:
-            part_s = max(
-                holding.spent.find_delay(1, now_s), self._parts_from_s - now_s
-            )
+            part_s = self._find_part_delay(holding, now_s)
             delay_s = min(delay_s, max(UNANSWERED_RETRY_S, part_s))
         return delay_s
 
+    def _find_part_delay(self, holding: Holding, now_s: float) -> float:
+        if holding.paced is not None:
+            return holding.paced.find_delay(now_s)
+        spent_s = holding.spent.find_delay(1, now_s)
+        return max(spent_s, self._parts_from_s - now_s)
+
     def make_report(self, name: str, home: str, now_s: float) -> Report:
         """Return the report for the home node; unneeded credit is returned."""
         holding = self._holdings[name]
@@ -336,7 +358,9 @@
         holding.full_room_s = now_s + full_room_s
         holding.refusing_until_s = now_s + min(room_s, MAX_REFUSING_S)
 
-    def _find_holding(self, organisation: Organisation) -> Holding:
+    def _find_holding(
+        self, organisation: Organisation, now_s: float
+    ) -> Holding:
         holding = self._holdings.get(organisation.name)
         if holding is None:
             holding = Holding(self._window_s)
@@ -351,4 +375,23 @@
         holding.part = holding.limits.find_part(
             self._roster.node_count, self._roster.find_rank(organisation.name)
         )
+        self._set_pace(holding, now_s)
         return holding
+
+    def _set_pace(self, holding: Holding, now_s: float) -> None:
+        """Pace the equal part if it is large enough."""
+        if (
+            not self._settings.quota_equal_share
+            or holding.part < MIN_PACED_PART
+        ):
+            holding.paced = None
+            return
+        if holding.paced is None:
+            # Nobody has spent the part within the window if this process runs
+            # for as long.
+            is_full = (
+                now_s >= self._parts_from_s
+                and not holding.spent.find_total(now_s)
+            )
+            holding.paced = PacedPart(self._window_s, now_s, is_full)
+        holding.paced.set_part(holding.part, now_s)
--- a/libs/organisations/auburnjunction/organisations/limits.py
+++ b/libs/organisations/auburnjunction/organisations/limits.py
@@ -51,5 +51,8 @@
         organisation.rate_per_s * settings.quota_window_s + organisation.burst
     )
     bound = quota * (1 + settings.quota_overage) + settings.quota_slack
-    shared = math.floor((bound - quota) * SHARED_PART + ROUNDING)
+    shared = (bound - quota) * SHARED_PART
+    if settings.quota_equal_share and bound >= settings.quota_large_bound:
+        shared = bound * settings.quota_equal_share
+    shared = math.floor(shared + ROUNDING)
     return QuotaLimits(math.floor(bound + ROUNDING) - shared, shared)
--- a/libs/organisations/auburnjunction/organisations/quotas.py
+++ b/libs/organisations/auburnjunction/organisations/quotas.py
@@ -122,7 +122,9 @@
             return None
         now_s = self._clock.monotonic()
         charge = self._holder.try_charge(organisation, now_s)
-        self._holder.count_attempt(name)
+        if charge is None or charge.account is not None:
+            # Leases are for what exceeds the equal part.
+            self._holder.count_attempt(name)
         if charge is None:
             charge = await self._ask(organisation, now_s)
         if charge.account is None:
--- a/libs/organisations/auburnjunction/organisations/settings.py
+++ b/libs/organisations/auburnjunction/organisations/settings.py
@@ -47,6 +47,17 @@
     quota_transit_s: float = attrs.field(
         default=1.0, validator=check_range(0, 60)
     )
+    # Part of the bound of large organisations that the nodes share equally,
+    # so that most of their requests need no exchange with a home node; the
+    # rest is leased. 0 leases all but half of overage and slack.
+    quota_equal_share: float = attrs.field(
+        default=0.0, validator=check_range(0, 1)
+    )
+    # Requests within a window from which an organisation is large. Equal parts
+    # of less hold no whole request at most nodes.
+    quota_large_bound: float = attrs.field(
+        default=250.0, validator=check_range(0, 1e9)
+    )
     # Whether the whole system starts for the first time, so that no earlier
     # process has spent anything. Unset it afterwards.
     fresh_start: bool = False
