Count only refusals and long waits as congestion of called services

Change: sheds do not count, nested calls are slow from 0.6 of that time, and the least admitted share is 0.3.

--- a/libs/traffic/auburnjunction/traffic/nested_calls.py
+++ b/libs/traffic/auburnjunction/traffic/nested_calls.py
@@ -14,18 +14,18 @@
 # or two; the bound limits the header of an answer to about 1 kB.
 MAX_CALLED_SERVICES = 8
 # Share of the time to the objective of a request that a nested call may take
-# until its service counts as congested. Requests make up to two in a row, and
-# work as long themselves.
-CONGESTED_SHARE = 0.3
+# until its service counts as congested. With 0.3, the work of a slow instance
+# alone was congestion, and half of the requests were refused at usual load.
+CONGESTED_SHARE = 0.6
 COUNTS_PATTERN = re.compile(r"([0-9]{1,6})/([0-9]{1,6})/([0-9]{1,6})")
 # Codes of failed calls that mean that the called service had no room, or not
-# in time.
+# in time. A backend server that sheds calls within its slots fails; admitting
+# fewer requests does not mend that.
 NO_ROOM_CODES = frozenset(
     {
         ErrorCode.BUSY,
         ErrorCode.NO_ROOM,
         ErrorCode.OVERLOADED,
-        ErrorCode.SHED,
         ErrorCode.TIMEOUT,
     }
 )
--- a/libs/traffic/auburnjunction/traffic/rooms.py
+++ b/libs/traffic/auburnjunction/traffic/rooms.py
@@ -43,7 +43,7 @@
 # its upper bound, and the least share.
 DECREASE_GAIN = 0.5
 MAX_DECREASE = 0.2
-MIN_SHARE = 0.1
+MIN_SHARE = 0.3
 # Increase of the admitted share in a second, of the whole demand.
 INCREASE_PER_S = 0.1
 # Time after the last congested window until which the share rises in
