--- a/libs/traffic/auburnjunction/traffic/balancers.py
+++ b/libs/traffic/auburnjunction/traffic/balancers.py
@@ -108,8 +108,18 @@
         return candidates
 
     def list_eligible(self, routed: RoutedCall) -> Sequence[Instance]:
-        """Return all instances that serve the route, whatever their state."""
-        return self._find_eligible(routed)
+        """Return all instances that serve the route, whatever their state.
+
+        During a roll-out these are the ones that retries may go to, which do
+        not depend on a draw.
+        """
+        instances = self._find_eligible(routed)
+        if self._versions is None:
+            return instances
+        call = routed.call
+        return self._versions.select(
+            call.service, call.route, instances, False
+        ).instances
 
     def choose_from(
         self, routed: RoutedCall, candidates: Candidates, now_s: float
--- a/libs/traffic/auburnjunction/traffic/senders.py
+++ b/libs/traffic/auburnjunction/traffic/senders.py
@@ -174,6 +174,10 @@
     ) -> Answer:
         """Run a request on probation once, at the instance for its probes."""
         _, attempts = self._start(routed)
+        now_s = self._clock.monotonic()
+        error = self._find_attempt_error(routed.call, now_s)
+        if error is not None:
+            raise error
         instance = self._quarantine.choose_probed(
             routed.call, self._balancer.list_eligible(routed)
         )
@@ -185,7 +189,7 @@
             routed,
             attempts,
             PlannedAttempt(instance, False),
-            self._clock.monotonic(),
+            now_s,
         )
 
     def _start(self, routed: RoutedCall) -> tuple[RetryBudget, AttemptState]:
@@ -206,20 +210,22 @@
         attempts: AttemptState,
         now_s: float,
     ) -> PlannedAttempt | None:
-        if now_s >= routed.call.deadline_s:
-            error = NotRunError("the deadline has passed", ErrorCode.TIMEOUT)
-            attempts.add_error(error, False)
-            return None
-        if now_s >= self._lifetime.end_s:
-            error = NotRunError("this node shuts down", ErrorCode.SHUTDOWN)
-            attempts.add_error(error, False)
-            return None
-        error = self._find_refusal(routed.call)
+        error = self._find_attempt_error(routed.call, now_s)
         if error is not None:
             attempts.add_error(error, False)
             return None
         return self._planner.plan(routed, attempts, now_s)
 
+    def _find_attempt_error(
+        self, call: Call, now_s: float
+    ) -> NotRunError | None:
+        """Return why no attempt of a call may begin, or None."""
+        if now_s >= call.deadline_s:
+            return NotRunError("the deadline has passed", ErrorCode.TIMEOUT)
+        if now_s >= self._lifetime.end_s:
+            return NotRunError("this node shuts down", ErrorCode.SHUTDOWN)
+        return self._find_refusal(call)
+
     def _record_attempt(self, instance: Instance, trace: CallTrace) -> None:
         trace.attempts += 1
         trace.instance = instance.instance
--- a/libs/traffic/auburnjunction/traffic/tests/test_version_selection.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_version_selection.py
@@ -9,6 +9,7 @@
 from auburnjunction.base.clocks import ManualClock
 from auburnjunction.base.errors import ErrorCode
 from auburnjunction.http.messages import HttpRequest, HttpResponse
+from auburnjunction.membership.crashes import CrashLog
 from auburnjunction.model.priorities import ClaimMode, Priority
 from auburnjunction.rollouts.selectors import RunningCall
 from auburnjunction.rollouts.states import Selection
@@ -23,6 +24,7 @@
 )
 from auburnjunction.traffic.ejections import OutlierTracker
 from auburnjunction.traffic.instance_trackers import InstanceTracker
+from auburnjunction.traffic.quarantines import Quarantine
 from auburnjunction.traffic.routers import RoutedCall
 from auburnjunction.traffic.routing_settings import RoutingSettings
 from auburnjunction.traffic.senders import CallSender, CallTrace
@@ -95,24 +97,21 @@
 ]
 
 
-# Guards against calls that fail because a new version does.
-@pytest.mark.parametrize("ending, counted", ENDINGS)
-def test_call_that_the_target_failed_is_retried_at_the_old(ending, counted):
+def make_sender(selector, peers, **options):
+    """Return a sender among old and new instances, and a call for it."""
     clock = ManualClock()
     settings = RoutingSettings(prompt_attempts=2, retry_slack=100.0)
     outliers = OutlierTracker(settings)
     tracker = InstanceTracker(outliers, clock, settings)
-    selector = DrawingSelector()
     location = NodeLocation("entry", "dc-1")
     rng = random.Random(1)
     source = FixedSource(instances=[*OLD, NEW])
     balancer = Balancer(
         location, source, outliers, tracker, settings, rng, selector
     )
-    peers = FailingPeers(ending)
     sender = CallSender(
         location, balancer, tracker, None, peers, clock, settings, rng,
-        version_observer=VersionObserver(selector, clock),
+        version_observer=VersionObserver(selector, clock), **options,
     )  # fmt: skip
     request = HttpRequest(b"GET", b"/read", [(b"host", b"h")], b"")
     call = Call(
@@ -120,6 +119,15 @@
         clock.monotonic() + 1.0, 7, request,
     )  # fmt: skip
     routed = RoutedCall(call, ROUTES[0], SERVICES[0])
+    return sender, routed
+
+
+# Guards against calls that fail because a new version does.
+@pytest.mark.parametrize("ending, counted", ENDINGS)
+def test_call_that_the_target_failed_is_retried_at_the_old(ending, counted):
+    selector = DrawingSelector()
+    peers = FailingPeers(ending)
+    sender, routed = make_sender(selector, peers)
     answer = curio.run(sender.send_call, routed, CallTrace("1", 0.0))
     assert answer.response.status == 200
     assert selector.counted == counted
@@ -127,3 +135,35 @@
     # A full instance of the target refuses, as the old ones may have room.
     assert peers.fail_fast[0]
     assert isinstance(ending, int | TrafficError)
+
+
+class ProbationLog(CrashLog):
+    """Log in which each request may run as a probe only."""
+
+    is_empty = False
+
+    def is_on_probation(self, fingerprint):
+        return True
+
+
+# Guards against probes that go to a version which may get no calls, or that
+# are sent although the key of the request was withdrawn.
+@pytest.mark.parametrize("refusal", [None, ErrorCode.REVOKED])
+def test_probe_keeps_the_rules_of_other_attempts(refusal):
+    peers = FailingPeers(500)
+    clock = ManualClock()
+    error = refusal and NotRunError("withdrawn", refusal)
+    sender, routed = make_sender(
+        DrawingSelector(),
+        peers,
+        quarantine=Quarantine(ProbationLog(clock)),
+        find_refusal=lambda call: error,
+    )
+    if refusal is None:
+        answer = curio.run(sender.send_call, routed, CallTrace("1", 0.0))
+        assert answer.response.status == 200
+    else:
+        with pytest.raises(NotRunError) as caught:
+            curio.run(sender.send_call, routed, CallTrace("1", 0.0))
+        assert caught.value.code is refusal
+    assert len(peers.fail_fast) == (refusal is None)
