--- a/review/harness_2/mesh.py
+++ b/review/harness_2/mesh.py
@@ -691,6 +691,16 @@
                 task.cancel()
 
 
+async def _play(
+    play: Callable[[Record], Awaitable[bool]], record: Record
+) -> bool:
+    """Play a case within its time; SIGTERM ends it and its processes."""
+    task = asyncio.current_task()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, task.cancel)
+    return await asyncio.wait_for(play(record), 110)
+
+
 def run_case(path: str, play: Callable[[Record], Awaitable[bool]]) -> None:
     """Run a case, write its record and exit with its result.
 
@@ -698,8 +708,8 @@
     """
     record = Record(Path(path).resolve().parent / "record.txt")
     try:
-        is_broken = asyncio.run(asyncio.wait_for(play(record), 110))
-    except (TimeoutError, CannotRunError, OSError) as exc:
+        is_broken = asyncio.run(_play(play, record))
+    except (asyncio.CancelledError, CannotRunError, OSError) as exc:
         record.add(f"cannot run: {exc!r}")
         record.write()
         print(f"cannot run: {exc!r}")
