Free a message's body where its bytes are given back

Cause: an account gave its bytes back at the end of the exchange, but the body stayed. Three holders, each shown by tests here with the collector off: - a connection and its pipeline refer to each other, so that an abandoned body in its stream waited for the garbage collector; - tracebacks of failed exchanges hold the stream with the part of an answer; - a cancelled sendall() leaves views of the body in its traceback, and a buffer with views can't be cleared: the error was suppressed, the count given back.

Now an account holds the buffer of its body and clears it with its release; one that is still being sent counts until it is free. Answers that are received for a request end with it at the latest. Long bodies are sent without views that outlive the call. Small bodies are buffers, too. Crash reports read bodies before they wait, and claims copy what they cache. The cycle is gone.

--- a/libs/http/auburnjunction/http/budgets.py
+++ b/libs/http/auburnjunction/http/budgets.py
@@ -1,7 +1,10 @@
 """Byte budget of a process for the messages that it holds.
 
 Decides only: no sockets and no tasks. Every message has an account, whose
-bytes count towards the budget until the account is released.
+bytes count towards the budget until the account is released. The account holds
+the buffer of the message's body and clears it with its release, so that bytes
+which are no longer counted are not in memory either, whoever still refers to
+the message.
 """
 
 from enum import Enum
@@ -136,6 +139,8 @@
     __slots__ = (
         "__weakref__",
         "_budget",
+        "_buffers",
+        "_children",
         "_limit_bytes",
         "_mark_bytes",
         "_mark_s",
@@ -160,6 +165,21 @@
         self.must_end = False
         self._mark_s = 0.0
         self._mark_bytes = 0
+        self._buffers: list[bytearray] = []
+        self._children: list[Account] = []
+
+    def open_child(self, share: Share) -> "Account":
+        """Return an account that is released with this one at the latest."""
+        child = Account(self._budget, share)
+        if self.is_closed:
+            child.is_closed = True
+        else:
+            self._children.append(child)
+        return child
+
+    def hold(self, buffer: bytearray) -> None:
+        """Clear a buffer when the account is released."""
+        self._buffers.append(buffer)
 
     def try_charge(self, size: int, body_bytes: int = 0) -> bool:
         """Charge bytes, body_bytes of them for the body, if there is room."""
@@ -217,13 +237,31 @@
         self._mark_s += delay_s
 
     def release(self) -> None:
-        """Give all bytes back; further calls have no effect."""
+        """Clear the buffers and give all bytes back, with those of children.
+
+        The bytes of a buffer that is being sent count until that ends. Further
+        calls have no effect.
+        """
         if self.is_closed:
             return
         self.is_closed = True
+        children, self._children = self._children, []
+        for child in children:
+            child.release()
         self._budget._reading.discard(self)
+        if not self._try_free():
+            self._budget._in_use.append(self)
+
+    def _try_free(self) -> bool:
+        for buffer in self._buffers:
+            try:
+                buffer.clear()
+            except BufferError:
+                return False
+        self._buffers.clear()
         self._budget._give_back(self.charged_bytes)
         self.charged_bytes = 0
+        return True
 
     def __del__(self):
         # For messages that are dropped on the way, like the response of an
@@ -245,6 +283,8 @@
         # Weak, so that an account which is dropped while its body is read is
         # released.
         self._reading: WeakSet[Account] = WeakSet()
+        # Released accounts with a buffer that something still reads from.
+        self._in_use: list[Account] = []
         self._checked_s = clock.monotonic()
         self._denied_s = float("-inf")
         room_mb = max(
@@ -277,8 +317,9 @@
         """Mark bodies that must end; call it a few times a second.
 
         Under pressure that is the one with the least progress for the longest
-        time.
+        time. Buffers that were in use at their release are cleared, too.
         """
+        self._in_use = [a for a in self._in_use if not a._try_free()]
         now_s = self._clock.monotonic()
         gap_s = now_s - self._checked_s
         self._checked_s = now_s
@@ -290,8 +331,7 @@
         stalls = [(a.find_stall(now_s), a) for a in self._reading]
         cfg = self.settings
         for stall_s, account in stalls:
-            if stall_s > cfg.progress_window_s and not account.must_end:
-                account.must_end = True
+            account.must_end |= stall_s > cfg.progress_window_s
         if now_s - self._denied_s > PRESSURE_S:
             return
         stall_s, worst = max(
--- a/libs/http/auburnjunction/http/client_connections.py
+++ b/libs/http/auburnjunction/http/client_connections.py
@@ -109,11 +109,11 @@
     ) -> HttpResponse:
         if len(request.body) <= MAX_INLINE_BODY_BYTES:
             await self._stream.write_request(request)
-            return await self._read_own_response(is_own_response)
+            return await self._read_own_response(request, is_own_response)
         parts = self._stream.encode_request(request)
         writer = await curio.spawn(self._write_long, parts, daemon=True)
         try:
-            return await self._read_own_response(is_own_response)
+            return await self._read_own_response(request, is_own_response)
         finally:
             if not writer.terminated:
                 # After an early response the peer could parse the rest of
@@ -130,12 +130,14 @@
             logging.debug("request body not sent: %s", exc)
 
     async def _read_own_response(
-        self, is_own_response: ResponsePredicate
+        self, request: HttpRequest, is_own_response: ResponsePredicate
     ) -> HttpResponse:
         while self._stray_count < MAX_STRAY_RESPONSES:
-            response = await self._stream.read_response()
+            response = await self._stream.read_response(request.account)
             if is_own_response(response):
                 return response
+            if response.account is not None:
+                response.account.release()
             self._stray_count += 1
             if not self._stream.prepare_next_response():
                 break
--- a/libs/http/auburnjunction/http/connections.py
+++ b/libs/http/auburnjunction/http/connections.py
@@ -95,7 +95,7 @@
         except (PeerDisconnectedError, HttpError, OSError) as exc:
             logging.debug("connection ended: %r", exc)
         finally:
-            await self._pipeline.cancel()
+            await self._pipeline.close()
             release_account(self.stream.account)
             await self.stream.close()
 
--- a/libs/http/auburnjunction/http/message_streams.py
+++ b/libs/http/auburnjunction/http/message_streams.py
@@ -20,6 +20,8 @@
 from auburnjunction.http.resources import ProcessResources
 
 RECEIVE_BYTES = 64 * 1024
+# Largest part of a long body that is passed to the socket at once.
+SEND_BYTES = 256 * 1024
 # Data that is always available would keep the task from ever being suspended,
 # so it yields after this many receipts or events of a message.
 YIELD_RECEIPTS = 4
@@ -60,7 +62,6 @@
         self.account: Account | None = None
         # The same while the progress of its body is not checked yet.
         self._unchecked: Account | None = None
-        self._body = bytearray()
         # Whether reading of a message has begun.
         self.is_used = False
         self._clock = clock
@@ -131,7 +132,6 @@
         self._is_abandoned = True
         if self.account is not None:
             # The task that reads may wait for data that never comes.
-            self._body.clear()
             self.account.release()
 
     async def close(self) -> None:
@@ -180,6 +180,7 @@
     async def reserve_request(self, request: HttpRequest) -> None:
         """Open an account; see ProcessResources.reserve_request()."""
         self.account = self.resources.budget.open_account(self.share)
+        request.account = self.account
         await self.resources.reserve_request(self.account, request)
 
     async def read_request_body(self, request: HttpRequest) -> None:
@@ -191,7 +192,7 @@
         # Checked from the first wait on: most bodies come with their head.
         self._unchecked = account = self.account
         try:
-            request.body = await self._read_body()
+            request.body = await self._read_body(is_clearable=True)
         finally:
             if account is not None and self._unchecked is None:
                 account.stop_reading()
@@ -221,7 +222,22 @@
     async def send_parts(self, parts: list[bytes]) -> None:
         """Send the parts of a message."""
         for part in parts:
-            await self.sock.sendall(part)
+            if len(part) <= MAX_JOINED_BYTES:
+                await self.sock.sendall(part)
+            else:
+                await self._send_buffer(part)
+
+    async def _send_buffer(self, buffer: bytes | bytearray) -> None:
+        """Send a buffer, and lock it no longer than that.
+
+        The views that sendall() makes live on in the traceback of a cancelled
+        task, and a buffer with views can't be cleared.
+        """
+        with memoryview(buffer) as view:
+            sent_bytes = 0
+            while sent_bytes < len(view):
+                with view[sent_bytes : sent_bytes + SEND_BYTES] as part:
+                    sent_bytes += await self.sock.send(part)
 
     def encode_request(self, request: HttpRequest) -> list[bytes]:
         """Return the parts of a request that is about to be sent.
@@ -241,8 +257,14 @@
             raise NotSentError(f"invalid HTTP message: {exc}") from exc
         return self._encode_message(event, request.body)
 
-    async def read_response(self) -> HttpResponse:
-        """Return the response to the request that was sent."""
+    async def read_response(
+        self, request_account: Account | None = None
+    ) -> HttpResponse:
+        """Return the response to the request that was sent.
+
+        With the account of the request for which it was sent, the body is
+        cleared when that is released.
+        """
         self._start_message()
         event = await self._next_event()
         interim = 0
@@ -255,9 +277,11 @@
             event = await self._next_event()
         if isinstance(event, h11.ConnectionClosed):
             raise TruncatedError("connection closed before a response")
-        if self.resources is not None:
+        if request_account is not None:
+            self.account = request_account.open_child(self.share)
+        elif self.resources is not None:
             self.account = self.resources.budget.open_account(self.share)
-        body = await self._read_body()
+        body = await self._read_body(is_clearable=request_account is not None)
         headers = list(event.headers)
         response = HttpResponse(event.status_code, headers, body)
         response.account = self.account
@@ -296,33 +320,39 @@
         self._conn.send(h11.EndOfMessage())
         return True
 
-    async def _read_body(self) -> bytes:
+    async def _read_body(self, is_clearable: bool) -> bytes | bytearray:
+        """Return the body of the message whose head was read last.
+
+        One that is clearable is returned as the buffer of the account, if
+        there is one, and is cleared with its release.
+        """
         # One buffer, as there may be a chunk for each byte.
-        self._body = body = bytearray()
+        body = bytearray()
         account = self.account
-        while True:
-            event = await self._next_event()
-            if isinstance(event, h11.EndOfMessage):
-                self._body = bytearray()
-                return self._freeze(body)
-            size = len(event.data)
-            if len(body) + size > self.limits.body_bytes:
-                raise BadMessageError("body exceeds the limit", 413)
-            if account is not None:
-                if not account.try_receive(size):
-                    await self.resources.wait_for_growth(account, size)
-                if self._is_abandoned:
-                    raise AbandonedMessageError("reading was given up")
+        if account is not None:
+            account.hold(body)
+        event = await self._next_event()
+        while not isinstance(event, h11.EndOfMessage):
+            await self._make_room(len(body), len(event.data))
             body += event.data
-
-    def _freeze(self, body: bytearray) -> bytes:
-        """Return the body, that of a large request without copying it."""
-        is_held_once = (
-            self._role is h11.SERVER
-            and self.account is not None
-            and len(body) > MAX_JOINED_BYTES
-        )
-        return body if is_held_once else bytes(body)
+            event = await self._next_event()
+        if is_clearable and account is not None:
+            return body
+        content = bytes(body)
+        body.clear()
+        return content
+
+    async def _make_room(self, held_bytes: int, size: int) -> None:
+        """Charge bytes that follow those held of a body, within its limit."""
+        if held_bytes + size > self.limits.body_bytes:
+            raise BadMessageError("body exceeds the limit", 413)
+        account = self.account
+        if account is None:
+            return
+        if not account.try_receive(size):
+            await self.resources.wait_for_growth(account, size)
+        if self._is_abandoned:
+            raise AbandonedMessageError("reading was given up")
 
     async def _next_event(self):
         while True:
--- a/libs/http/auburnjunction/http/messages.py
+++ b/libs/http/auburnjunction/http/messages.py
@@ -38,11 +38,14 @@
     method: bytes
     target: bytes
     headers: Headers = attrs.field(factory=list)
-    # A server with a byte budget passes a large body on as the bytearray into
-    # which it was read.
+    # A server with a byte budget passes the bytearray on into which it read
+    # the body. It is cleared when the exchange ends.
     body: bytes | bytearray = b""
     # Monotonic time at which a server had received the head; else None.
     received_s: float | None = None
+    # Account of the request that a server with a byte budget handles; also of
+    # those that it sends for it. Their responses end with it.
+    account: Account | None = attrs.field(default=None, eq=False, repr=False)
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header; the name is lower case."""
@@ -70,7 +73,9 @@
 
     status: int
     headers: Headers = attrs.field(factory=list)
-    body: bytes = b""
+    # A bytearray, which is cleared when the exchange ends, if the request that
+    # it answers has an account.
+    body: bytes | bytearray = b""
     head_length: int | None = None
     # Bytes of the process's budget that the response holds, if it has one.
     account: Account | None = attrs.field(default=None, eq=False, repr=False)
--- a/libs/http/auburnjunction/http/pipelines.py
+++ b/libs/http/auburnjunction/http/pipelines.py
@@ -7,7 +7,6 @@
 import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
-from contextlib import suppress
 
 import attrs
 import curio
@@ -194,8 +193,18 @@
         self.linger_start_s = self._state.clock.monotonic()
         await self._sock.shutdown(socket.SHUT_WR)
 
-    async def cancel(self) -> None:
-        """Cancel all requests and wait until their tasks have ended."""
+    async def close(self) -> None:
+        """Cancel all requests and wait until their tasks have ended.
+
+        The pipeline no longer refers to its connection then, so that both are
+        freed at once, and not by the garbage collector.
+        """
+        try:
+            await self._cancel()
+        finally:
+            self._abort = _ignore_abort
+
+    async def _cancel(self) -> None:
         tasks = [e.task for e in self._exchanges if e.task is not None]
         for task in tasks:
             await task.cancel(exc=PeerDisconnectedError, blocking=False)
@@ -302,7 +311,6 @@
         self._exchanges.remove(exchange)
         exchange.previous = None
         if self._state.resources is not None:
-            _free_body(exchange.request)
             release_account(exchange.stream.account)
             if exchange.response is not None:
                 release_account(exchange.response.account)
@@ -310,12 +318,8 @@
         await exchange.ended.set()
 
 
-def _free_body(request: HttpRequest | None) -> None:
-    """Free a large body, to which errors of a failed call may still refer."""
-    if request is not None and isinstance(request.body, bytearray):
-        # A buffer that is in use can't be cleared.
-        with suppress(BufferError):
-            request.body.clear()
+async def _ignore_abort() -> None:
+    """Do nothing: the connection has ended."""
 
 
 def release_account(account: Account | None) -> None:
--- a/libs/http/auburnjunction/http/tests/test_budgets.py
+++ b/libs/http/auburnjunction/http/tests/test_budgets.py
@@ -75,6 +75,48 @@
     assert budget.used_bytes == 0
 
 
+# Guards against a count that is given back while its bytes stay, in whatever
+# order a message and the responses to it end, also while they are being sent.
+@settings(max_examples=300, deadline=None)
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["open", "read", "send", "sent", "end", "check"]),
+            st.integers(1, 4),
+        ),
+        max_size=60,
+    )
+)
+def test_bytes_count_as_long_as_they_are_held(steps):
+    budget, _ = open_budget()
+    accounts = [budget.open_account(Share.SMALL)]
+    buffers, views = [bytearray()], [memoryview(b"")]
+
+    def read(account):
+        if account.try_receive(1000):
+            buffers.append(bytearray(1000))
+            account.hold(buffers[-1])
+
+    actions = {
+        "open": lambda a, _i: accounts.append(a.open_child(Share.RESPONSE)),
+        "read": lambda a, _i: read(a),
+        "send": lambda _a, i: views.append(memoryview(buffers[-i])),
+        "sent": lambda _a, i: views[-i].release(),
+        "end": lambda a, _i: a.release(),
+        "check": lambda _a, _i: budget.check_progress(),
+    }
+    for action, index in steps:
+        account = accounts[index % len(accounts)]
+        actions[action](account, min(index, len(buffers), len(views)))
+        assert budget.used_bytes >= sum(map(len, buffers))
+    for view in views:
+        view.release()
+    accounts[0].release()
+    budget.check_progress()
+    assert budget.used_bytes == 0
+    assert not any(buffers)
+
+
 # Guards against large bodies that take what small requests and exchanges
 # between nodes need.
 @pytest.mark.parametrize(
--- a/libs/http/auburnjunction/http/tests/test_client_limits.py
+++ b/libs/http/auburnjunction/http/tests/test_client_limits.py
@@ -1,6 +1,7 @@
 """Tests of servers and clients whose process has a byte budget."""
 
 import gc
+import tracemalloc
 import weakref
 from contextlib import asynccontextmanager
 
@@ -10,7 +11,11 @@
 from auburnjunction.base.clocks import SystemClock
 from auburnjunction.http.budgets import ByteBudget, ResourceSettings
 from auburnjunction.http.clients import Address, PoolRegistry
-from auburnjunction.http.errors import NotSentError, RefusedMessageError
+from auburnjunction.http.errors import (
+    ExchangeError,
+    NotSentError,
+    RefusedMessageError,
+)
 from auburnjunction.http.messages import (
     HttpRequest,
     HttpResponse,
@@ -22,6 +27,7 @@
     LONG_ENOUGH_S,
     LOOPBACK_HOST,
     REQUEST,
+    open_peer,
 )
 
 CLOCK = SystemClock()
@@ -163,6 +169,102 @@
         gc.enable()
 
 
+async def leave_in_body(port):
+    sock = await start_body(port, ANNOUNCED, BODY - 1)
+    await sock.close()
+
+
+async def leave_in_chunks(port):
+    chunk = b"%x\r\n%b\r\n" % (BODY, bytes(BODY))
+    sock = await curio.open_connection(LOOPBACK_HOST, port)
+    await sock.sendall(
+        b"PUT / HTTP/1.1\r\nHost: t\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )
+    await sock.sendall(chunk)
+    await sock.close()
+
+
+async def leave_behind_body(port):
+    sock = await start_body(port, ANNOUNCED, BODY)
+    await sock.close()
+
+
+# Guards against messages that only the garbage collector frees, although
+# their bytes were given back when the client left.
+@pytest.mark.parametrize(
+    "visit",
+    [
+        leave_in_body,
+        leave_in_chunks,
+        leave_behind_body,
+    ],
+)
+def test_abandoned_messages_are_freed_without_the_collector(visit):
+    async def handle(_request):
+        await curio.sleep(LONG_ENOUGH_S)
+
+    async def main():
+        resources = make_resources(CFG, CLOCK)
+        options = ServerOptions(resources, resources.callers)
+        async with open_server(
+            LOOPBACK_HOST,
+            0,
+            handle,
+            CLOCK,
+            MessageLimits(body_bytes=2 * BODY),
+            options=options,
+        ) as server:
+            for _ in range(20):
+                await visit(server.port)
+                async with curio.timeout_after(LONG_ENOUGH_S):
+                    while not server.connection_count:
+                        await curio.sleep(0.001)
+                    while server.connection_count:
+                        await curio.sleep(0.01)
+            assert resources.budget.used_bytes == 0
+            return tracemalloc.get_traced_memory()[0]
+
+    gc.disable()
+    tracemalloc.start()
+    try:
+        assert curio.run(main) < BODY / 2
+    finally:
+        tracemalloc.stop()
+        gc.enable()
+
+
+# Guards against parts of an answer that stay in memory when the backend
+# server breaks off or the deadline passes.
+@pytest.mark.parametrize("is_closed", [True, False])
+def test_partial_response_is_freed_without_the_collector(is_closed):
+    async def serve(client):
+        await client.recv(65536)
+        head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % BODY
+        await client.sendall(head + bytes(BODY - 1))
+        if not is_closed:
+            await curio.sleep(LONG_ENOUGH_S)
+
+    async def main():
+        errors = []
+        resources = make_resources(CFG, CLOCK)
+        pools = PoolRegistry(CLOCK, resources=resources)
+        async with open_peer(serve, pools) as pool:
+            for _ in range(5):
+                with pytest.raises(ExchangeError) as raised:
+                    await pool.exchange(REQUEST, 0.3)
+                errors.append(raised.value)
+            assert resources.budget.used_bytes == 0
+            return tracemalloc.get_traced_memory()[0]
+
+    gc.disable()
+    tracemalloc.start()
+    try:
+        assert curio.run(main) < BODY / 2
+    finally:
+        tracemalloc.stop()
+        gc.enable()
+
+
 # Guards against a fault of the accounting that ends the process or lets a
 # request run without an account.
 def test_accounting_fault_ends_the_request_only(monkeypatch):
--- a/libs/node/auburnjunction/node/endpoints.py
+++ b/libs/node/auburnjunction/node/endpoints.py
@@ -91,6 +91,9 @@
             and request.header(b"auburn-call") is None
         ):
             # Generated code parses bytes only.
-            request.body = bytes(request.body)
+            content = bytes(request.body)
+            if isinstance(request.body, bytearray):
+                request.body.clear()
+            request.body = content
             return await handle_control(request)
         return await self._forward_call(request)
--- a/libs/traffic/auburnjunction/traffic/backends.py
+++ b/libs/traffic/auburnjunction/traffic/backends.py
@@ -146,7 +146,9 @@
         if names.instance:
             headers.append((names.instance, self._instance))
         req = call.request
-        return HttpRequest(req.method, req.target, headers, req.body)
+        return HttpRequest(
+            req.method, req.target, headers, req.body, account=req.account
+        )
 
     async def probe(self) -> None:
         """Probe the backend server if it is suspect.
--- a/libs/traffic/auburnjunction/traffic/call_forwarders.py
+++ b/libs/traffic/auburnjunction/traffic/call_forwarders.py
@@ -200,7 +200,9 @@
         headers = [(CALL_HEADER, value), *packed]
         if packed is not own_headers:
             headers.append(PLACEHOLDER_HOST)
-        return HttpRequest(req.method, req.target, headers, req.body)
+        return HttpRequest(
+            req.method, req.target, headers, req.body, account=req.account
+        )
 
 
 async def _exchange(
--- a/libs/traffic/auburnjunction/traffic/claims.py
+++ b/libs/traffic/auburnjunction/traffic/claims.py
@@ -134,9 +134,11 @@
         for name, value in response.headers:
             row.headers.add(name=name, value=value)
         row.body_dropped = len(response.body) > self._cfg.body_bytes
+        cached = None
         if not row.body_dropped:
-            row.body = response.body
-        cached = None if row.body_dropped else response
+            # The response's own body is cleared when its exchange ends.
+            row.body = bytes(response.body)
+            cached = HttpResponse(response.status, response.headers, row.body)
         self._cache.finish(claim.key, cached)
         await self._record_outcome(claim)
 
--- a/libs/traffic/auburnjunction/traffic/crash_watches.py
+++ b/libs/traffic/auburnjunction/traffic/crash_watches.py
@@ -90,30 +90,32 @@
         sent = self._running.get(id(call))
         if sent is None:
             return False
-        running = list(self._running.values())
+        # Computed before any wait: the body of a request is cleared when its
+        # exchange ends. In the order of their starts, so that the latest one
+        # of equal requests remains.
+        started = {
+            compute_fingerprint(r.call.request, self._names): r.started_s
+            for r in self._running.values()
+        }
         async with self._check:
             if sent.started_s <= self._crashed_s:
                 return True
             if not await self._backend.has_ended():
                 return False
             self._crashed_s = self._clock.monotonic()
-            self._report(running, born_ms)
+            self._report(started, born_ms)
             return True
 
-    def _report(self, running: list[RunningCall], born_ms: int) -> None:
+    def _report(self, started: dict[bytes, float], born_ms: int) -> None:
+        """Report the requests that ran, by fingerprint with their starts."""
         # A crash of an unknown incarnation counts as one of its own.
         born_ms = born_ms or self._read_time_ms()
-        # In the order of their starts, so that the latest one remains.
-        started = {
-            compute_fingerprint(r.call.request, self._names): r.started_s
-            for r in running
-        }
         blamed = self._select_blamed(started)
         log_event(
             "backend server crashed",
             instance=self._instance,
             born_ms=born_ms,
-            running=len(running),
+            running=len(started),
             fingerprints=[fingerprint.hex() for fingerprint in blamed],
         )
         now_s = self._clock.monotonic()
--- a/libs/traffic/auburnjunction/traffic/routers.py
+++ b/libs/traffic/auburnjunction/traffic/routers.py
@@ -177,6 +177,7 @@
                 request.target,
                 headers,
                 request.body,
+                account=request.account,
             ),
             idempotency_key=_read_idempotency_key(request),
             organisation=_find_organisation_name(parent, access),
