Close connections whose answers are not read while others find no room

Seen: clients that ask for large answers and don't read them fill the budget; all others are refused for up to the 30 s after which such a write is given up. An ordinary request had no answer within 20 s (test, both hops).

Cause: only the receipt of a body had to make progress; nothing looked at whether an answer was taken.

Now the transfer of a response is checked like that of a body: the bytes that the peer has taken count as progress, at the same minimum rate and with the same windows. Under pressure the one without progress for longest ends with its connection (cause slow-reader), which frees the answers behind it too. A mark that a slow body got ends with its receipt.

--- a/libs/http/auburnjunction/http/budgets.py
+++ b/libs/http/auburnjunction/http/budgets.py
@@ -149,6 +149,7 @@
         "is_closed",
         "must_end",
         "received_bytes",
+        "sent_bytes",
         "share",
     )
 
@@ -160,8 +161,10 @@
         # The part of charged_bytes that is for the body.
         self.body_bytes = 0
         self.received_bytes = 0
+        # Bytes of the response to the message that its peer has taken.
+        self.sent_bytes = 0
         self.is_closed = False
-        # Set on a body that must make room for others.
+        # Set on a message that must make room for others.
         self.must_end = False
         self._mark_s = 0.0
         self._mark_bytes = 0
@@ -208,27 +211,32 @@
         self.received_bytes += size
         return True
 
-    def start_reading(self, now_s: float) -> None:
-        """Check the progress of the body from now on."""
+    def start_transfer(self, now_s: float) -> None:
+        """Check from now on how the body is received, or its response sent."""
+        self.must_end = False
         self._mark_s = now_s
-        self._mark_bytes = self.received_bytes
+        self._mark_bytes = self._moved_bytes
         if not self.is_closed:
-            self._budget._reading.add(self)
+            self._budget._transfers.add(self)
 
-    def stop_reading(self) -> bool:
+    def stop_transfer(self) -> bool:
         """End the check of progress; return whether it was checked."""
-        was_reading = self in self._budget._reading
-        self._budget._reading.discard(self)
-        return was_reading
+        was_running = self in self._budget._transfers
+        self._budget._transfers.discard(self)
+        return was_running
+
+    @property
+    def _moved_bytes(self) -> int:
+        return self.received_bytes + self.sent_bytes
 
     def find_stall(self, now_s: float) -> float:
-        """Return for how long the body has been below the minimum rate."""
-        received_bytes = self.received_bytes - self._mark_bytes
+        """Return for how long the transfer is below the minimum rate."""
+        moved_bytes = self._moved_bytes - self._mark_bytes
         age_s = now_s - self._mark_s
         min_bytes = self._budget.settings.min_bytes_per_s * age_s
-        if received_bytes and received_bytes >= min_bytes:
+        if moved_bytes and moved_bytes >= min_bytes:
             self._mark_s = now_s
-            self._mark_bytes = self.received_bytes
+            self._mark_bytes = self._moved_bytes
             return 0.0
         return age_s
 
@@ -248,7 +256,7 @@
         children, self._children = self._children, []
         for child in children:
             child.release()
-        self._budget._reading.discard(self)
+        self._budget._transfers.discard(self)
         if not self._try_free():
             self._budget._in_use.append(self)
 
@@ -280,9 +288,9 @@
         self.used_bytes = 0
         self.waiting = 0
         self._clock = clock
-        # Weak, so that an account which is dropped while its body is read is
-        # released.
-        self._reading: WeakSet[Account] = WeakSet()
+        # Messages that are being received, or whose response is being sent.
+        # Weak, so that an account which is dropped meanwhile is released.
+        self._transfers: WeakSet[Account] = WeakSet()
         # Released accounts with a buffer that something still reads from.
         self._in_use: list[Account] = []
         self._checked_s = clock.monotonic()
@@ -314,7 +322,7 @@
         self._denied_s = self._clock.monotonic()
 
     def check_progress(self) -> None:
-        """Mark bodies that must end; call it a few times a second.
+        """Mark messages that must end; call it a few times a second.
 
         Under pressure that is the one with the least progress for the longest
         time. Buffers that were in use at their release are cleared, too.
@@ -324,11 +332,11 @@
         gap_s = now_s - self._checked_s
         self._checked_s = now_s
         if gap_s > MAX_CHECK_GAP_S:
-            for account in self._reading:
+            for account in self._transfers:
                 account.delay_mark(gap_s)
-        if not self._reading:
+        if not self._transfers:
             return
-        stalls = [(a.find_stall(now_s), a) for a in self._reading]
+        stalls = [(a.find_stall(now_s), a) for a in self._transfers]
         cfg = self.settings
         for stall_s, account in stalls:
             account.must_end |= stall_s > cfg.progress_window_s
--- a/libs/http/auburnjunction/http/connections.py
+++ b/libs/http/auburnjunction/http/connections.py
@@ -107,8 +107,12 @@
     async def check(self) -> None:
         """Apply the time-outs; called periodically by the server."""
         now_s = self._state.clock.monotonic()
+        unread = self._pipeline.unread_account
         if self._is_overdue(now_s):
             await self.abort()
+        elif unread is not None:
+            self._state.resources.record_unread_response(unread)
+            await self.abort()
         elif self._is_too_slow(now_s):
             await self._reject("the request came too slowly", 408)
         elif self._must_make_room():
--- a/libs/http/auburnjunction/http/message_streams.py
+++ b/libs/http/auburnjunction/http/message_streams.py
@@ -195,7 +195,7 @@
             request.body = await self._read_body(is_clearable=True)
         finally:
             if account is not None and self._unchecked is None:
-                account.stop_reading()
+                account.stop_transfer()
 
     async def write_response(
         self, response: HttpResponse, omit_body: bool = False
@@ -212,32 +212,43 @@
             omit_body = True
         event = h11.Response(status_code=response.status, headers=headers)
         await self.send_parts(
-            self._encode_message(event, b"" if omit_body else body)
+            self._encode_message(event, b"" if omit_body else body),
+            self.account,
         )
 
     async def write_request(self, request: HttpRequest) -> None:
         """Send a request with its body."""
         await self.send_parts(self.encode_request(request))
 
-    async def send_parts(self, parts: list[bytes]) -> None:
-        """Send the parts of a message."""
-        for part in parts:
-            if len(part) <= MAX_JOINED_BYTES:
-                await self.sock.sendall(part)
-            else:
-                await self._send_buffer(part)
+    async def send_parts(
+        self, parts: list[bytes], account: Account | None = None
+    ) -> None:
+        """Send the parts of a message; record the progress in the account."""
+        if account is not None:
+            account.start_transfer(self._clock.monotonic())
+        try:
+            for part in parts:
+                await self._send_buffer(part, account)
+        finally:
+            if account is not None:
+                account.stop_transfer()
 
-    async def _send_buffer(self, buffer: bytes | bytearray) -> None:
+    async def _send_buffer(
+        self, buffer: bytes | bytearray, account: Account | None
+    ) -> None:
         """Send a buffer, and lock it no longer than that.
 
         The views that sendall() makes live on in the traceback of a cancelled
         task, and a buffer with views can't be cleared.
         """
         with memoryview(buffer) as view:
-            sent_bytes = 0
-            while sent_bytes < len(view):
-                with view[sent_bytes : sent_bytes + SEND_BYTES] as part:
-                    sent_bytes += await self.sock.send(part)
+            position = 0
+            while position < len(view):
+                with view[position : position + SEND_BYTES] as part:
+                    sent_bytes = await self.sock.send(part)
+                position += sent_bytes
+                if account is not None:
+                    account.sent_bytes += sent_bytes
 
     def encode_request(self, request: HttpRequest) -> list[bytes]:
         """Return the parts of a request that is about to be sent.
@@ -375,7 +386,7 @@
     async def _receive_part(self) -> None:
         """Receive more data of a message within its limits."""
         if self._unchecked is not None:
-            self._unchecked.start_reading(self._clock.monotonic())
+            self._unchecked.start_transfer(self._clock.monotonic())
             self._unchecked = None
         await self._receive()
         if self._is_abandoned:
--- a/libs/http/auburnjunction/http/pipelines.py
+++ b/libs/http/auburnjunction/http/pipelines.py
@@ -153,6 +153,17 @@
         """When writing of the response that is being sent began, if any."""
         return self._exchanges[0].write_start_s if self._exchanges else None
 
+    @property
+    def unread_account(self) -> Account | None:
+        """Account of the request whose response must make room, if any.
+
+        Its peer reads too slowly.
+        """
+        if self.write_start_s is None:
+            return None
+        account = self._exchanges[0].stream.account
+        return account if account is not None and account.must_end else None
+
     @property
     def is_full(self) -> bool:
         """Whether the limits admit no further request at present."""
--- a/libs/http/auburnjunction/http/resources.py
+++ b/libs/http/auburnjunction/http/resources.py
@@ -6,8 +6,10 @@
 from collections.abc import Callable
 
 import attrs
+from absl import logging
 
 from auburnjunction.base.clocks import Clock
+from auburnjunction.base.logs import log_event
 from auburnjunction.http.budgets import (
     CONNECTION_BYTES,
     EXCHANGE_BYTES,
@@ -142,12 +144,12 @@
         Its progress is not checked meanwhile. Raise RefusedMessageError if
         there is no room.
         """
-        is_reading = account.stop_reading()
+        was_running = account.stop_transfer()
         await self._wait_for_room(
             account, size, lambda: account.try_receive(size)
         )
-        if is_reading:
-            account.start_reading(self._clock.monotonic())
+        if was_running:
+            account.start_transfer(self._clock.monotonic())
 
     async def _wait_for_room(
         self, account: Account, size: int, try_again: Callable[[], bool]
@@ -190,6 +192,17 @@
             status=408,
         )
 
+    def record_unread_response(self, account: Account) -> None:
+        """Count a connection that is closed as its peer does not read."""
+        self.stats.count("slow-reader")
+        log_event(
+            "response not read; its connection is closed",
+            logging.WARNING,
+            value=account.sent_bytes,
+            limit=self.settings.min_bytes_per_s,
+            evidence_age_s=0.0,
+        )
+
     def _refuse(
         self, cause: str, size: int, limit: int
     ) -> RefusedMessageError:
--- a/libs/http/auburnjunction/http/tests/test_budgets.py
+++ b/libs/http/auburnjunction/http/tests/test_budgets.py
@@ -62,7 +62,7 @@
         "charge": lambda i, n: accounts[i].try_charge(n, n // 2),
         "receive": lambda i, n: accounts[i].try_receive(n),
         "release": lambda i, n: accounts[i].release(),
-        "read": lambda i, n: accounts[i].start_reading(clock.monotonic()),
+        "read": lambda i, n: accounts[i].start_transfer(clock.monotonic()),
         "drop": drop,
         "stall": stall,
     }
@@ -155,7 +155,7 @@
     for size in sizes:
         account = budget.open_account(Share.SMALL)
         assert account.try_charge(100_000, 100_000)
-        account.start_reading(clock.monotonic())
+        account.start_transfer(clock.monotonic())
         assert account.try_receive(size)
         clock.advance(0.1)
         accounts.append(account)
@@ -202,6 +202,17 @@
     assert account.must_end is ended
 
 
+# Guards against a mark on a slow body that ends its response.
+def test_mark_ends_with_the_transfer():
+    budget, clock = open_budget()
+    (account,) = read_stalled(budget, clock, [0])
+    run_for(budget, clock, 20)
+    assert account.must_end
+    account.stop_transfer()
+    account.start_transfer(clock.monotonic())
+    assert not account.must_end
+
+
 # Guards against ending bodies because the process itself was frozen.
 def test_frozen_process_ends_no_body():
     budget, clock = open_budget()
--- a/libs/http/auburnjunction/http/tests/test_client_limits.py
+++ b/libs/http/auburnjunction/http/tests/test_client_limits.py
@@ -79,6 +79,7 @@
 
 
 ANNOUNCED = b"Content-Length: %d" % BODY
+SLOW_READER = {"slow-reader": 1}
 # Head of a second body while a first one stops short of its end, and how it
 # is refused. For lack of room the first one ends too.
 CASES = {
@@ -233,6 +234,36 @@
         gc.enable()
 
 
+# Guards against clients that keep the room of their answers by not reading
+# them, and against ending an answer that is read.
+@pytest.mark.parametrize("reads", [False, True])
+def test_answer_that_is_not_read_makes_room(reads):
+    async def handle(_request):
+        return HttpResponse(200, [], bytes(20 * BODY))
+
+    async def main():
+        resources = make_resources(CFG, CLOCK)
+        options = ServerOptions(resources, resources.callers)
+        async with open_server(
+            LOOPBACK_HOST, 0, handle, CLOCK, options=options
+        ) as server:
+            sock = await curio.open_connection(LOOPBACK_HOST, server.port)
+            await sock.sendall(b"GET / HTTP/1.1\r\nHost: t\r\n\r\n")
+            received = 0
+            async with curio.timeout_after(LONG_ENOUGH_S):
+                while not server.connection_count:
+                    await curio.sleep(0.01)
+                while server.connection_count and received < 20 * BODY:
+                    resources.budget.record_denial()
+                    if reads:
+                        received += len(await sock.recv(BODY))
+                    await curio.sleep(0.01)
+            assert resources.stats.causes == ({} if reads else SLOW_READER)
+            await sock.close()
+
+    curio.run(main)
+
+
 # Guards against parts of an answer that stay in memory when the backend
 # server breaks off or the deadline passes.
 @pytest.mark.parametrize("is_closed", [True, False])
