Charge the parsed headers of a message

Seen: 60 clients with 16 requests each, whose heads are within the limit and consist of 3,000 headers, took a node to 379 and 386 MiB of 200 (both hops).

Cause: a head was charged with its bytes. A header takes 244 bytes in memory from its receipt until it is sent on (traced, with names and values of one byte), in the request as received and in the one made of it.

Headers beyond the usual number, which the fixed charge of an exchange covers, are charged with 256 bytes each, those of responses too.

--- a/libs/http/auburnjunction/http/budgets.py
+++ b/libs/http/auburnjunction/http/budgets.py
@@ -19,8 +19,13 @@
 # What a connection takes beside its messages: its task, the parser's state
 # and a head that is being received.
 CONNECTION_BYTES = 32 * 1024
-# What a request in flight takes beside its bytes: tasks and parsed headers.
+# What a request in flight takes beside its bytes: its tasks and as many parsed
+# headers as requests usually have.
 EXCHANGE_BYTES = 8 * 1024
+USUAL_HEADERS = 32
+# What each further header takes beside its bytes: objects for its name and
+# value, in the request as received and in the one that is sent on.
+HEADER_BYTES = 256
 # Steps in which the account of a chunked body grows.
 GROWTH_BYTES = 64 * 1024
 # Part of the memory that is for messages at least: a process whose limit is
--- a/libs/http/auburnjunction/http/message_streams.py
+++ b/libs/http/auburnjunction/http/message_streams.py
@@ -292,8 +292,10 @@
             self.account = request_account.open_child(self.share)
         elif self.resources is not None:
             self.account = self.resources.budget.open_account(self.share)
-        body = await self._read_body(is_clearable=request_account is not None)
         headers = list(event.headers)
+        if self.account is not None:
+            await self.resources.reserve_response(self.account, headers)
+        body = await self._read_body(is_clearable=request_account is not None)
         response = HttpResponse(event.status_code, headers, body)
         response.account = self.account
         self.account = None
--- a/libs/http/auburnjunction/http/resources.py
+++ b/libs/http/auburnjunction/http/resources.py
@@ -13,7 +13,9 @@
 from auburnjunction.http.budgets import (
     CONNECTION_BYTES,
     EXCHANGE_BYTES,
+    HEADER_BYTES,
     MAX_WAITING,
+    USUAL_HEADERS,
     Account,
     ByteBudget,
     ResourceSettings,
@@ -23,7 +25,7 @@
     AbandonedMessageError,
     RefusedMessageError,
 )
-from auburnjunction.http.messages import HttpRequest
+from auburnjunction.http.messages import Headers, HttpRequest
 
 MIN_CONNECTIONS = 8
 # Idle connections that are closed for new ones at one time. Twenty times a
@@ -128,6 +130,7 @@
         """
         length = int(request.header(b"content-length") or 0)
         size = request.size + EXCHANGE_BYTES + length
+        size += compute_header_bytes(request.headers)
         cfg = self.settings
         if account.share is Share.CONTROL and length > cfg.small_bytes:
             # Connections between nodes have no part of the memory set aside
@@ -138,6 +141,19 @@
                 account, size, lambda: account.try_charge(size, length)
             )
 
+    async def reserve_response(
+        self, account: Account, headers: Headers
+    ) -> None:
+        """Charge the head of a response; wait for room, if need be.
+
+        Raise RefusedMessageError if there is none.
+        """
+        size = compute_header_bytes(headers)
+        if size and not account.try_charge(size):
+            await self._wait_for_room(
+                account, size, lambda: account.try_charge(size)
+            )
+
     async def wait_for_growth(self, account: Account, size: int) -> None:
         """Wait until the account takes more bytes of its body.
 
@@ -229,6 +245,11 @@
         self.outgoing -= 1
 
 
+def compute_header_bytes(headers: Headers) -> int:
+    """Return what headers take beyond the usual number of them."""
+    return HEADER_BYTES * max(0, len(headers) - USUAL_HEADERS)
+
+
 def make_resources(
     settings: ResourceSettings, clock: Clock
 ) -> ProcessResources | None:
--- a/libs/http/auburnjunction/http/tests/test_client_limits.py
+++ b/libs/http/auburnjunction/http/tests/test_client_limits.py
@@ -9,7 +9,11 @@
 import pytest
 
 from auburnjunction.base.clocks import SystemClock
-from auburnjunction.http.budgets import ByteBudget, ResourceSettings
+from auburnjunction.http.budgets import (
+    HEADER_BYTES,
+    ByteBudget,
+    ResourceSettings,
+)
 from auburnjunction.http.clients import Address, PoolRegistry
 from auburnjunction.http.errors import (
     ExchangeError,
@@ -234,6 +238,21 @@
         gc.enable()
 
 
+# Guards against heads whose parsed headers take far more than their bytes.
+def test_many_headers_are_charged():
+    async def main():
+        async with open_limited([]) as (server, resources):
+            head = ANNOUNCED + b"\r\na:b" * 500
+            sock = await start_body(server.port, head, 1)
+            await wait_for_bytes(
+                resources.budget, lambda used: used > BODY + 400 * HEADER_BYTES
+            )
+            await sock.close()
+            await wait_for_bytes(resources.budget, lambda used: used == 0)
+
+    curio.run(main)
+
+
 # Guards against clients that keep the room of their answers by not reading
 # them, and against ending an answer that is read.
 @pytest.mark.parametrize("reads", [False, True])
