Take statuses above 599 for what they are: no answers

Here 000, 001, 099 and others that are no three digits have been 502 before this change, from both hops; 600 and 999 were passed on as answers.

Cause: h11 rejects final statuses below 200 and of other forms, not those from 600 on, which are as invalid (RFC 9110, section 15: the class of such a status is unknown). The exchange now fails like one with bytes that are no response: 502, outcome unknown, without the headers of the backend server.

The test has six valid statuses, 15 invalid and three interim ones without a final one, on one kept connection: status, headers, that an order runs at most once, and that the next request gets its own answer. Its invalid rows failed before, at 600, on both hops.

--- a/libs/http/auburnjunction/http/message_streams.py
+++ b/libs/http/auburnjunction/http/message_streams.py
@@ -35,6 +35,8 @@
 # saves a system call; longer ones are sent from where they are.
 MAX_JOINED_BYTES = 64 * 1024
 BODILESS_STATUSES = frozenset({204, 304})
+# Greater ones are invalid (RFC 9110, section 15); h11 rejects those below 100.
+MAX_STATUS = 599
 
 
 class MessageStream:
@@ -228,7 +230,10 @@
             account.start_transfer(self._clock.monotonic())
         try:
             for part in parts:
-                await self._send_buffer(part, account)
+                if account is None and len(part) <= MAX_JOINED_BYTES:
+                    await self.sock.sendall(part)
+                else:
+                    await self._send_buffer(part, account)
         finally:
             if account is not None:
                 account.stop_transfer()
@@ -276,18 +281,7 @@
         With the account of the request for which it was sent, the body is
         cleared when that is released.
         """
-        self._start_message()
-        event = await self._next_event()
-        interim = 0
-        while isinstance(event, h11.InformationalResponse):
-            interim += 1
-            if interim > MAX_INTERIM_RESPONSES:
-                raise BadMessageError(
-                    f"more than {MAX_INTERIM_RESPONSES} interim responses"
-                )
-            event = await self._next_event()
-        if isinstance(event, h11.ConnectionClosed):
-            raise TruncatedError("connection closed before a response")
+        event = await self._read_response_head()
         if request_account is not None:
             self.account = request_account.open_child(self.share)
         elif self.resources is not None:
@@ -304,6 +298,26 @@
             response.head_length = None if length is None else int(length)
         return response
 
+    async def _read_response_head(self) -> h11.Response:
+        """Return the head of the final response, skipping interim ones."""
+        self._start_message()
+        event = await self._next_event()
+        interim = 0
+        while isinstance(event, h11.InformationalResponse):
+            interim += 1
+            if interim > MAX_INTERIM_RESPONSES:
+                raise BadMessageError(
+                    f"more than {MAX_INTERIM_RESPONSES} interim responses"
+                )
+            event = await self._next_event()
+        if isinstance(event, h11.ConnectionClosed):
+            raise TruncatedError("connection closed before a response")
+        if event.status_code > MAX_STATUS:
+            raise BadMessageError(
+                f"response status {event.status_code} is above {MAX_STATUS}"
+            )
+        return event
+
     def start_next_cycle(self) -> bool:
         """Reset the state for the next exchange.
 
