Hold received data once, and free ended connections at once

Causes: - What is received behind a request stayed in its parser until its response was sent, while the parser of the next request got a copy: with 16 requests in flight, 16 times what was received. Nothing was charged for it. - A cancelled task keeps its exception, whose traceback refers to what the task worked on, and that referred to the task.

Now received data is in one buffer of the connection, and the parser gets it in slices that end within the message (announced bodies) or soon after it. A server that reads no large body receives 16 KiB at a time instead of 64, which the memory set aside for a connection covers. Exchanges and connections drop their task when it has ended.

--- a/libs/http/auburnjunction/http/connections.py
+++ b/libs/http/auburnjunction/http/connections.py
@@ -98,6 +98,8 @@
             await self._pipeline.close()
             release_account(self.stream.account)
             await self.stream.close()
+            # As in RequestPipeline: the task refers to this connection.
+            self.task = None
 
     async def abort(self) -> None:
         """Close the connection and cancel its requests."""
--- a/libs/http/auburnjunction/http/message_streams.py
+++ b/libs/http/auburnjunction/http/message_streams.py
@@ -11,6 +11,7 @@
     NotSentError,
     TruncatedError,
 )
+from auburnjunction.http.input_buffers import InputBuffer
 from auburnjunction.http.message_checks import check_request_head
 from auburnjunction.http.messages import (
     HttpRequest,
@@ -20,6 +21,13 @@
 from auburnjunction.http.resources import ProcessResources
 
 RECEIVE_BYTES = 64 * 1024
+# The same for a server that reads no large body.
+HEAD_RECEIVE_BYTES = 16 * 1024
+# A server passes received data to the parser in slices, as what lies behind
+# the end of a message stays in the parser's buffer until its response is sent.
+# Announced bodies are passed up to their end.
+HEAD_SLICE_BYTES = 1024
+CHUNK_SLICE_BYTES = 4096
 # Largest part of a long body that is passed to the socket at once.
 SEND_BYTES = 256 * 1024
 # Data that is always available would keep the task from ever being suspended,
@@ -68,12 +76,16 @@
         self.is_used = False
         self._clock = clock
         self._role = role
-        self._peer_closed = False
         self._is_abandoned = False
         self._is_head_request = False
         # Time of the last receipt of data.
         self._received_s = clock.monotonic()
-        # Bytes received since the head of the last request was parsed.
+        self._input = InputBuffer()
+        # How much data the parser is given at a time, and what it lacks of an
+        # announced request body.
+        self._slice_bytes = RECEIVE_BYTES
+        self._missing_bytes: int | None = None
+        # Bytes parsed since the head of the last request.
         self._received_bytes = 0
         # Bytes, receipts and events of the message that is being read.
         self._wire_bytes = 0
@@ -101,7 +113,7 @@
     @property
     def is_at_end(self) -> bool:
         """Whether the peer has closed and all its data was parsed."""
-        return self._conn.trailing_data == (b"", True)
+        return not self._conn.trailing_data[0] and self._input.is_at_end
 
     @property
     def expects_continue(self) -> bool:
@@ -122,11 +134,9 @@
             self.resources,
             self.share,
         )
-        data, closed = self._conn.trailing_data
         following._received_s = self._received_s
-        following._feed(data)
-        if closed:
-            following._feed(b"")
+        following._input = self._input
+        following._parse(self._conn.trailing_data[0])
         return following
 
     def abandon_input(self) -> None:
@@ -144,13 +154,13 @@
 
     async def wait_for_message(self) -> None:
         """Wait until data of a message arrives or the peer closes."""
-        if not self._conn.trailing_data[0]:
+        if not self.has_trailing_data:
             await self._receive()
 
     @property
     def has_trailing_data(self) -> bool:
         """Whether data was received after the end of the last message."""
-        return bool(self._conn.trailing_data[0])
+        return bool(self._input) or bool(self._conn.trailing_data[0])
 
     async def read_request(self) -> HttpRequest | None:
         """Return the next request, or None if the peer has closed."""
@@ -166,6 +176,7 @@
         """
         self.is_used = True
         self._start_message()
+        self._slice_bytes, self._missing_bytes = HEAD_SLICE_BYTES, None
         event = await self._next_event()
         if isinstance(event, h11.ConnectionClosed):
             return None
@@ -177,6 +188,11 @@
         )
         received_bytes, self._received_bytes = self._received_bytes, 0
         check_request_head(request, received_bytes, self.limits)
+        if request.header(b"transfer-encoding") is not None:
+            self._slice_bytes = CHUNK_SLICE_BYTES
+        else:
+            length = int(request.header(b"content-length") or 0)
+            self._missing_bytes = length - len(self._conn.trailing_data[0])
         return request
 
     async def reserve_request(self, request: HttpRequest) -> None:
@@ -400,11 +416,10 @@
         self._events = 0
 
     async def _receive_part(self) -> None:
-        """Receive more data of a message within its limits."""
-        if self._unchecked is not None:
-            self._unchecked.start_transfer(self._clock.monotonic())
-            self._unchecked = None
-        await self._receive()
+        """Parse more data of a message, received within its limits."""
+        if not self._input:
+            await self._receive()
+        self._parse(self._take_slice())
         if self._is_abandoned:
             raise AbandonedMessageError("reading was given up")
         limits = self.limits
@@ -413,23 +428,43 @@
             raise BadMessageError(
                 f"message exceeds {limit} bytes on the wire", 413
             )
-        self._receipts += 1
-        if self._receipts % YIELD_RECEIPTS == 0:
+        if self._receipts >= YIELD_RECEIPTS:
+            self._receipts = 0
             await curio.sleep(0)
 
     async def _receive(self) -> None:
-        data = await self.sock.recv(RECEIVE_BYTES)
+        """Receive data, once the parser has been given all."""
+        if self._unchecked is not None:
+            self._unchecked.start_transfer(self._clock.monotonic())
+            self._unchecked = None
+        self._input.add(await self.sock.recv(self._find_receive_size()))
         self._received_s = self._clock.monotonic()
-        self._feed(data)
+        self._receipts += 1
 
-    def _feed(self, data: bytes) -> None:
-        self._peer_closed = not data
+    def _find_receive_size(self) -> int:
+        if self._role is h11.CLIENT or self.resources is None:
+            return RECEIVE_BYTES
+        # What is received beyond a message belongs to no account.
+        account = self.account
+        has_large_body = account is not None and account.share is Share.LARGE
+        return RECEIVE_BYTES if has_large_body else HEAD_RECEIVE_BYTES
+
+    def _take_slice(self) -> bytes:
+        if self._missing_bytes is None:
+            return self._input.take(self._slice_bytes)
+        data = self._input.take(max(1, self._missing_bytes))
+        self._missing_bytes -= len(data)
+        return data
+
+    def _parse(self, data: bytes) -> None:
+        """Give the parser data of the message; none at the peer's end."""
         self._received_bytes += len(data)
         self._wire_bytes += len(data)
-        self._conn.receive_data(data)
+        if data or self._input.is_at_end:
+            self._conn.receive_data(data)
 
     def _convert_protocol_error(self, exc) -> BadMessageError | TruncatedError:
-        if self._peer_closed:
+        if self._input.is_closed:
             return TruncatedError(str(exc))
         return BadMessageError(str(exc), exc.error_status_hint or 400)
 
--- a/libs/http/auburnjunction/http/pipelines.py
+++ b/libs/http/auburnjunction/http/pipelines.py
@@ -321,6 +321,9 @@
     async def _end(self, exchange: PipelinedExchange) -> None:
         self._exchanges.remove(exchange)
         exchange.previous = None
+        # A cancelled task keeps its exception, whose traceback refers to the
+        # exchange; without this only the garbage collector would free both.
+        exchange.task = None
         if self._state.resources is not None:
             release_account(exchange.stream.account)
             if exchange.response is not None:
--- a/libs/http/auburnjunction/http/tests/test_client_limits.py
+++ b/libs/http/auburnjunction/http/tests/test_client_limits.py
@@ -10,6 +10,8 @@
 
 from auburnjunction.base.clocks import SystemClock
 from auburnjunction.http.budgets import (
+    CONNECTION_BYTES,
+    EXCHANGE_BYTES,
     HEADER_BYTES,
     ByteBudget,
     ResourceSettings,
@@ -238,6 +240,35 @@
         gc.enable()
 
 
+# Guards against received data that is copied for each request in flight.
+def test_pipelined_requests_share_the_data_behind_them():
+    async def handle(_request):
+        await curio.sleep(LONG_ENOUGH_S)
+
+    async def main():
+        resources = make_resources(CFG, CLOCK)
+        options = ServerOptions(resources, resources.callers)
+        async with open_server(
+            LOOPBACK_HOST, 0, handle, CLOCK, options=options
+        ) as server:
+            before = tracemalloc.get_traced_memory()[0]
+            sock = await curio.open_connection(LOOPBACK_HOST, server.port)
+            request = b"GET / HTTP/1.1\r\nHost: t\r\n\r\n"
+            await sock.sendall(request * 3000)
+            while server.stats.pipelined < 15:
+                await curio.sleep(0.01)
+            held = tracemalloc.get_traced_memory()[0] - before
+            await sock.close()
+            return held
+
+    tracemalloc.start()
+    try:
+        # 16 requests in flight, each with what its account is charged.
+        assert curio.run(main) < CONNECTION_BYTES + 16 * EXCHANGE_BYTES
+    finally:
+        tracemalloc.stop()
+
+
 # Guards against heads whose parsed headers take far more than their bytes.
 def test_many_headers_are_charged():
     async def main():
