Close the socket of a client that leaves behind several requests

Cause: when a client had closed, its connection waited for the tasks of its requests to end, and each of these cancelled that very wait as it ended. The socket was not closed and the account not released; both were left to the collector, while the connection no longer counted towards the bound.

Requests of a connection that is ending no longer cancel it, and the socket is closed whatever ends the wait.

--- a/libs/http/auburnjunction/http/connections.py
+++ b/libs/http/auburnjunction/http/connections.py
@@ -95,11 +95,14 @@
         except (PeerDisconnectedError, HttpError, OSError) as exc:
             logging.debug("connection ended: %r", exc)
         finally:
-            await self._pipeline.close()
-            release_account(self.stream.account)
-            await self.stream.close()
-            # As in RequestPipeline: the task refers to this connection.
-            self.task = None
+            try:
+                await self._pipeline.close()
+            finally:
+                release_account(self.stream.account)
+                await self.stream.close()
+                # A cancelled task keeps its exception, whose traceback refers
+                # to this connection.
+                self.task = None
 
     async def abort(self) -> None:
         """Close the connection and cancel its requests."""
--- a/libs/http/auburnjunction/http/pipelines.py
+++ b/libs/http/auburnjunction/http/pipelines.py
@@ -207,15 +207,11 @@
     async def close(self) -> None:
         """Cancel all requests and wait until their tasks have ended.
 
-        The pipeline no longer refers to its connection then, so that both are
-        freed at once, and not by the garbage collector.
+        The pipeline no longer refers to its connection then: requests that end
+        don't cancel the task that waits for them here, and both are freed at
+        once, not by the garbage collector.
         """
-        try:
-            await self._cancel()
-        finally:
-            self._abort = _ignore_abort
-
-    async def _cancel(self) -> None:
+        self._abort = _ignore_abort
         tasks = [e.task for e in self._exchanges if e.task is not None]
         for task in tasks:
             await task.cancel(exc=PeerDisconnectedError, blocking=False)
--- a/libs/http/auburnjunction/http/tests/test_client_limits.py
+++ b/libs/http/auburnjunction/http/tests/test_client_limits.py
@@ -1,6 +1,7 @@
 """Tests of servers and clients whose process has a byte budget."""
 
 import gc
+import os
 import tracemalloc
 import weakref
 from contextlib import asynccontextmanager
@@ -196,6 +197,13 @@
     await sock.close()
 
 
+async def leave_behind_requests(port):
+    sock = await curio.open_connection(LOOPBACK_HOST, port)
+    await sock.sendall(b"GET / HTTP/1.1\r\nHost: t\r\n\r\n" * 4)
+    await curio.sleep(0.05)
+    await sock.close()
+
+
 # Guards against messages that only the garbage collector frees, although
 # their bytes were given back when the client left.
 @pytest.mark.parametrize(
@@ -204,6 +212,7 @@
         leave_in_body,
         leave_in_chunks,
         leave_behind_body,
+        leave_behind_requests,
     ],
 )
 def test_abandoned_messages_are_freed_without_the_collector(visit):
@@ -221,6 +230,7 @@
             MessageLimits(body_bytes=2 * BODY),
             options=options,
         ) as server:
+            fds = len(os.listdir("/proc/self/fd"))
             for _ in range(20):
                 await visit(server.port)
                 async with curio.timeout_after(LONG_ENOUGH_S):
@@ -229,6 +239,7 @@
                     while server.connection_count:
                         await curio.sleep(0.01)
             assert resources.budget.used_bytes == 0
+            assert len(os.listdir("/proc/self/fd")) <= fds
             return tracemalloc.get_traced_memory()[0]
 
     gc.disable()
