Spare work of small messages

Cause: each request asked the parser once in vain before it got data, and each small response was sent through two views. A head is now parsed from what has been received, if the parser has none of it; small parts are sent as they are.

--- a/libs/http/auburnjunction/http/message_streams.py
+++ b/libs/http/auburnjunction/http/message_streams.py
@@ -4,7 +4,7 @@
 import h11
 
 from auburnjunction.base.clocks import Clock
-from auburnjunction.http.budgets import Account, Share
+from auburnjunction.http.budgets import USUAL_HEADERS, Account, Share
 from auburnjunction.http.errors import (
     AbandonedMessageError,
     BadMessageError,
@@ -177,6 +177,9 @@
         self.is_used = True
         self._start_message()
         self._slice_bytes, self._missing_bytes = HEAD_SLICE_BYTES, None
+        if self._input and not self._received_bytes:
+            # Saves asking the parser in vain.
+            self._parse(self._take_slice())
         event = await self._next_event()
         if isinstance(event, h11.ConnectionClosed):
             return None
@@ -262,14 +265,18 @@
         The views that sendall() makes live on in the traceback of a cancelled
         task, and a buffer with views can't be cleared.
         """
-        with memoryview(buffer) as view:
-            position = 0
-            while position < len(view):
-                with view[position : position + SEND_BYTES] as part:
+        position = 0
+        while position < len(buffer):
+            if position == 0 and len(buffer) <= MAX_JOINED_BYTES:
+                # Usually all of it; not the buffer of a body but a copy.
+                sent_bytes = await self.sock.send(buffer)
+            else:
+                end = position + SEND_BYTES
+                with memoryview(buffer) as view, view[position:end] as part:
                     sent_bytes = await self.sock.send(part)
-                position += sent_bytes
-                if account is not None:
-                    account.sent_bytes += sent_bytes
+            position += sent_bytes
+            if account is not None:
+                account.sent_bytes += sent_bytes
 
     def encode_request(self, request: HttpRequest) -> list[bytes]:
         """Return the parts of a request that is about to be sent.
@@ -303,7 +310,7 @@
         elif self.resources is not None:
             self.account = self.resources.budget.open_account(self.share)
         headers = list(event.headers)
-        if self.account is not None:
+        if self.account is not None and len(headers) > USUAL_HEADERS:
             await self.resources.reserve_response(self.account, headers)
         body = await self._read_body(is_clearable=request_account is not None)
         response = HttpResponse(event.status_code, headers, body)
