Log what bounded the calls that a shutdown cuts off

It could not tell a call that started at once and outlasted its estimate from one that waited in a queue, or for a connection, and started late.

The entry node now logs when a call was taken after the signal and how long its caller would have waited; the owner node how long a run took that was abandoned meanwhile, and which duration was expected.

--- a/libs/node/auburnjunction/node/nodes.py
+++ b/libs/node/auburnjunction/node/nodes.py
@@ -1,5 +1,6 @@
 """Running a node: start-up, listeners and graceful shutdown."""
 
+import math
 from collections.abc import Callable
 from contextlib import asynccontextmanager
 from random import Random
@@ -58,10 +59,11 @@
         calls that are still in flight at the drain limit.
         """
         log_event("node leaving")
+        signal_s = self._clock.monotonic()
         self._components.readiness_gate.leaving = True
         self._servers.callers.disable_keep_alive()
         notice_s = self._cfg.leaving_notice_s
-        notice_end_s = self._clock.monotonic() + notice_s
+        notice_end_s = signal_s + notice_s
         deadline_s = notice_end_s + self._cfg.drain_limit_s
         self._components.lifetime.set_end(notice_end_s, deadline_s)
         async with open_task_group() as group:
@@ -81,7 +83,7 @@
             await self._components.quotas.leave(self._remaining_s(deadline_s))
             self._components.entry.start_draining()
             remaining += await self._drain_servers(deadline_s)
-        self._log_calls_in_flight()
+        self._log_calls_in_flight(signal_s)
         log_event("node drained", remaining=remaining)
         return remaining
 
@@ -93,7 +95,12 @@
                 await group.spawn(server.drain, self._remaining_s(deadline_s))
         return sum(group.results)
 
-    def _log_calls_in_flight(self) -> None:
+    def _log_calls_in_flight(self, signal_s: float) -> None:
+        """Log the calls that are cut off, and what bounded them.
+
+        taken_after_s counts from the signal; a call without limit_left_s
+        was not routed.
+        """
         now_s = self._clock.monotonic()
         for trace in self._components.entry.in_flight[:MAX_LOGGED_CALLS]:
             log_event(
@@ -104,12 +111,18 @@
                 instance=trace.instance,
                 attempts=trace.attempts,
                 age_s=round(now_s - trace.started_s, 3),
+                taken_after_s=round(trace.started_s - signal_s, 3),
+                limit_left_s=_round_limit(trace.deadline_s - now_s),
             )
 
     def _remaining_s(self, deadline_s: float) -> float:
         return max(0.0, deadline_s - self._clock.monotonic())
 
 
+def _round_limit(left_s: float) -> float | None:
+    return round(left_s, 3) if left_s < math.inf else None
+
+
 @asynccontextmanager
 async def open_node(
     cfg: NodeSettings,
--- a/libs/traffic/auburnjunction/traffic/entries.py
+++ b/libs/traffic/auburnjunction/traffic/entries.py
@@ -146,6 +146,7 @@
         routed = self._router.route_request(
             request, trace.request_id, trace.started_s
         )
+        trace.deadline_s = routed.call.deadline_s
         trace.service = routed.call.service
         trace.route = routed.call.route
         trace.nested = routed.call.nested
--- a/libs/traffic/auburnjunction/traffic/instances.py
+++ b/libs/traffic/auburnjunction/traffic/instances.py
@@ -293,6 +293,7 @@
             raise
         except curio.CancelledError:
             self._metrics.count_abandoned_run(call)
+            self._admission.log_abandoned_run(call, start_s)
             raise
         finally:
             self._crash_watch.end_call(call)
--- a/libs/traffic/auburnjunction/traffic/senders.py
+++ b/libs/traffic/auburnjunction/traffic/senders.py
@@ -1,5 +1,6 @@
 """Sending of calls: attempts at instances, retries and backoff."""
 
+import math
 import random
 from typing import Protocol
 
@@ -76,6 +77,8 @@
 
     request_id: str
     started_s: float
+    # Monotonic time until which its caller waits; infinity until it is routed.
+    deadline_s: float = math.inf
     service: str = ""
     priority: int = 0
     revision: int = 0
--- a/libs/traffic/auburnjunction/traffic/shutdown_checks.py
+++ b/libs/traffic/auburnjunction/traffic/shutdown_checks.py
@@ -2,7 +2,10 @@
 
 import math
 
+from absl import logging
+
 from auburnjunction.base.errors import ErrorCode
+from auburnjunction.base.logs import log_event
 from auburnjunction.traffic.calls import Call, NotRunError
 from auburnjunction.traffic.lifetimes import NodeLifetime
 from auburnjunction.traffic.limits import ServiceTimes
@@ -51,6 +54,27 @@
             ErrorCode.DRAINING if is_own else ErrorCode.SHUTDOWN,
         )
 
+    def log_abandoned_run(
+        self, call: Call, start_s: float, now_s: float
+    ) -> None:
+        """Log how long a run took that a shutdown may have cut off.
+
+        Runs that end while no node of the call shuts down are not logged.
+        """
+        end_s = self.find_end(call)
+        if end_s == math.inf:
+            return
+        log_event(
+            "run abandoned during a shutdown",
+            logging.WARNING,
+            request_id=call.request_id,
+            route=call.route,
+            ran_s=round(now_s - start_s, 3),
+            expected_s=round(self._find_duration(call, start_s), 3),
+            shutdown_left_s=round(end_s - now_s, 3),
+            limit_left_s=round(call.deadline_s - now_s, 3),
+        )
+
     def _find_duration(self, call: Call, now_s: float) -> float:
         """Return a duration that the call will most likely not exceed.
 
--- a/libs/traffic/auburnjunction/traffic/slots.py
+++ b/libs/traffic/auburnjunction/traffic/slots.py
@@ -76,6 +76,12 @@
         self._shutdown.check(call, self._clock.monotonic())
         self._check_key(call)
 
+    def log_abandoned_run(self, call: Call, start_s: float) -> None:
+        """Log a run that was abandoned while a node of its call shut down."""
+        self._shutdown.log_abandoned_run(
+            call, start_s, self._clock.monotonic()
+        )
+
     def _check_key(self, call: Call) -> None:
         error = self._find_refusal(call)
         if error is not None:
