Take calls late in a shutdown only within their limits

Cause: the expected duration, a mean and four mean deviations, decided to the end whether a call fits into what is left of a node. Of uneven work a few in a hundred take longer, and nothing compared a call's own limit with the node's end.

Later an attempt begins only if its own limit passes before the node ends: the caller's deadline, the route's or the attempt's time-out. That holds for first attempts, retries and probes, whichever instance they go to. Nested calls are exempt, as the request that they are made for runs. Owner nodes take a call whose deadline passes before the end, whatever is expected of it. Refusals after the notice no longer lead callers back to the same process: their Retry-After was 0.1 to 0.2 s, and now lasts until the node has ended.

Related paths: retries had the same cause. The owner side takes no calls after its notice, so that two nodes stopped in turn don't show it.

--- a/libs/node/auburnjunction/node/nodes.py
+++ b/libs/node/auburnjunction/node/nodes.py
@@ -65,7 +65,9 @@
         notice_s = self._cfg.leaving_notice_s
         notice_end_s = signal_s + notice_s
         deadline_s = notice_end_s + self._cfg.drain_limit_s
-        self._components.lifetime.set_end(notice_end_s, deadline_s)
+        self._components.lifetime.set_end(
+            notice_end_s, deadline_s, self._find_estimates_end(signal_s)
+        )
         async with open_task_group() as group:
             await group.spawn(
                 run_forever,
@@ -115,6 +117,10 @@
                 limit_left_s=_round_limit(trace.deadline_s - now_s),
             )
 
+    def _find_estimates_end(self, signal_s: float) -> float | None:
+        until_s = self._cfg.estimates_until_s
+        return None if until_s is None else signal_s + until_s
+
     def _remaining_s(self, deadline_s: float) -> float:
         return max(0.0, deadline_s - self._clock.monotonic())
 
--- a/libs/node/auburnjunction/node/settings.py
+++ b/libs/node/auburnjunction/node/settings.py
@@ -77,6 +77,13 @@
     )
     log_level: str = attrs.field(validator=attrs.validators.in_(LOG_LEVELS))
     address_translations: dict[str, str]
+    # Time from the signal to stop during which a call is taken if it usually
+    # ends in time. Later its own limit must pass before this node ends. None
+    # stands for the leaving notice.
+    estimates_until_s: float | None = attrs.field(
+        default=None,
+        validator=attrs.validators.optional(check_range(0, 60)),
+    )
     limits: MessageLimits = MessageLimits()
     membership: MembershipSettings = attrs.field(factory=MembershipSettings)
     distribution: DistributionSettings = attrs.field(
--- a/libs/node/auburnjunction/node/tests/test_shutdowns.py
+++ b/libs/node/auburnjunction/node/tests/test_shutdowns.py
@@ -25,12 +25,17 @@
     send,
 )
 from auburnjunction.storage.fakes import MemoryObjectStore, MemoryTable
+from auburnjunction.traffic.lifetimes import ANSWER_MARGIN_S
+from auburnjunction.traffic.limits import MIN_DEVIATION_SAMPLES
 
 FIRST_PORT = 18_800
 CLOCK = SystemClock()
 SNAPSHOT = Snapshot(
     (Service("box", attempt_timeout_ms=20_000),),
-    (Route("boxes", "/boxes", "box", repeatable=True, timeout_ms=20_000),),
+    (
+        Route("boxes", "/boxes", "box", repeatable=True, timeout_ms=20_000),
+        Route("labels", "/labels", "box", repeatable=True, timeout_ms=300),
+    ),
 )
 WORK_S = 0.4
 NOTICE_S = 0.4
@@ -38,6 +43,9 @@
 # Work that can end before the entry node does, with one slot.
 SERVED = int((NOTICE_S + DRAIN_LIMIT_S) / WORK_S)
 CALLS = 3 * SERVED
+# Work of a call that outlasts the node, and of the usual ones of its route.
+LONG_WORK_S = NOTICE_S + DRAIN_LIMIT_S
+USUAL_WORK_S = 0.02
 
 
 @attrs.define
@@ -52,6 +60,27 @@
         return HttpResponse(200, [], request.target)
 
 
+@attrs.define
+class UnevenBackend:
+    """Backend server that works by the name of a request.
+
+    One named hold ends when the backend server is told to.
+    """
+
+    begun: list = attrs.field(factory=list)
+    released: curio.Event = attrs.field(factory=curio.Event)
+
+    async def handle(self, request):
+        self.begun.append(request.target)
+        if request.target.endswith(b"/hold"):
+            await self.released.wait()
+        elif request.target.endswith(b"/long"):
+            await curio.sleep(LONG_WORK_S)
+        else:
+            await curio.sleep(USUAL_WORK_S)
+        return HttpResponse(200, [], request.target)
+
+
 @attrs.define
 class Result:
     """What a caller got; status is 0 if the connection was closed."""
@@ -70,12 +99,15 @@
     owner: "StoppableNode"
     entry_port: int
     owner_port: int
-    backend: SlowBackend
+    backend: "SlowBackend | UnevenBackend"
 
     async def call(self, name, port=None):
         """Return the result of a call at the entry node."""
+        return await self.send(f"/boxes/{name}", port)
+
+    async def send(self, target, port=None):
+        """Return the result of a request at the entry node."""
         start_s = CLOCK.monotonic()
-        target = f"/boxes/{name}"
         try:
             response = await send(port or self.entry_port, "GET", target)
         except HttpError:
@@ -88,6 +120,12 @@
             float(response.header(b"retry-after") or 0),
         )
 
+    async def warm_up(self, *ports):
+        async with curio.timeout_after(20):
+            for port in ports:
+                while (await self.call("warm-up", port)).status != 200:
+                    await curio.sleep(0.05)
+
     async def start_calls(self, names):
         """Start calls and wait until each of them is at the owner node."""
         tasks = [await curio.spawn(self.call, name) for name in names]
@@ -123,6 +161,14 @@
             await self.stop.wait()
             return await node.drain()
 
+    async def announce(self, instance, server, slots):
+        await announce_slots(
+            self.ports["admin_port"], instance, server.port, slots
+        )
+
+    def count_instances(self):
+        return len(self.node._components.membership.find_instances("box"))
+
     def count_calls(self):
         return len(self.node._components.entry.in_flight)
 
@@ -140,10 +186,10 @@
 
 
 @asynccontextmanager
-async def open_mesh():
+async def open_nodes(backend):
+    """Yield a mesh of two nodes and a server of a backend for both."""
     platform = PlatformAdapters(MemoryTable(), MemoryObjectStore())
     await commit(platform, SNAPSHOT)
-    backend = SlowBackend()
     entry_ports = choose_ports(FIRST_PORT)
     owner_ports = choose_ports(FIRST_PORT + 10)
     async with (
@@ -151,23 +197,51 @@
         open_stoppable_node("entry", entry_ports, platform) as entry,
         open_stoppable_node("owner", owner_ports, platform) as owner,
     ):
-        mesh = Mesh(
-            entry,
-            owner,
-            entry_ports["caller_port"],
-            owner_ports["caller_port"],
-            backend,
+        yield (
+            Mesh(
+                entry,
+                owner,
+                entry_ports["caller_port"],
+                owner_ports["caller_port"],
+                backend,
+            ),
+            server,
         )
-        await announce_slots(
-            owner_ports["admin_port"], "box-1", server.port, 1
-        )
-        async with curio.timeout_after(20):
-            for port in (mesh.owner_port, mesh.entry_port):
-                while (await mesh.call("warm-up", port)).status != 200:
-                    await curio.sleep(0.05)
+
+
+@asynccontextmanager
+async def open_mesh():
+    """Yield a mesh with a backend server with one slot at the owner node."""
+    async with open_nodes(SlowBackend()) as (mesh, server):
+        await mesh.owner.announce("box-1", server, 1)
+        await mesh.warm_up(mesh.owner_port, mesh.entry_port)
         yield mesh
 
 
+@asynccontextmanager
+async def open_busy_mesh():
+    """Yield a mesh whose entry node has a backend server that is busy.
+
+    The backend server of the other node has answered usual calls only.
+    """
+    backend = UnevenBackend()
+    async with open_nodes(backend) as (mesh, server):
+        await mesh.entry.announce("box-2", server, 1)
+        await mesh.warm_up(mesh.entry_port)
+        tasks = await mesh.start_calls(["hold"])
+        await mesh.owner.announce("box-1", server, 8)
+        async with curio.timeout_after(5):
+            while mesh.entry.count_instances() < 2:
+                await curio.sleep(0.005)
+        for _ in range(MIN_DEVIATION_SAMPLES):
+            assert (await mesh.call("usual")).status == 200
+        try:
+            yield mesh
+        finally:
+            await backend.released.set()
+            await join_all(tasks)
+
+
 async def join_all(tasks):
     return [await task.join() for task in tasks]
 
@@ -217,3 +291,33 @@
             assert len(refused) <= CALLS - SERVED + 2
 
     curio.run(main)
+
+
+# Guards against calls that a node takes after its leaving notice, as they
+# usually end in time, and cuts off without an answer when it ends.
+@pytest.mark.parametrize(
+    ("target", "sent_s", "status"),
+    [
+        ("/boxes/usual", NOTICE_S / 2, 200),
+        ("/boxes/usual", NOTICE_S + 0.2, 503),
+        ("/boxes/long", NOTICE_S + 0.2, 503),
+        ("/labels/usual", NOTICE_S + 0.2, 200),
+        ("/labels/long", NOTICE_S + 0.2, 504),
+    ],
+)
+def test_call_taken_after_the_notice_is_answered(target, sent_s, status):
+    async def main():
+        async with open_busy_mesh() as mesh:
+            await mesh.entry.stop.set()
+            await curio.sleep(sent_s)
+            begun = list(mesh.backend.begun)
+            result = await mesh.send(target)
+            assert result.status == status
+            if status == 503:
+                assert mesh.backend.begun == begun
+                assert result.duration_s < NOTICE_S
+                # Its caller does not return to the process that ends.
+                end_s = NOTICE_S + DRAIN_LIMIT_S - ANSWER_MARGIN_S
+                assert sent_s + result.retry_after_s > end_s
+
+    curio.run(main)
--- a/libs/traffic/auburnjunction/traffic/entries.py
+++ b/libs/traffic/auburnjunction/traffic/entries.py
@@ -69,6 +69,8 @@
 # Minimum Retry-After, in seconds, of calls whose refusal gave none: the time
 # in which a change reaches every node. It is jittered up to twice this time.
 DEFAULT_RETRY_AFTER_S = 0.1
+# Codes of calls that a node or a backend server refused as it ends.
+SHUTDOWN_CODES = frozenset({ErrorCode.DRAINING, ErrorCode.SHUTDOWN})
 OK_VALUE = Outcome.OK.value.encode()
 
 
@@ -192,7 +194,9 @@
     def _make_failure(
         self, error: TrafficError, trace: CallTrace
     ) -> HttpResponse:
-        if error.code is ErrorCode.SHUTDOWN:
+        if error.outcome is Outcome.NOT_RUN and self._is_due_to_shutdown(
+            error
+        ):
             error.retry_after_s = self._lifetime.find_return_delay()
             error.retry_after_s += draw_retry_after()
         elif error.outcome is Outcome.NOT_RUN and not error.retry_after_s:
@@ -202,6 +206,10 @@
         self._report(trace, error.outcome, error.code)
         return make_error_response(error, trace.request_id, self._names)
 
+    def _is_due_to_shutdown(self, error: TrafficError) -> bool:
+        """Return whether callers should return once this node has ended."""
+        return self._lifetime.is_ending and error.code in SHUTDOWN_CODES
+
     def _report(self, trace: CallTrace, outcome: Outcome, code) -> None:
         duration_s = self._clock.monotonic() - trace.started_s
         self._reporter.report_call(trace, outcome, code, duration_s)
--- a/libs/traffic/auburnjunction/traffic/senders.py
+++ b/libs/traffic/auburnjunction/traffic/senders.py
@@ -178,7 +178,7 @@
         """Run a request on probation once, at the instance for its probes."""
         _, attempts = self._start(routed)
         now_s = self._clock.monotonic()
-        error = self._find_attempt_error(routed.call, now_s)
+        error = self._find_attempt_error(routed, now_s)
         if error is not None:
             raise error
         instance = self._quarantine.choose_probed(
@@ -213,20 +213,31 @@
         attempts: AttemptState,
         now_s: float,
     ) -> PlannedAttempt | None:
-        error = self._find_attempt_error(routed.call, now_s)
+        error = self._find_attempt_error(routed, now_s)
         if error is not None:
             attempts.add_error(error, False)
             return None
         return self._planner.plan(routed, attempts, now_s)
 
     def _find_attempt_error(
-        self, call: Call, now_s: float
+        self, routed: RoutedCall, now_s: float
     ) -> NotRunError | None:
         """Return why no attempt of a call may begin, or None."""
+        call = routed.call
         if now_s >= call.deadline_s:
             return NotRunError("the deadline has passed", ErrorCode.TIMEOUT)
-        if now_s >= self._lifetime.end_s:
+        end_s = self._lifetime.end_s
+        if now_s >= end_s:
             return NotRunError("this node shuts down", ErrorCode.SHUTDOWN)
+        limit_s = _find_attempt_limit(routed, now_s)
+        # Without a nested call, the request that it is made for would fail,
+        # and that one has been taken.
+        if not call.nested and not self._lifetime.may_take(limit_s, now_s):
+            return NotRunError(
+                f"the limit of {limit_s - now_s:.3f} s exceeds the "
+                f"{end_s - now_s:.3f} s until this node shuts down",
+                ErrorCode.SHUTDOWN,
+            )
         return self._find_refusal(call)
 
     def _record_attempt(self, instance: Instance, trace: CallTrace) -> None:
@@ -341,10 +352,16 @@
             await self._clock.sleep(delay_s)
 
 
+def _find_attempt_limit(routed: RoutedCall, now_s: float) -> float:
+    """Return the monotonic time by which an attempt begun now has ended."""
+    timeout_s = routed.service.attempt_timeout_ms / 1000
+    return min(routed.call.deadline_s, now_s + timeout_s)
+
+
 def _make_attempt_call(routed: RoutedCall, now_s: float) -> Call:
     """Return the call with its deadline cut to the attempt timeout."""
     call = routed.call
-    limit_s = now_s + routed.service.attempt_timeout_ms / 1000
+    limit_s = _find_attempt_limit(routed, now_s)
     if limit_s >= call.deadline_s:
         return call
     return attrs.evolve(call, deadline_s=limit_s)
--- a/libs/traffic/auburnjunction/traffic/shutdown_checks.py
+++ b/libs/traffic/auburnjunction/traffic/shutdown_checks.py
@@ -40,7 +40,8 @@
         It starts after the expected wait.
         """
         end_s = self.find_end(call)
-        if end_s == math.inf:
+        # A call ends at its deadline, whatever is expected of it.
+        if call.deadline_s <= end_s:
             return None
         left_s = end_s - now_s
         duration_s = self._find_duration(call, now_s)
