Refuse calls that wait for a connection when a node shuts down

What callers could see: their calls wait at the entry node for one of the 64 connections to an owner node, and are closed without an answer when the entry node ends, though no backend server has begun them.

Cause: the owner node, which refuses what can't end in time, does not know such calls, and the wait for a connection ended at the caller's deadline only.

Change: permits for connections are granted in order as before, but their waits can be refused.

curio's semaphore has no way to end the wait of another task but to cancel that task, and curio cancels a task only once: it could not be cancelled any more when its connection closes.

Measured: test_calls_that_wait_for_a_connection_are_refused_at_the_shutdown got no answer to 2 of 2 such calls before, and now 503. libs/http and the shutdown tests of libs/node pass.

--- a/libs/http/auburnjunction/http/clients.py
+++ b/libs/http/auburnjunction/http/clients.py
@@ -1,5 +1,6 @@
 """Pools of HTTP/1.1 client connections."""
 
+import math
 from collections import deque
 from contextlib import asynccontextmanager
 
@@ -19,6 +20,7 @@
     HttpResponse,
     MessageLimits,
 )
+from auburnjunction.http.permits import Permits, WaitPredicate
 from auburnjunction.http.resources import ProcessResources
 
 __all__ = [
@@ -61,7 +63,7 @@
         self._limits = limits
         self._idle: deque[ClientConnection] = deque()
         self._max_connections = max_connections
-        self._permits = curio.Semaphore(max_connections)
+        self._permits = Permits(max_connections)
 
     @property
     def idle_count(self) -> int:
@@ -79,7 +81,8 @@
         A connection that is not reusable is closed instead. Connections
         idle for longer than max_idle_s (by default the pool's limit) are
         closed and not used. Raise NotSentError if no connection is
-        available within timeout_s.
+        available within timeout_s, WaitRefusedError if refuse_waits() ends
+        the wait.
         """
         start_s = self._clock.monotonic()
         await self._acquire_permit(timeout_s)
@@ -117,7 +120,14 @@
     @property
     def is_unused(self) -> bool:
         """Whether no connection is open or being opened."""
-        return not self._idle and self._permits.value == self._max_connections
+        return not self._idle and self._permits.are_unused
+
+    async def refuse_waits(self, may_wait: WaitPredicate) -> None:
+        """Refuse the waits for a connection that may not go on.
+
+        may_wait is given the monotonic time until which each would last.
+        """
+        await self._permits.refuse_waits(may_wait)
 
     async def sweep(self) -> None:
         """Close connections that idled too long or are not reusable."""
@@ -145,12 +155,11 @@
             await conn.close()
 
     async def _acquire_permit(self, timeout_s: float | None) -> None:
-        if self._permits.value or timeout_s is None:
-            await self._permits.acquire()
-            return
+        limit_s = math.inf
+        if timeout_s is not None:
+            limit_s = self._clock.monotonic() + timeout_s
         try:
-            async with curio.timeout_after(timeout_s):
-                await self._permits.acquire()
+            await self._permits.acquire(timeout_s, limit_s)
         except curio.TaskTimeout as exc:
             raise NotSentError(
                 f"all {self._max_connections} connections to "
@@ -217,6 +226,11 @@
             self._pools[address] = pool
         return pool
 
+    async def refuse_waits(self, may_wait: WaitPredicate) -> None:
+        """Refuse waits for connections of every pool."""
+        for pool in list(self._pools.values()):
+            await pool.refuse_waits(may_wait)
+
     async def sweep(self) -> None:
         """Close expired idle connections and remove unused pools."""
         for address, pool in list(self._pools.items()):
--- a/libs/node/auburnjunction/node/components.py
+++ b/libs/node/auburnjunction/node/components.py
@@ -96,6 +96,8 @@
     readiness_gate: ReadinessGate
     lifetime: NodeLifetime
     answer_limits: AnswerLimitSender
+    # Connections to other nodes for calls.
+    call_pools: PoolRegistry
     quotas: Quotas
     # None if roll-outs are not in force.
     rollouts: RolloutCoordinator | None = None
@@ -259,6 +261,7 @@
             readiness_gate,
             lifetime,
             AnswerLimitSender(forwarded, lifetime, control_pools, clock),
+            call_pools,
             quotas,
             rollouts,
             resources,
--- a/libs/node/auburnjunction/node/nodes.py
+++ b/libs/node/auburnjunction/node/nodes.py
@@ -75,6 +75,12 @@
                 self._clock,
                 SEND_INTERVAL_S,
             )
+            await group.spawn(
+                run_forever,
+                self._refuse_waits,
+                self._clock,
+                SEND_INTERVAL_S,
+            )
             await self._clock.sleep(notice_s)
             self._components.membership.set_leaving()
             # The entry side stays open until the calls to this host's backend
@@ -117,6 +123,17 @@
                 limit_left_s=_round_limit(trace.deadline_s - now_s),
             )
 
+    async def _refuse_waits(self) -> None:
+        """Refuse calls that wait for a connection and may not be taken now.
+
+        Their owner nodes don't know them.
+        """
+        now_s = self._clock.monotonic()
+        lifetime = self._components.lifetime
+        await self._components.call_pools.refuse_waits(
+            lambda limit_s: lifetime.may_take(limit_s, now_s)
+        )
+
     def _find_estimates_end(self, signal_s: float) -> float | None:
         until_s = self._cfg.estimates_until_s
         return None if until_s is None else signal_s + until_s
--- a/libs/node/auburnjunction/node/tests/test_shutdowns.py
+++ b/libs/node/auburnjunction/node/tests/test_shutdowns.py
@@ -143,6 +143,7 @@
     name: str
     ports: dict
     platform: PlatformAdapters
+    settings: dict = attrs.field(factory=dict)
     node: object = None
     opened: curio.Event = attrs.field(factory=curio.Event)
     stop: curio.Event = attrs.field(factory=curio.Event)
@@ -154,6 +155,7 @@
             node=self.name,
             leaving_notice_s=NOTICE_S,
             drain_limit_s=DRAIN_LIMIT_S,
+            **self.settings,
         )
         async with open_node(cfg, CLOCK, self.platform, Random(1)) as node:
             self.node = node
@@ -174,8 +176,8 @@
 
 
 @asynccontextmanager
-async def open_stoppable_node(name, ports, platform):
-    node = StoppableNode(name, ports, platform)
+async def open_stoppable_node(name, ports, platform, **settings):
+    node = StoppableNode(name, ports, platform, settings)
     task = await curio.spawn(node.run)
     await node.opened.wait()
     try:
@@ -186,7 +188,7 @@
 
 
 @asynccontextmanager
-async def open_nodes(backend):
+async def open_nodes(backend, **settings):
     """Yield a mesh of two nodes and a server of a backend for both."""
     platform = PlatformAdapters(MemoryTable(), MemoryObjectStore())
     await commit(platform, SNAPSHOT)
@@ -194,8 +196,12 @@
     owner_ports = choose_ports(FIRST_PORT + 10)
     async with (
         open_server(HOST, 0, backend.handle, CLOCK) as server,
-        open_stoppable_node("entry", entry_ports, platform) as entry,
-        open_stoppable_node("owner", owner_ports, platform) as owner,
+        open_stoppable_node(
+            "entry", entry_ports, platform, **settings
+        ) as entry,
+        open_stoppable_node(
+            "owner", owner_ports, platform, **settings
+        ) as owner,
     ):
         yield (
             Mesh(
@@ -321,3 +327,26 @@
                 assert sent_s + result.retry_after_s > end_s
 
     curio.run(main)
+
+
+# Guards against calls that wait for a connection to their owner node, which
+# does not know them, until their entry node closes their callers' connections.
+def test_calls_that_wait_for_a_connection_are_refused_at_the_shutdown():
+    routing = {"pool_connections": 1}
+
+    async def main():
+        backend = UnevenBackend()
+        async with open_nodes(backend, routing=routing) as (mesh, server):
+            await mesh.owner.announce("box-1", server, 8)
+            await mesh.warm_up(mesh.owner_port, mesh.entry_port)
+            names = ["hold", "wait-1", "wait-2"]
+            held, *waiting = await mesh.start_calls(names)
+            await mesh.entry.stop.set()
+            results = await join_all(waiting)
+            assert [r.status for r in results] == [503, 503]
+            assert all(r.retry_after_s > 0 for r in results)
+            assert not any(b"wait" in target for target in backend.begun)
+            await backend.released.set()
+            assert (await held.join()).status == 200
+
+    curio.run(main)
--- a/libs/traffic/auburnjunction/traffic/call_forwarders.py
+++ b/libs/traffic/auburnjunction/traffic/call_forwarders.py
@@ -29,6 +29,7 @@
     HttpResponse,
     MessageLimits,
 )
+from auburnjunction.http.permits import WaitRefusedError
 from auburnjunction.http.resources import ProcessResources
 from auburnjunction.model.services import Instance
 from auburnjunction.placements.reports import format_report, parse_report
@@ -151,6 +152,11 @@
                 response = await self._send(pool, call, instance, timeout_s)
         except ConnectTimeoutError as exc:
             raise NodeConnectTimeoutError(exc.message) from exc
+        except WaitRefusedError as exc:
+            raise NotRunError(
+                "this node shuts down before it has a connection for the call",
+                ErrorCode.SHUTDOWN,
+            ) from exc
         except NotSentError as exc:
             raise NotRunError(exc.message, ErrorCode.UNREACHABLE) from exc
         return _read_answer(response)
