Test that limits decide late in a shutdown, but not for nested calls

Reading of the diff: the delay of refusals has a method of its own, and waits for a connection are checked in an interval with a name of its own.

test_late_call_is_taken_by_its_own_limit, six rows: within its limit, beyond it and nested, while expected durations decide and afterwards.

--- a/libs/node/auburnjunction/node/nodes.py
+++ b/libs/node/auburnjunction/node/nodes.py
@@ -26,6 +26,8 @@
 
 OWNER_SWEEP_INTERVAL_S = 0.1
 OWNER_PROBE_INTERVAL_S = 0.2
+# During a shutdown; callers are refused this much later at most.
+WAIT_CHECK_INTERVAL_S = 0.1
 # Calls that are logged if they are cut off by the shutdown of the node.
 MAX_LOGGED_CALLS = 50
 
@@ -55,8 +57,9 @@
 
         During the leaving notice, calls are still served while callers
         move to other nodes, and the backend servers of this host stay in
-        use, as their service may have few others. Return the number of
-        calls that are still in flight at the drain limit.
+        use, as their service may have few others. Later the entry side takes
+        only calls that end in time by their own limits. Return the number
+        of calls that are still in flight at the drain limit.
         """
         log_event("node leaving")
         signal_s = self._clock.monotonic()
@@ -79,7 +82,7 @@
                 run_forever,
                 self._refuse_waits,
                 self._clock,
-                SEND_INTERVAL_S,
+                WAIT_CHECK_INTERVAL_S,
             )
             await self._clock.sleep(notice_s)
             self._components.membership.set_leaving()
--- a/libs/traffic/auburnjunction/traffic/entries.py
+++ b/libs/traffic/auburnjunction/traffic/entries.py
@@ -194,21 +194,20 @@
     def _make_failure(
         self, error: TrafficError, trace: CallTrace
     ) -> HttpResponse:
-        if error.outcome is Outcome.NOT_RUN and self._is_due_to_shutdown(
-            error
-        ):
-            error.retry_after_s = self._lifetime.find_return_delay()
-            error.retry_after_s += draw_retry_after()
-        elif error.outcome is Outcome.NOT_RUN and not error.retry_after_s:
-            error.retry_after_s = draw_retry_after()
+        if error.outcome is Outcome.NOT_RUN:
+            self._set_retry_after(error)
         trace.reason = error.message
         trace.retry_after_s = error.retry_after_s
         self._report(trace, error.outcome, error.code)
         return make_error_response(error, trace.request_id, self._names)
 
-    def _is_due_to_shutdown(self, error: TrafficError) -> bool:
-        """Return whether callers should return once this node has ended."""
-        return self._lifetime.is_ending and error.code in SHUTDOWN_CODES
+    def _set_retry_after(self, error: TrafficError) -> None:
+        """Set the delay of a refusal that has none, or is due to shutdown."""
+        if self._lifetime.is_ending and error.code in SHUTDOWN_CODES:
+            delay_s = self._lifetime.find_return_delay()
+            error.retry_after_s = delay_s + draw_retry_after()
+        elif not error.retry_after_s:
+            error.retry_after_s = draw_retry_after()
 
     def _report(self, trace: CallTrace, outcome: Outcome, code) -> None:
         duration_s = self._clock.monotonic() - trace.started_s
--- a/libs/traffic/auburnjunction/traffic/tests/routing_support.py
+++ b/libs/traffic/auburnjunction/traffic/tests/routing_support.py
@@ -33,6 +33,7 @@
 from auburnjunction.traffic.call_forwarders import PeerHandler, make_pools
 from auburnjunction.traffic.calls import Answer, NotRunError, UnknownRunError
 from auburnjunction.traffic.entries import make_entry_handler
+from auburnjunction.traffic.routers import find_no_parent
 from auburnjunction.traffic.routing_settings import RoutingSettings
 
 HOST = "127.0.0.1"
@@ -251,6 +252,8 @@
     entries=1,
     settings=None,
     placement=None,
+    lifetime=None,
+    find_parent=find_no_parent,
 ):
     """Yield a mesh with one instance on each owner node.
 
@@ -289,6 +292,8 @@
                 metrics if index == 0 else MetricRegistry(),
                 random.Random(index),
                 placement=placement,
+                lifetime=lifetime,
+                find_parent=find_parent,
             )
             for index in range(entries)
         ]
--- a/libs/traffic/auburnjunction/traffic/tests/test_entries.py
+++ b/libs/traffic/auburnjunction/traffic/tests/test_entries.py
@@ -5,7 +5,10 @@
 
 from auburnjunction.base.errors import ErrorCode
 from auburnjunction.traffic.calls import NotRunError
+from auburnjunction.traffic.lifetimes import NodeLifetime
+from auburnjunction.traffic.routers import find_no_parent
 from auburnjunction.traffic.routing_settings import RoutingSettings
+from auburnjunction.traffic.tests.owner_support import CLOCK, make_call
 from auburnjunction.traffic.tests.routing_support import (
     hang,
     open_mesh,
@@ -260,3 +263,32 @@
 
     settings = RoutingSettings(access_log_share=0, prompt_attempts=2)
     run_mesh(test, data_centres=("dc-1", "dc-1"), settings=settings)
+
+
+REFUSED = "503 not-run shutdown"
+
+
+# Guards against a late call whose expected duration fits and whose limit does
+# not, and against the refusal of a nested call, which fails its request.
+@pytest.mark.parametrize("estimates", ["in force", "ended"])
+@pytest.mark.parametrize(
+    ("is_nested", "timeout_ms", "late_answer"),
+    [(False, 300, OK), (False, 900, REFUSED), (True, 900, OK)],
+)
+def test_late_call_is_taken_by_its_own_limit(
+    estimates, is_nested, timeout_ms, late_answer
+):
+    now_s = CLOCK.monotonic()
+    lifetime = NodeLifetime(CLOCK)
+    end_s = now_s + (0.0 if estimates == "ended" else 0.3)
+    lifetime.set_end(now_s, now_s + 0.7, end_s)
+    parent = make_call("parent")
+
+    async def test(mesh):
+        headers = [(DEADLINE.encode(), b"%d" % timeout_ms)]
+        response = await mesh.call("a", headers=headers)
+        expected = OK if estimates == "in force" else late_answer
+        assert format_response(response) == expected
+
+    find_parent = (lambda _id: parent) if is_nested else find_no_parent
+    run_mesh(test, lifetime=lifetime, find_parent=find_parent)
