--- a/review/rig3/rig.py
+++ b/review/rig3/rig.py
@@ -9,6 +9,7 @@
 import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -20,6 +21,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
 CONTACT_S = 3.0
+PORT_RANGE = (10000, 32000)
+_taken_ports = set()
 BOUNDS = {
     "seed_lag_s": 3,
     "addr_reuse_s": 2,
@@ -63,14 +66,24 @@
 
 
 def find_ports(count):
-    """Return free ports."""
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
-        sock.bind((HOST, 0))
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
+    """Return free ports, each once in this process.
+
+    They are below the range from which the system takes the ports of
+    outgoing connections, so that none is taken before its listener starts.
+    """
+    found = []
+    while len(found) < count:
+        port = random.randrange(*PORT_RANGE)
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
+        if port not in _taken_ports:
+            _taken_ports.add(port)
+            found.append(port)
+    return found
 
 
 class Message:
