--- a/review/rig3/rig.py
+++ b/review/rig3/rig.py
@@ -766,9 +766,11 @@
                         target = Path(os.environ["KEEP_LOGS"]) / path.name
                         target.write_bytes(path.read_bytes())
 
+    # As Ctrl-C: the processes of the case are ended first.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         broken = asyncio.run(run())
-    except Exception as exc:  # noqa: BLE001
+    except (Exception, KeyboardInterrupt) as exc:  # noqa: BLE001
         record.write("cannot run:", repr(exc))
         print(f"the case could not run: {exc!r}", file=sys.stderr)
         sys.exit(2)
