--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Compiles the stand-ins in rig3 and the scripts of cases 11 to 15, which use
+# Compiles the stand-ins in rig3 and the scripts of cases 11 to 14, which use
 # Python's standard library only. The nodes come from deploy/build.sh.
 set -eu
 cd "$(dirname "$0")"
